--- a/Makefile
+++ b/Makefile
@@ -44,4 +44,4 @@
 
 format: setup
 	$(BIN)/ruff format .
-	$(BIN)/ruff check --fix .
+	$(BIN)/ruff check --fix --unsafe-fixes .
--- a/src/crocuswick/actor.py
+++ b/src/crocuswick/actor.py
@@ -5,12 +5,14 @@
 import re
 import threading
 import time
-from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 import pykka
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 __all__ = ["Actor", "Message", "Ticker"]
 
 _WORD_START = re.compile(r"(?<!^)(?=[A-Z])")
