--- /dev/null
+++ b/tests/fakes/engine_text.py
@@ -0,0 +1,45 @@
+"""The text that the engine stand-in generates: a pure function of what is before.
+
+An answer can so be checked by anyone, and an answer that another engine continues
+from prompt and text so far is the same answer.
+"""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+
+__all__ = ["CONTEXT_BYTES", "expected_answer", "next_token"]
+
+CONTEXT_BYTES = 48
+"""Bytes of text on which the next token depends."""
+
+_DIGEST_BYTES = 5
+_LETTERS = 7
+
+
+def next_token(text: str) -> str:
+    """Return the token that follows a text.
+
+    Args:
+        text: Prompt and answer so far; only its last bytes matter.
+
+    Returns:
+        A space and seven characters.
+    """
+    # A cut through a character at the front is harmless: only bytes are hashed.
+    tail = text.encode()[-CONTEXT_BYTES:]
+    digest = hashlib.blake2b(tail, digest_size=_DIGEST_BYTES).digest()
+    return " " + base64.b32encode(digest).decode().lower()[:_LETTERS]
+
+
+def expected_answer(prompt: str, max_tokens: int) -> str:
+    """Return the whole answer to a prompt."""
+    # The last 48 characters hold at least the last 48 bytes.
+    text = prompt[-CONTEXT_BYTES:]
+    answer = ""
+    for _ in range(max_tokens):
+        token = next_token(text)
+        answer += token
+        text = (text + token)[-CONTEXT_BYTES:]
+    return answer
--- /dev/null
+++ b/tests/fakes/launcher.py
@@ -0,0 +1,306 @@
+"""Starts stand-ins and daemons as processes, and ends every one of them."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Self
+
+import urllib3
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["Launcher", "Process", "wait_until"]
+
+REPOSITORY = Path(__file__).resolve().parents[2]
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
+POLL_INTERVAL_S = 0.01
+
+_http = urllib3.PoolManager(
+    retries=False, timeout=urllib3.Timeout(connect=2.0, read=10.0), maxsize=8
+)
+
+
+def wait_until(
+    condition: Callable[[], Any],
+    *,
+    timeout_s: float = 10.0,
+    interval_s: float = POLL_INTERVAL_S,
+    what: str = "the condition",
+) -> Any:
+    """Wait until a condition gives a true value.
+
+    Args:
+        condition: Called again and again.
+        timeout_s: Time after which waiting fails.
+        interval_s: Time between two calls.
+        what: Name of the condition for the error.
+
+    Returns:
+        The true value.
+
+    Raises:
+        TimeoutError: The condition did not become true in time.
+    """
+    until_s = time.monotonic() + timeout_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > until_s:
+            raise TimeoutError(f"waited {timeout_s} s for {what}")
+        time.sleep(interval_s)
+
+
+class Process:
+    """One child process that prints a ready line."""
+
+    def __init__(self, *, name: str, command: list[str], directory: Path):
+        self.name = name
+        self.host = "127.0.0.1"
+        self.port = 0
+        self.stderr_file = directory / f"{name}.stderr"
+        self._command = command
+        self._popen: subprocess.Popen[str] | None = None
+        self._ready = threading.Event()
+
+    @property
+    def address(self) -> str:
+        """Address as ``host:port``."""
+        return f"{self.host}:{self.port}"
+
+    @property
+    def url(self) -> str:
+        """Base URL."""
+        return f"http://{self.address}"
+
+    @property
+    def pid(self) -> int:
+        """Process id of the present run."""
+        assert self._popen is not None, f"{self.name} was never started"
+        return self._popen.pid
+
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code, or None while the process runs."""
+        return self._popen.poll() if self._popen else None
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process was started and has not ended."""
+        return self._popen is not None and self._popen.poll() is None
+
+    def stderr(self) -> str:
+        """Return what the process wrote to standard error, over all its runs."""
+        return self.stderr_file.read_text(errors="replace")
+
+    def begin(self) -> None:
+        """Start the process without waiting for its ready line."""
+        self._ready.clear()
+        with self.stderr_file.open("a") as stderr:
+            self._popen = subprocess.Popen(
+                self._command,
+                cwd=REPOSITORY,
+                stdin=subprocess.DEVNULL,
+                stdout=subprocess.PIPE,
+                stderr=stderr,
+                text=True,
+            )
+        reader = threading.Thread(
+            target=self._read_output, args=(self._popen,), daemon=True
+        )
+        reader.start()
+
+    def wait_ready(self, *, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Wait for the ready line.
+
+        Args:
+            timeout_s: Time to wait.
+
+        Raises:
+            RuntimeError: The process ended or printed no ready line in time.
+        """
+        until_s = time.monotonic() + timeout_s
+        while not self._ready.wait(POLL_INTERVAL_S):
+            if self.is_running and time.monotonic() < until_s:
+                continue
+            raise RuntimeError(
+                f"{self.name} is not ready, exit code {self.exit_code}, "
+                f"standard error: {self.stderr()[-2000:]}"
+            )
+
+    def restart(self, *, wait: bool = True) -> None:
+        """Start an ended process again on the port that it had."""
+        self._command = [self._with_port(argument) for argument in self._command]
+        self.begin()
+        if wait:
+            self.wait_ready()
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self._signal(signal.SIGKILL)
+        self.wait_end()
+
+    def terminate(self) -> None:
+        """Ask the process to end, without waiting for it."""
+        self._signal(signal.SIGTERM)
+
+    def pause(self) -> None:
+        """Stop the process from running, as a hung machine would."""
+        self._signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self._signal(signal.SIGCONT)
+
+    def wait_end(self, *, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Wait for the end and return the exit code."""
+        assert self._popen is not None, f"{self.name} was never started"
+        return self._popen.wait(timeout=timeout_s)
+
+    def call(self, method: str, path: str, body: Any = None) -> Any:
+        """Make a JSON call to the process.
+
+        Args:
+            method: HTTP method.
+            path: Path with its query.
+            body: JSON body, or None for none.
+
+        Returns:
+            The decoded answer.
+
+        Raises:
+            RuntimeError: The answer has an error status.
+        """
+        data = None if body is None else json.dumps(body).encode()
+        headers = {"Content-Type": "application/json"}
+        response = _http.request(method, self.url + path, body=data, headers=headers)
+        if response.status >= 400:
+            raise RuntimeError(f"{self.name} {path}: {response.status} {response.data}")
+        return response.json()
+
+    def set_faults(self, **faults: Any) -> Any:
+        """Set fault settings of a stand-in and return all of them."""
+        return self.call("POST", "/control/faults", faults)
+
+    def history(self) -> Any:
+        """Return the history of a stand-in."""
+        return self.call("GET", "/control/history")
+
+    def end(self) -> None:
+        """End the process if it runs, also when it is paused."""
+        if self.is_running:
+            self.kill()
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self.is_running:
+            os.kill(self.pid, number)
+
+    def _with_port(self, argument: str) -> str:
+        return f"--port={self.port}" if argument.startswith("--port=") else argument
+
+    def _read_output(self, popen: subprocess.Popen[str]) -> None:
+        assert popen.stdout is not None
+        with popen.stdout as lines:
+            for line in lines:
+                if line.startswith("ready "):
+                    self.host, _, port = line.split()[1].rpartition(":")
+                    self.port = int(port)
+                    self._ready.set()
+
+
+class Launcher:
+    """Context manager that owns a set of child processes and their directory.
+
+    Example::
+
+        with Launcher() as launcher:
+            log = launcher.fake("log_service", retention_records=100)
+            engine = launcher.fake("engine", name="engine-1", model="m=v1")
+            node = launcher.daemon({"node_id": "node-1", ...})
+    """
+
+    def __init__(self) -> None:
+        self.processes_by_name: dict[str, Process] = {}
+        self._temporary = tempfile.TemporaryDirectory(prefix="crocuswick-")
+        self.directory = Path(self._temporary.name)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """End every child and remove the directory."""
+        for process in self.processes_by_name.values():
+            process.end()
+        self._temporary.cleanup()
+
+    def fake(
+        self, module: str, *, name: str = "", wait: bool = True, **settings: Any
+    ) -> Process:
+        """Start a stand-in.
+
+        Args:
+            module: Module under ``tests.fakes``.
+            name: Name of the process; the module's if empty.
+            wait: Whether to wait for the ready line.
+            **settings: Command-line flags by name.
+
+        Returns:
+            The process.
+        """
+        arguments = [
+            _flag(key, value) for key, value in {"port": 0, **settings}.items()
+        ]
+        command = [sys.executable, "-m", f"tests.fakes.{module}", *arguments]
+        return self.start(name or module, command, wait=wait)
+
+    def daemon(
+        self, settings: dict[str, Any], *, name: str, wait: bool = True
+    ) -> Process:
+        """Start ``crocuswickd`` with settings that are written to a file.
+
+        Args:
+            settings: Content of the settings file.
+            name: Name of the process.
+            wait: Whether to wait for the ready line.
+
+        Returns:
+            The process.
+        """
+        path = self.directory / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        command = [sys.executable, "-m", "crocuswick.daemon", f"--settings={path}"]
+        return self.start(name, command, wait=wait)
+
+    def start(self, name: str, command: list[str], *, wait: bool = True) -> Process:
+        """Start any command that prints a ready line."""
+        assert name not in self.processes_by_name, f"{name} stands already"
+        process = Process(name=name, command=command, directory=self.directory)
+        self.processes_by_name[name] = process
+        process.begin()
+        if wait:
+            process.wait_ready()
+        return process
+
+    def wait_ready(self) -> None:
+        """Wait until every running process has printed its ready line."""
+        for process in self.processes_by_name.values():
+            process.wait_ready()
+
+
+def _flag(name: str, value: Any) -> str:
+    if isinstance(value, bool):
+        return f"--{name}" if value else f"--no{name}"
+    return f"--{name}={value}"
--- /dev/null
+++ b/tests/fakes/plain_service.py
@@ -0,0 +1,160 @@
+"""Stand-in for a plain service: bookings, counted by idempotency key and request.
+
+Fault settings (`PlainFaults`): those of `CallFaults`, and
+
+* ``run_ms``: time that a run takes;
+* ``lose_answers``: part of the runs that take effect without an answer;
+* ``lose_next_answers``: number of next runs whose answer is lost;
+* ``crash_after_runs``: ends the process after this many more runs, 0 never.
+
+Each request is recorded with the headers ``Idempotency-Key`` and ``X-Request-Id``.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import time
+from pathlib import Path
+from typing import Any
+
+import attrs
+from absl import app, flags
+
+from crocuswick.actor import Message
+from tests.fakes.control import CallFaults, Controlled
+from tests.fakes.http_service import (
+    Reply,
+    Request,
+    Routes,
+    drop_connection,
+    serve,
+    wall_ms,
+)
+from tests.fakes.task import Task
+
+__all__ = ["PlainFaults", "PlainService", "Run"]
+
+RUNS_FLAG = flags.DEFINE_string(
+    "runs", "", "File to which each run is appended as a JSON line."
+)
+
+CRASH_EXIT_CODE = 70
+
+
+@attrs.frozen(kw_only=True)
+class PlainFaults(CallFaults):
+    """Fault settings of the plain service."""
+
+    run_ms: int = 0
+    lose_answers: float = 0.0
+    lose_next_answers: int = 0
+    crash_after_runs: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Run(Message):
+    """One run of a booking."""
+
+    idempotency_key: str
+    request_id: str
+    seat: str
+    time_ms: int
+
+
+@attrs.frozen(kw_only=True)
+class CopyRuns(Message):
+    """Copies the runs."""
+
+
+class BookingTask(Task):
+    """Owns the runs."""
+
+    def __init__(self, *, runs_file: Path | None):
+        super().__init__(name="bookings")
+        self._runs: list[Run] = []
+        self._runs_file = runs_file
+
+    def on_run(self, run: Run) -> dict[str, Any]:
+        """Count a run and return the booking."""
+        self._runs.append(run)
+        if self._runs_file:
+            with self._runs_file.open("a") as file:
+                file.write(json.dumps(attrs.asdict(run)) + "\n")
+        same = [item for item in self._runs if item.seat == run.seat]
+        booking = f"booking-{len(self._runs)}"
+        return {"booking": booking, "seat": run.seat, "runs": len(same)}
+
+    def on_copy_runs(self, message: CopyRuns) -> list[dict[str, Any]]:
+        """Copy the runs."""
+        return [attrs.asdict(run) for run in self._runs]
+
+
+class PlainService(Controlled):
+    """The HTTP side of the bookings."""
+
+    routes = Routes()
+
+    def __init__(self, *, faults: PlainFaults, task: BookingTask):
+        super().__init__(faults=faults)
+        self._task = task
+
+    def history(self) -> Any:
+        """Return the runs, all and counted by key."""
+        runs = self._task.ask(CopyRuns())
+        runs_by_key: dict[str, int] = {}
+        for run in runs:
+            key = run["idempotency_key"]
+            runs_by_key[key] = runs_by_key.get(key, 0) + 1
+        return {"runs": runs, "runs_by_key": runs_by_key}
+
+    @routes.route("GET", "/control/runs")
+    def get_runs(self, request: Request) -> Reply:
+        """List the runs."""
+        return Reply(body=self.history())
+
+    @routes.route("POST", "/bookings")
+    def book(self, request: Request) -> Reply:
+        """Run a booking."""
+        run = Run(
+            idempotency_key=request.headers.get("idempotency-key", ""),
+            request_id=request.headers.get("x-request-id", ""),
+            seat=str(request.json().get("seat", "")),
+            time_ms=wall_ms(),
+        )
+        booking = self._task.ask(run)
+        time.sleep(self.faults.run_ms / 1000)
+        self._hit_after_run()
+        return Reply(status=201, body=booking)
+
+    @routes.route("GET", "/echo")
+    def echo(self, request: Request) -> Reply:
+        """Give back the query and headers; may be repeated."""
+        return Reply(body={"query": request.query, "headers": request.headers})
+
+    def _hit_after_run(self) -> None:
+        faults = self.faults
+        if faults.crash_after_runs == 1:
+            os._exit(CRASH_EXIT_CODE)
+        if faults.crash_after_runs > 1:
+            left = faults.crash_after_runs - 1
+            self.faults = attrs.evolve(faults, crash_after_runs=left)
+        if faults.lose_next_answers > 0:
+            left = faults.lose_next_answers - 1
+            self.faults = attrs.evolve(self.faults, lose_next_answers=left)
+            drop_connection()
+        if random.random() < faults.lose_answers:
+            drop_connection()
+
+
+def main(argv: list[str]) -> None:
+    """Run the stand-in."""
+    runs_file = Path(RUNS_FLAG.value) if RUNS_FLAG.value else None
+    task = BookingTask(runs_file=runs_file)
+    task.start()
+    serve(PlainService(faults=PlainFaults(), task=task).answer)
+
+
+if __name__ == "__main__":
+    app.run(main)
