--- /dev/null
+++ b/src/crocuswick/block_table.py
@@ -0,0 +1,211 @@
+"""A compact map from block keys to the set of endpoints that hold the block.
+
+Keys lie in sorted arrays, split into buckets by their highest bits, so that
+searching, inserting and deleting run in the C library. Each key refers to a
+holder set by number; a holder set is a bit mask that many keys share. Emptying
+an endpoint rewrites the holder sets and not the keys, and the keys that nobody
+holds are removed bucket by bucket later.
+"""
+
+from __future__ import annotations
+
+from array import array
+from bisect import bisect_left
+
+__all__ = ["BlockTable"]
+
+_KEY_BITS = 64
+_BUCKET_BITS = 11
+_BUCKETS = 1 << _BUCKET_BITS
+_SHIFT = _KEY_BITS - _BUCKET_BITS
+_SWEEP_BUCKETS = 16
+
+
+class _HolderSets:
+    """Numbered bit masks with a count of the keys that refer to each."""
+
+    def __init__(self):
+        self._masks: list[int] = []
+        self._uses: list[int] = []
+        self._number_by_mask: dict[int, int] = {}
+        self._free: list[int] = []
+
+    def __len__(self) -> int:
+        return len(self._masks) - len(self._free)
+
+    def mask(self, number: int) -> int:
+        """Return the mask with a number."""
+        return self._masks[number]
+
+    def acquire(self, mask: int) -> int:
+        """Return the number of a mask and count one more use of it."""
+        number = self._number_by_mask.get(mask)
+        if number is None:
+            number = self._allocate(mask)
+        self._uses[number] += 1
+        return number
+
+    def release(self, number: int) -> None:
+        """Count one use less of a number, and free it after the last."""
+        self._uses[number] -= 1
+        if self._uses[number]:
+            return
+        mask = self._masks[number]
+        if self._number_by_mask.get(mask) == number:
+            del self._number_by_mask[mask]
+        self._free.append(number)
+
+    def clear_bit(self, bit: int) -> None:
+        """Remove a bit from every mask."""
+        for number, mask in enumerate(self._masks):
+            if mask & bit and self._uses[number]:
+                self._masks[number] = mask & ~bit
+        # Masks that have become equal keep their numbers; new keys use the last.
+        self._number_by_mask = {
+            mask: number
+            for number, mask in enumerate(self._masks)
+            if self._uses[number]
+        }
+
+    def _allocate(self, mask: int) -> int:
+        if self._free:
+            number = self._free.pop()
+            self._masks[number] = mask
+        else:
+            number = len(self._masks)
+            self._masks.append(mask)
+            self._uses.append(0)
+        self._number_by_mask[mask] = number
+        return number
+
+
+class BlockTable:
+    """Maps 64-bit block keys to bit masks, within a fixed number of keys."""
+
+    def __init__(self, *, max_blocks: int):
+        self._max_blocks = max_blocks
+        self._keys_by_bucket: list[array | None] = [None] * _BUCKETS
+        self._sets_by_bucket: list[array | None] = [None] * _BUCKETS
+        self._holders = _HolderSets()
+        self._count = 0
+        self._sweep_position = 0
+        self._sweep_left = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def mask(self, key: int) -> int:
+        """Return the holders of a key as a bit mask, 0 if there are none."""
+        keys = self._keys_by_bucket[key >> _SHIFT]
+        if keys is None:
+            return 0
+        position = bisect_left(keys, key)
+        if position == len(keys) or keys[position] != key:
+            return 0
+        return self._holders.mask(self._sets_by_bucket[key >> _SHIFT][position])
+
+    def add(self, key: int, bit: int) -> bool:
+        """Add a holder to a key.
+
+        Args:
+            key: Block key.
+            bit: The holder's bit.
+
+        Returns:
+            Whether the holder is new to the key.
+        """
+        bucket = key >> _SHIFT
+        keys = self._keys_by_bucket[bucket]
+        if keys is None:
+            keys = self._create_bucket(bucket)
+        sets = self._sets_by_bucket[bucket]
+        position = bisect_left(keys, key)
+        if position < len(keys) and keys[position] == key:
+            return self._change(sets, position, set_bits=bit, clear_bits=0)
+        if self._count >= self._max_blocks:
+            position = self._make_room(keys, sets, key)
+            if position is None:
+                return False
+        keys.insert(position, key)
+        sets.insert(position, self._holders.acquire(bit))
+        self._count += 1
+        return True
+
+    def discard(self, key: int, bit: int) -> bool:
+        """Remove a holder from a key.
+
+        Args:
+            key: Block key.
+            bit: The holder's bit.
+
+        Returns:
+            Whether the holder was there.
+        """
+        bucket = key >> _SHIFT
+        keys = self._keys_by_bucket[bucket]
+        if keys is None:
+            return False
+        position = bisect_left(keys, key)
+        if position == len(keys) or keys[position] != key:
+            return False
+        sets = self._sets_by_bucket[bucket]
+        changed = self._change(sets, position, set_bits=0, clear_bits=bit)
+        if not self._holders.mask(sets[position]):
+            self._delete(keys, sets, position)
+        return changed
+
+    def clear(self, bit: int) -> None:
+        """Remove a holder from all keys."""
+        self._holders.clear_bit(bit)
+        self._sweep_left = _BUCKETS
+
+    @property
+    def sweep_pending(self) -> bool:
+        """Whether some keys may be left that nobody holds."""
+        return self._sweep_left > 0
+
+    def sweep(self) -> None:
+        """Remove keys without holders from the next few buckets."""
+        for _ in range(min(_SWEEP_BUCKETS, self._sweep_left)):
+            self._sweep_bucket(self._sweep_position)
+            self._sweep_position = (self._sweep_position + 1) % _BUCKETS
+            self._sweep_left -= 1
+
+    def _create_bucket(self, bucket: int) -> array:
+        self._keys_by_bucket[bucket] = array("Q")
+        self._sets_by_bucket[bucket] = array("I")
+        return self._keys_by_bucket[bucket]
+
+    def _change(
+        self, sets: array, position: int, *, set_bits: int, clear_bits: int
+    ) -> bool:
+        number = sets[position]
+        old = self._holders.mask(number)
+        new = (old | set_bits) & ~clear_bits
+        if new == old:
+            return False
+        sets[position] = self._holders.acquire(new)
+        self._holders.release(number)
+        return True
+
+    def _make_room(self, keys: array, sets: array, key: int) -> int | None:
+        # Any key of the bucket may go: the index is a hint, and its size is a limit.
+        if not keys:
+            return None
+        self._delete(keys, sets, key % len(keys))
+        return bisect_left(keys, key)
+
+    def _delete(self, keys: array, sets: array, position: int) -> None:
+        self._holders.release(sets[position])
+        del keys[position]
+        del sets[position]
+        self._count -= 1
+
+    def _sweep_bucket(self, bucket: int) -> None:
+        keys = self._keys_by_bucket[bucket]
+        if keys is None:
+            return
+        sets = self._sets_by_bucket[bucket]
+        for position in range(len(keys) - 1, -1, -1):
+            if not self._holders.mask(sets[position]):
+                self._delete(keys, sets, position)
--- /dev/null
+++ b/src/crocuswick/cache_index.py
@@ -0,0 +1,276 @@
+"""Index of the blocks that engines hold, built from unreliable event streams.
+
+The index is a hint. A gap in an engine's sequence numbers makes its part
+doubtful until a snapshot replaces it; a new incarnation empties it.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Sequence
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from crocuswick.block_table import BlockTable
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = [
+    "CacheEvent",
+    "CacheEventKind",
+    "CacheEvents",
+    "CacheIndex",
+    "CacheSnapshot",
+    "PrefixHolders",
+]
+
+DEFAULT_MAX_BLOCKS = 600_000
+MAX_RETIRED_INCARNATIONS = 8
+
+
+class CacheEventKind(StrEnum):
+    """What happened to the blocks of a cache event."""
+
+    STORED = "stored"
+    EVICTED = "evicted"
+    CLEARED = "cleared"
+
+
+@attrs.frozen(kw_only=True)
+class CacheEvent:
+    """One change of an engine's cache."""
+
+    seq: int
+    """Sequence number within the engine's incarnation."""
+
+    kind: str
+    """A `CacheEventKind`."""
+
+    keys: Sequence[int] = ()
+    """Keys of the blocks concerned; empty for ``cleared``."""
+
+
+@attrs.frozen(kw_only=True)
+class CacheEvents:
+    """A batch of cache events as the engine returned it."""
+
+    incarnation: str
+    """Incarnation of the engine."""
+
+    first_seq: int
+    """Sequence number of the first event that the engine still has."""
+
+    next_seq: int
+    """Sequence number of the event that will follow the batch."""
+
+    events: Sequence[CacheEvent]
+    """The events, in order of their sequence numbers."""
+
+
+@attrs.frozen(kw_only=True)
+class CacheSnapshot:
+    """All blocks that an engine held at one moment."""
+
+    incarnation: str
+    """Incarnation of the engine."""
+
+    next_seq: int
+    """Sequence number of the first event that the snapshot doesn't contain."""
+
+    keys: Sequence[int]
+    """Keys of the blocks held."""
+
+
+@attrs.frozen(kw_only=True)
+class PrefixHolders:
+    """Endpoints that hold the same number of leading blocks of a prompt."""
+
+    blocks: int
+    """Number of leading blocks held."""
+
+    mask: int
+    """Bit mask of the endpoints' slots."""
+
+
+@attrs.define(kw_only=True)
+class _EndpointStream:
+    """State of one engine's event stream."""
+
+    slot: int
+    incarnation: str = ""
+    next_seq: int | None = None
+    blocks: int = 0
+    retired: deque[str] = attrs.field(
+        factory=lambda: deque(maxlen=MAX_RETIRED_INCARNATIONS)
+    )
+
+    @property
+    def bit(self) -> int:
+        return 1 << self.slot
+
+
+class CacheIndex:
+    """Answers which endpoints hold the leading blocks of a prompt."""
+
+    def __init__(self, *, max_blocks: int = DEFAULT_MAX_BLOCKS):
+        self._table = BlockTable(max_blocks=max_blocks)
+        self._streams_by_endpoint: dict[str, _EndpointStream] = {}
+        self._free_slots: list[int] = []
+
+    def __len__(self) -> int:
+        return len(self._table)
+
+    def add_endpoint(self, endpoint_id: str) -> int:
+        """Start to track an endpoint and return its slot."""
+        stream = self._streams_by_endpoint.get(endpoint_id)
+        if stream is None:
+            slots = self._free_slots
+            slot = slots.pop() if slots else len(self._streams_by_endpoint)
+            stream = _EndpointStream(slot=slot)
+            self._streams_by_endpoint[endpoint_id] = stream
+        return stream.slot
+
+    def remove_endpoint(self, endpoint_id: str) -> None:
+        """Stop to track an endpoint and forget its blocks."""
+        self.clear(endpoint_id)
+        stream = self._streams_by_endpoint.pop(endpoint_id)
+        self._free_slots.append(stream.slot)
+
+    def clear(self, endpoint_id: str, *, incarnation: str = "") -> None:
+        """Forget an endpoint's blocks.
+
+        Args:
+            endpoint_id: The endpoint.
+            incarnation: The engine's new incarnation, if known.
+        """
+        stream = self._streams_by_endpoint[endpoint_id]
+        self._table.clear(stream.bit)
+        if incarnation and stream.incarnation not in ("", incarnation):
+            stream.retired.append(stream.incarnation)
+        stream.incarnation = incarnation
+        stream.next_seq = None
+        stream.blocks = 0
+
+    def incarnation(self, endpoint_id: str) -> str:
+        """Return the incarnation to which an endpoint's blocks belong."""
+        return self._streams_by_endpoint[endpoint_id].incarnation
+
+    def is_retired(self, endpoint_id: str, incarnation: str) -> bool:
+        """Return whether a later incarnation than the given one has been seen."""
+        return incarnation in self._streams_by_endpoint[endpoint_id].retired
+
+    def blocks(self, endpoint_id: str) -> int:
+        """Return about how many blocks an endpoint is thought to hold."""
+        return self._streams_by_endpoint[endpoint_id].blocks
+
+    def in_sync(self, endpoint_id: str) -> bool:
+        """Return whether no event is known to be missing since a snapshot."""
+        return self._streams_by_endpoint[endpoint_id].next_seq is not None
+
+    def apply_events(self, endpoint_id: str, batch: CacheEvents) -> bool:
+        """Apply a batch of events.
+
+        Args:
+            endpoint_id: The endpoint.
+            batch: Events of one incarnation; repeated ones are ignored.
+
+        Returns:
+            Whether a snapshot is needed, because events or their start are missing.
+        """
+        stream = self._streams_by_endpoint[endpoint_id]
+        if batch.incarnation in stream.retired:
+            return stream.next_seq is None
+        if batch.incarnation != stream.incarnation:
+            self._begin_incarnation(endpoint_id, batch)
+        expected = stream.next_seq
+        for event in batch.events:
+            if expected is not None and event.seq < expected:
+                continue
+            if event.seq != expected:
+                stream.next_seq = None
+            self._apply_event(stream, event)
+            expected = event.seq + 1
+        self._table.sweep()
+        if stream.next_seq is None or expected is None or expected < batch.next_seq:
+            stream.next_seq = None
+            return True
+        stream.next_seq = expected
+        return False
+
+    def apply_snapshot(self, endpoint_id: str, snapshot: CacheSnapshot) -> None:
+        """Replace what is known of an endpoint, unless the snapshot is older.
+
+        Args:
+            endpoint_id: The endpoint.
+            snapshot: All blocks of one incarnation.
+        """
+        stream = self._streams_by_endpoint[endpoint_id]
+        if snapshot.incarnation in stream.retired:
+            return
+        is_known = snapshot.incarnation == stream.incarnation
+        if is_known and (stream.next_seq or 0) > snapshot.next_seq:
+            return
+        self.clear(endpoint_id, incarnation=snapshot.incarnation)
+        self._store(stream, snapshot.keys)
+        stream.next_seq = snapshot.next_seq
+        self._table.sweep()
+
+    def add_blocks(self, endpoint_id: str, keys: Iterable[int]) -> None:
+        """Note blocks that an answer has shown to be at an endpoint."""
+        self._store(self._streams_by_endpoint[endpoint_id], keys)
+
+    def discard_blocks(self, endpoint_id: str, keys: Iterable[int]) -> None:
+        """Note blocks that an answer has shown to be missing at an endpoint."""
+        self._evict(self._streams_by_endpoint[endpoint_id], keys)
+
+    def prefix_holders(self, keys: Sequence[int]) -> list[PrefixHolders]:
+        """Return who holds how many leading blocks of a prompt.
+
+        Args:
+            keys: Chained keys of the prompt's blocks.
+
+        Returns:
+            Groups of endpoints, the longest prefix first; an endpoint appears in
+            one group only.
+        """
+        groups = []
+        mask = -1
+        for blocks, key in enumerate(keys):
+            holders = mask & self._table.mask(key)
+            if holders != mask and blocks:
+                groups.append(PrefixHolders(blocks=blocks, mask=mask & ~holders))
+            mask = holders
+            if not mask:
+                break
+        if mask > 0:
+            groups.append(PrefixHolders(blocks=len(keys), mask=mask))
+        groups.reverse()
+        return groups
+
+    def _begin_incarnation(self, endpoint_id: str, batch: CacheEvents) -> None:
+        self.clear(endpoint_id, incarnation=batch.incarnation)
+        if batch.first_seq == 0:
+            # The engine's history is whole, and so is the picture built from it.
+            self._streams_by_endpoint[endpoint_id].next_seq = 0
+
+    def _apply_event(self, stream: _EndpointStream, event: CacheEvent) -> None:
+        if event.kind == CacheEventKind.STORED:
+            self._store(stream, event.keys)
+        elif event.kind == CacheEventKind.EVICTED:
+            self._evict(stream, event.keys)
+        elif event.kind == CacheEventKind.CLEARED:
+            self._table.clear(stream.bit)
+            stream.blocks = 0
+
+    def _store(self, stream: _EndpointStream, keys: Iterable[int]) -> None:
+        add = self._table.add
+        bit = stream.bit
+        stream.blocks += sum([add(key, bit) for key in keys])
+
+    def _evict(self, stream: _EndpointStream, keys: Iterable[int]) -> None:
+        discard = self._table.discard
+        bit = stream.bit
+        stream.blocks -= sum([discard(key, bit) for key in keys])
--- /dev/null
+++ b/src/crocuswick/placement_policy.py
@@ -0,0 +1,286 @@
+"""Placement policies: functions that choose an endpoint for a request.
+
+A policy sees the placeable endpoints of the placement domain and what is thought
+of their queues and caches. `Placer` does the bookkeeping around it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from random import Random
+from typing import TYPE_CHECKING, Protocol
+
+import attrs
+
+from crocuswick.block_key import BLOCK_TOKENS
+from crocuswick.cache_index import PrefixHolders
+from crocuswick.hot_prefix import HotPrefixes
+from crocuswick.kv_import import ImportCost
+from crocuswick.load import EndpointLoad
+from crocuswick.rendezvous import Rendezvous
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+__all__ = [
+    "Candidate",
+    "Choice",
+    "PlacementDomain",
+    "PlacementPolicy",
+    "PlacementView",
+    "placement_policy",
+    "policies_by_name",
+    "prefix_level_keys",
+]
+
+MAX_HOLDERS_PER_GROUP = 3
+MAX_HOLDERS = 6
+RANDOM_CANDIDATES = 2
+CROSS_ZONE_S = 0.003
+TIE_S = 0.000_5
+
+
+@attrs.define(kw_only=True, eq=False)
+class Candidate:
+    """A placeable endpoint."""
+
+    endpoint_id: str
+    """The endpoint."""
+
+    bit: int
+    """The endpoint's bit in the cache index."""
+
+    load: EndpointLoad
+    """Its expected queue."""
+
+    is_remote: bool
+    """Whether it lies in another zone than the node."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class PlacementDomain:
+    """The endpoints that may serve one model version, for one pool."""
+
+    candidates: Sequence[Candidate]
+    """All placeable endpoints."""
+
+    candidates_by_id: dict[str, Candidate]
+    """The same by id."""
+
+    candidates_by_bit: dict[int, Candidate]
+    """The same by bit in the cache index."""
+
+    mask: int
+    """All their bits."""
+
+    rendezvous: Rendezvous
+    """Rendezvous hash over them."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class PlacementView:
+    """All that a policy may use for one request."""
+
+    domain: PlacementDomain
+    """Endpoints that may serve the request; never empty."""
+
+    keys: Sequence[int]
+    """Keys of the prompt's whole blocks."""
+
+    prompt_tokens: int
+    """Tokens in the prompt."""
+
+    holders: Sequence[PrefixHolders]
+    """Who holds how many leading blocks, longest first."""
+
+    level_keys: Sequence[int]
+    """Keys of the prompt's prefix levels, deepest first."""
+
+    hot_prefixes: HotPrefixes
+    """Recent traffic by prefix."""
+
+    import_cost: ImportCost
+    """Cost of moving cached blocks."""
+
+    now_s: float
+    """Monotonic time in seconds."""
+
+    random: Random
+    """Source of randomness."""
+
+    def cached_blocks(self, candidate: Candidate) -> int:
+        """Return how many leading blocks a candidate is thought to hold."""
+        for group in self.holders:
+            if group.mask & candidate.bit:
+                return group.blocks
+        return 0
+
+    def ttft_s(self, candidate: Candidate, cached_blocks: int) -> float:
+        """Return a candidate's expected time to first token in seconds."""
+        uncached_tokens = self.prompt_tokens - cached_blocks * BLOCK_TOKENS
+        load = candidate.load
+        prefill_s = max(0, uncached_tokens) * load.seconds_per_token
+        crossing_s = CROSS_ZONE_S if candidate.is_remote else 0.0
+        return load.wait_s(self.now_s) + prefill_s + crossing_s
+
+
+@attrs.frozen(kw_only=True)
+class Choice:
+    """A policy's decision."""
+
+    candidate: Candidate
+    """The chosen endpoint."""
+
+    reason: str
+    """Why it was chosen, in a word for operators."""
+
+    cached_blocks: int
+    """Leading blocks that it is thought to hold."""
+
+    ttft_s: float
+    """Expected time to first token in seconds."""
+
+    import_from: str | None = None
+    """Endpoint from which to import the cached prefix first, if any."""
+
+
+class PlacementPolicy(Protocol):
+    """Chooses an endpoint."""
+
+    def __call__(self, view: PlacementView) -> Choice:
+        """Return the choice for one request."""
+
+
+policies_by_name: dict[str, PlacementPolicy] = {}
+"""All policies."""
+
+
+def placement_policy(name: str) -> Callable[[PlacementPolicy], PlacementPolicy]:
+    """Register a policy under a name."""
+
+    def register(policy: PlacementPolicy) -> PlacementPolicy:
+        policies_by_name[name] = policy
+        return policy
+
+    return register
+
+
+def prefix_level_keys(keys: Sequence[int]) -> list[int]:
+    """Return the keys at depths 1, 2, 4, 8, ... blocks, deepest first.
+
+    Prompts that share a prefix share all its levels, whatever follows.
+    """
+    level_keys = []
+    depth = 1
+    while depth <= len(keys):
+        level_keys.append(keys[depth - 1])
+        depth *= 2
+    level_keys.reverse()
+    return level_keys
+
+
+def _choice(view: PlacementView, candidate: Candidate, reason: str) -> Choice:
+    cached_blocks = view.cached_blocks(candidate)
+    return Choice(
+        candidate=candidate,
+        reason=reason,
+        cached_blocks=cached_blocks,
+        ttft_s=view.ttft_s(candidate, cached_blocks),
+    )
+
+
+@placement_policy("random")
+def choose_random(view: PlacementView) -> Choice:
+    """Choose any endpoint."""
+    return _choice(view, view.random.choice(view.domain.candidates), "random")
+
+
+@placement_policy("least_loaded")
+def choose_least_loaded(view: PlacementView) -> Choice:
+    """Choose the endpoint with the shortest expected queue."""
+    waits_s = [
+        candidate.load.wait_s(view.now_s) for candidate in view.domain.candidates
+    ]
+    limit_s = min(waits_s) + TIE_S
+    shortest = [
+        candidate
+        for candidate, wait_s in zip(view.domain.candidates, waits_s, strict=True)
+        if wait_s <= limit_s
+    ]
+    return _choice(view, view.random.choice(shortest), "least_loaded")
+
+
+@placement_policy("rendezvous")
+def choose_rendezvous(view: PlacementView) -> Choice:
+    """Choose the home of the prompt's first block."""
+    if not view.level_keys:
+        return choose_random(view)
+    home = view.domain.rendezvous.choose(view.level_keys[-1])
+    return _choice(view, view.domain.candidates_by_id[home], "home")
+
+
+@placement_policy("ttft_v1")
+def choose_by_ttft_v1(view: PlacementView) -> Choice:
+    """Choose the candidate with the least expected time to first token."""
+    reasons_by_id = _candidate_reasons(view)
+    choices = [
+        _choice(view, view.domain.candidates_by_id[endpoint_id], reason)
+        for endpoint_id, reason in reasons_by_id.items()
+    ]
+    return _least_ttft(view, choices)
+
+
+def _candidate_reasons(view: PlacementView) -> dict[str, str]:
+    reasons_by_id = dict.fromkeys(_holder_ids(view), "holder")
+    for endpoint_id in _home_ids(view):
+        reasons_by_id.setdefault(endpoint_id, "home")
+    for _ in range(RANDOM_CANDIDATES):
+        candidate = view.random.choice(view.domain.candidates)
+        reasons_by_id.setdefault(candidate.endpoint_id, "random")
+    return reasons_by_id
+
+
+def _home_ids(view: PlacementView) -> list[str]:
+    home_ids = []
+    domain = view.domain
+    for key in view.level_keys:
+        count = view.hot_prefixes.homes(
+            key, endpoints=len(domain.candidates), now_s=view.now_s
+        )
+        home_ids.extend(domain.rendezvous.choose_many(key, count=count))
+    return home_ids
+
+
+def _holder_ids(view: PlacementView) -> list[str]:
+    holder_ids = []
+    for group in view.holders:
+        if len(holder_ids) >= MAX_HOLDERS:
+            break
+        bits = _some_bits(group.mask & view.domain.mask, view)
+        holder_ids.extend(
+            view.domain.candidates_by_bit[bit].endpoint_id for bit in bits
+        )
+    return holder_ids
+
+
+def _some_bits(mask: int, view: PlacementView) -> list[int]:
+    """Return up to `MAX_HOLDERS_PER_GROUP` bits of a mask from a random one on."""
+    bits = []
+    pivot = view.random.randrange(mask.bit_length() or 1)
+    upper = (mask >> pivot) << pivot
+    for part in (upper, mask ^ upper):
+        while part and len(bits) < MAX_HOLDERS_PER_GROUP:
+            bit = part & -part
+            bits.append(bit)
+            part ^= bit
+    return bits
+
+
+def _least_ttft(view: PlacementView, choices: Sequence[Choice]) -> Choice:
+    limit_s = min(choice.ttft_s for choice in choices) + TIE_S
+    best = [choice for choice in choices if choice.ttft_s <= limit_s]
+    return view.random.choice(best)
+
+
+policies_by_name["current"] = choose_by_ttft_v1
