--- /dev/null
+++ b/src/crocuswick/configuration/fold.py
@@ -0,0 +1,231 @@
+"""Folds the configuration stream; every node gets the same result."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from crocuswick.configuration.checks import check_objects
+from crocuswick.configuration.model import Configuration
+from crocuswick.configuration.state import (
+    VERDICTS_KEPT,
+    ConfigurationState,
+    state_from_record,
+    state_to_record,
+)
+from crocuswick.configuration.submission import (
+    Submission,
+    apply_change,
+    submission_from_record,
+)
+from crocuswick.configuration.verdict import Verdict, VerdictKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from crocuswick.platform_log.records import LogRecord
+
+__all__ = [
+    "RECOVERY_WINDOW_MS",
+    "adopt_state",
+    "fold_record",
+    "fold_records",
+    "snapshot_record",
+    "state_after_gap",
+]
+
+RECOVERY_WINDOW_MS = 10_000
+"""Log time after a first recovery snapshot in which a better one replaces it."""
+
+
+def snapshot_record(
+    state: ConfigurationState, *, is_recovery: bool = False
+) -> dict[str, Any]:
+    """Return the log record of a snapshot.
+
+    Args:
+        state: The state to write down.
+        is_recovery: Whether the snapshot starts a new history, since the records
+            after this state were dropped before any node read them.
+    """
+    return {"snapshot": state_to_record(state), "is_recovery": is_recovery}
+
+
+def fold_records(
+    state: ConfigurationState, records: Iterable[LogRecord]
+) -> ConfigurationState:
+    """Fold several records in log order."""
+    for record in records:
+        state = fold_record(state, record)
+    return state
+
+
+def fold_record(state: ConfigurationState, record: LogRecord) -> ConfigurationState:
+    """Fold one record.
+
+    Args:
+        state: The state before the record.
+        record: The next record; one that was folded already changes nothing.
+
+    Returns:
+        The state after the record.
+    """
+    if record.offset < state.next_offset:
+        return state
+    state = attrs.evolve(state, next_offset=record.offset + 1)
+    value = record.value
+    if isinstance(value, dict) and "snapshot" in value:
+        return _fold_snapshot(state, record)
+    if not state.is_complete:
+        return attrs.evolve(state, pending=(*state.pending, record))
+    submission = submission_from_record(value)
+    if submission is None:
+        return state
+    return _fold_submission(state, submission, record.time_ms)
+
+
+def state_after_gap(
+    state: ConfigurationState, first_retained: int
+) -> ConfigurationState:
+    """Return the state of a node that finds records dropped before it read them.
+
+    Args:
+        state: The state before.
+        first_retained: Offset of the oldest record kept.
+    """
+    if first_retained <= state.next_offset:
+        return state
+    return attrs.evolve(
+        state,
+        next_offset=first_retained,
+        is_complete=False,
+        resumed_at=first_retained,
+        pending=(),
+    )
+
+
+def adopt_state(
+    state: ConfigurationState, other: ConfigurationState
+) -> ConfigurationState:
+    """Take over another node's state if it knows more; never go back.
+
+    Args:
+        state: This node's state.
+        other: A complete state of another node.
+
+    Returns:
+        The better of the two, with this node's pending records judged.
+    """
+    if other.configuration.revision < state.configuration.revision:
+        return state
+    if other.next_offset >= state.next_offset:
+        return other if _knows_more(other, state) else state
+    if state.is_complete:
+        return state
+    if other.next_offset >= state.resumed_at:
+        judged = fold_records(other, state.pending)
+        return attrs.evolve(judged, next_offset=state.next_offset)
+    # Records between the two are lost: serve the newer revision, stay incomplete.
+    return attrs.evolve(
+        state,
+        configuration=other.configuration,
+        made_by=other.made_by,
+        made_by_author=other.made_by_author,
+        verdicts_by_submission_id=other.verdicts_by_submission_id,
+    )
+
+
+def _knows_more(other: ConfigurationState, state: ConfigurationState) -> bool:
+    return other.next_offset > state.next_offset or not state.is_complete
+
+
+def _fold_snapshot(state: ConfigurationState, record: LogRecord) -> ConfigurationState:
+    is_recovery = record.value.get("is_recovery") is True
+    if state.is_complete and not is_recovery:
+        return state
+    decoded = state_from_record(record.value["snapshot"])
+    if decoded.is_err():
+        return state
+    snapshot = decoded.unwrap()
+    if is_recovery:
+        return _fold_recovery(state, snapshot, record)
+    return adopt_state(state, snapshot)
+
+
+def _fold_recovery(
+    state: ConfigurationState, snapshot: ConfigurationState, record: LogRecord
+) -> ConfigurationState:
+    is_competing = record.time_ms < state.recovery_ends_ms
+    if state.is_complete and not is_competing:
+        return state
+    ends_ms = record.time_ms + RECOVERY_WINDOW_MS
+    if state.is_complete:
+        ends_ms = state.recovery_ends_ms
+    if snapshot.configuration.revision < state.configuration.revision:
+        return attrs.evolve(state, recovery_ends_ms=ends_ms)
+    return attrs.evolve(
+        snapshot, next_offset=record.offset + 1, recovery_ends_ms=ends_ms
+    )
+
+
+def _fold_submission(
+    state: ConfigurationState, submission: Submission, time_ms: int
+) -> ConfigurationState:
+    if submission.submission_id in state.verdicts_by_submission_id:
+        return state
+    if time_ms < state.recovery_ends_ms:
+        # Not judged at all, so that the submitter's repeat is judged afresh.
+        return state
+    current = state.configuration
+    if submission.base_revision != current.revision:
+        return _with_verdict(state, _lost(state, submission))
+    if not (submission.put or submission.removed):
+        return _with_verdict(state, _verdict(state, submission, VerdictKind.UNCHANGED))
+    checked = check_objects(apply_change(current, submission))
+    if checked.is_err():
+        verdict = attrs.evolve(
+            _verdict(state, submission, VerdictKind.FAULTY),
+            faults=tuple(checked.unwrap_err()),
+        )
+        return _with_verdict(state, verdict)
+    configuration = Configuration.from_objects(
+        revision=current.revision + 1, objects=checked.unwrap()
+    )
+    state = attrs.evolve(
+        state,
+        configuration=configuration,
+        made_by=submission.submission_id,
+        made_by_author=submission.author,
+    )
+    return _with_verdict(state, _verdict(state, submission, VerdictKind.ACCEPTED))
+
+
+def _verdict(
+    state: ConfigurationState, submission: Submission, kind: VerdictKind
+) -> Verdict:
+    return Verdict(
+        submission_id=submission.submission_id,
+        kind=kind,
+        revision=state.configuration.revision,
+    )
+
+
+def _lost(state: ConfigurationState, submission: Submission) -> Verdict:
+    return attrs.evolve(
+        _verdict(state, submission, VerdictKind.LOST),
+        lost_to=state.made_by,
+        lost_to_author=state.made_by_author,
+    )
+
+
+def _with_verdict(state: ConfigurationState, verdict: Verdict) -> ConfigurationState:
+    verdicts = {
+        **state.verdicts_by_submission_id,
+        verdict.submission_id: verdict,
+    }
+    surplus = max(0, len(verdicts) - VERDICTS_KEPT)
+    for submission_id in list(itertools.islice(verdicts, surplus)):
+        del verdicts[submission_id]
+    return attrs.evolve(state, verdicts_by_submission_id=verdicts)
--- /dev/null
+++ b/src/crocuswick/configuration/objects.py
@@ -0,0 +1,237 @@
+"""The kinds of objects that operators configure."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from crocuswick.configuration import _fields as fields
+from crocuswick.configuration._parsing import parse_nested
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = [
+    "KINDS_BY_NAME",
+    "ConfigurationObject",
+    "Endpoint",
+    "EndpointPool",
+    "Key",
+    "Limit",
+    "ModelVersion",
+    "ObjectKind",
+    "Organisation",
+    "RoutingPolicy",
+    "Service",
+    "object_kind",
+    "to_record",
+]
+
+
+@attrs.frozen(kw_only=True)
+class ObjectKind:
+    """A kind of configuration object."""
+
+    name: str
+    """Name used in set files."""
+
+    collection: str
+    """Attribute of `Configuration` that holds the objects of this kind."""
+
+    object_type: type
+    """The attrs class."""
+
+
+KINDS_BY_NAME: dict[str, ObjectKind] = {}
+"""Every kind of object, filled by `object_kind`."""
+
+
+def object_kind(name: str, *, collection: str) -> Callable[[type], type]:
+    """Register an attrs class as a kind of configuration object.
+
+    Args:
+        name: Name used in set files.
+        collection: Attribute of `Configuration` that holds the objects.
+
+    Returns:
+        The class decorator.
+    """
+
+    def register(object_type: type) -> type:
+        KINDS_BY_NAME[name] = ObjectKind(
+            name=name, collection=collection, object_type=object_type
+        )
+        object_type.kind_name = name
+        return object_type
+
+    return register
+
+
+@attrs.frozen(kw_only=True)
+class Endpoint:
+    """A back end: one engine replica or one plain service replica."""
+
+    id: str = fields.identifier()
+    """Id, the same in each pool that the endpoint belongs to."""
+
+    address: str = fields.address()
+    """IP number and port."""
+
+    zone: str = fields.identifier()
+    """Availability zone that the endpoint runs in."""
+
+
+@object_kind("organisation", collection="organisations_by_id")
+@attrs.frozen(kw_only=True, slots=False)
+class Organisation:
+    """A customer."""
+
+    id: str = fields.identifier()
+    """Id."""
+
+    title: str = fields.text(default="")
+    """Name for people."""
+
+    share: float = fields.number(default=1.0)
+    """Weight in fair sharing among organisations."""
+
+
+@object_kind("model_version", collection="model_versions_by_id")
+@attrs.frozen(kw_only=True, slots=False)
+class ModelVersion:
+    """A model together with one version of its weights."""
+
+    id: str = fields.identifier()
+    """Id."""
+
+    model: str = fields.identifier()
+    """Name of the model at the engines."""
+
+    weights_version: str = fields.identifier()
+    """Version of the weights that engines must serve."""
+
+    max_context_tokens: int = fields.whole_number(default=131072)
+    """Longest prompt and answer together, in tokens."""
+
+
+@object_kind("endpoint_pool", collection="endpoint_pools_by_id")
+@attrs.frozen(kw_only=True, slots=False)
+class EndpointPool:
+    """Endpoints that stand in for one another."""
+
+    id: str = fields.identifier()
+    """Id."""
+
+    kind: str = fields.choice("engine", "plain", record_name="pool_kind")
+    """Whether the endpoints are model engines or plain services.
+
+    Set files write it ``pool_kind``, since ``kind`` names the kind of object there.
+    """
+
+    endpoints: tuple[Endpoint, ...] = fields.list_of(parse_nested(Endpoint))
+    """The endpoints."""
+
+    checks_fencing_token: bool = fields.flag(default=False)
+    """Whether the engines refuse orders with an old fencing token."""
+
+
+@object_kind("routing_policy", collection="routing_policies_by_id")
+@attrs.frozen(kw_only=True, slots=False)
+class RoutingPolicy:
+    """Sends a public model name to a model version on a pool."""
+
+    id: str = fields.identifier()
+    """Id."""
+
+    model: str = fields.identifier()
+    """Name of the model that callers use."""
+
+    model_version: str = fields.reference("model_version")
+    """Id of the model version that answers."""
+
+    pool: str = fields.reference("endpoint_pool")
+    """Id of the pool of engines."""
+
+    placement: str = fields.identifier(default="current")
+    """Name of the placement policy."""
+
+    interactive_deadline_ms: int = fields.whole_number(default=30000)
+    """Deadline of interactive requests."""
+
+    batch_deadline_ms: int = fields.whole_number(default=600000)
+    """Deadline of batch requests."""
+
+
+@object_kind("service", collection="services_by_id")
+@attrs.frozen(kw_only=True, slots=False)
+class Service:
+    """A plain service that calls are routed to by path prefix."""
+
+    id: str = fields.identifier()
+    """Id."""
+
+    prefix: str = fields.prefix()
+    """First segment of the paths that belong to the service."""
+
+    pool: str = fields.reference("endpoint_pool")
+    """Id of the pool of plain endpoints."""
+
+    idempotent_methods: tuple[str, ...] = fields.names(
+        default=("GET", "HEAD", "OPTIONS")
+    )
+    """HTTP methods whose calls may be repeated."""
+
+    timeout_ms: int = fields.whole_number(default=10000)
+    """Longest wait for an answer."""
+
+
+@object_kind("limit", collection="limits_by_id")
+@attrs.frozen(kw_only=True, slots=False)
+class Limit:
+    """What one organisation may use."""
+
+    id: str = fields.identifier()
+    """Id."""
+
+    organisation: str = fields.reference("organisation")
+    """Id of the organisation."""
+
+    requests_per_s: float = fields.number()
+    """Requests a second over all nodes."""
+
+    tokens_per_s: float = fields.number()
+    """Prompt and answer tokens a second over all nodes."""
+
+    concurrent_streams: int = fields.whole_number()
+    """Streams at the same time over all nodes."""
+
+
+@object_kind("key", collection="keys_by_id")
+@attrs.frozen(kw_only=True, slots=False)
+class Key:
+    """A caller's key, kept as a hash only."""
+
+    id: str = fields.identifier()
+    """Id."""
+
+    organisation: str = fields.reference("organisation")
+    """Id of the organisation that the caller belongs to."""
+
+    sha256: str = fields.sha256()
+    """SHA-256 of the secret, in lower-case hexadecimal."""
+
+
+ConfigurationObject = (
+    Organisation | ModelVersion | EndpointPool | RoutingPolicy | Service | Limit | Key
+)
+"""Any configuration object."""
+
+
+def to_record(configuration_object: ConfigurationObject) -> dict[str, Any]:
+    """Return the plain JSON form of an object, as set files write it."""
+    values = attrs.asdict(configuration_object, retain_collection_types=False)
+    record: dict[str, Any] = {"kind": configuration_object.kind_name}
+    for attribute in attrs.fields(type(configuration_object)):
+        record[fields.record_name_of(attribute)] = values[attribute.name]
+    return record
--- /dev/null
+++ b/src/crocuswick/platform_log/__init__.py
@@ -0,0 +1,29 @@
+"""The platform's append-only log service as a peer."""
+
+from __future__ import annotations
+
+from crocuswick.platform_log.client import LogClient
+from crocuswick.platform_log.follower import (
+    GapFound,
+    LogFollower,
+    LogUnavailable,
+    PageRead,
+)
+from crocuswick.platform_log.records import (
+    AppendReceipt,
+    LogPage,
+    LogRecord,
+    RetentionGap,
+)
+
+__all__ = [
+    "AppendReceipt",
+    "GapFound",
+    "LogClient",
+    "LogFollower",
+    "LogPage",
+    "LogRecord",
+    "LogUnavailable",
+    "PageRead",
+    "RetentionGap",
+]
--- /dev/null
+++ b/src/crocuswick/platform_log/follower.py
@@ -0,0 +1,121 @@
+"""Follows a stream of the log on a thread of its own."""
+
+from __future__ import annotations
+
+import random
+import threading
+from typing import TYPE_CHECKING
+
+import attrs
+
+from crocuswick.actor import Message
+from crocuswick.errors import PeerError
+from crocuswick.platform_log.records import LogPage, RetentionGap
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from crocuswick.platform_log.client import LogClient
+
+__all__ = ["GapFound", "LogFollower", "LogUnavailable", "PageRead"]
+
+PAGE_RECORDS = 500
+POLL_WAIT_MS = 5_000
+BACKOFF_FIRST_MS = 50
+BACKOFF_LONGEST_MS = 2_000
+
+
+@attrs.frozen(kw_only=True)
+class PageRead(Message):
+    """A page was read, possibly an empty one."""
+
+    page: LogPage
+    """The page."""
+
+    is_end: bool
+    """Whether the page reaches the end of the stream."""
+
+
+@attrs.frozen(kw_only=True)
+class GapFound(Message):
+    """Records that were not read yet are no longer kept."""
+
+    gap: RetentionGap
+    """What the log still keeps; the follower goes on from there."""
+
+
+@attrs.frozen(kw_only=True)
+class LogUnavailable(Message):
+    """The log could not be read."""
+
+    error: PeerError
+    """The failure."""
+
+
+class LogFollower:
+    """Reads a stream page by page and posts a message for each answer.
+
+    The follower goes on at the record after the last one read, or at the oldest
+    record kept after a gap. Failures are repeated with growing, jittered pauses.
+    """
+
+    def __init__(
+        self,
+        *,
+        client: LogClient,
+        stream: str,
+        from_offset: int = 0,
+        post: Callable[[Message], None],
+        poll_wait_ms: int = POLL_WAIT_MS,
+    ):
+        self._client = client
+        self._stream = stream
+        self._offset = from_offset
+        self._post = post
+        self._poll_wait_ms = poll_wait_ms
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name=f"log-{stream}", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start following."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ask the thread to end; it does so when its poll returns."""
+        self._stopped.set()
+
+    def _run(self) -> None:
+        failures = 0
+        while not self._stopped.is_set():
+            if self._read_once():
+                failures = 0
+                continue
+            failures += 1
+            self._stopped.wait(_backoff_s(failures))
+
+    def _read_once(self) -> bool:
+        answer = self._client.read(
+            self._stream, self._offset, PAGE_RECORDS, self._poll_wait_ms
+        )
+        if self._stopped.is_set():
+            return True
+        if answer.is_err():
+            self._post(LogUnavailable(error=answer.unwrap_err()))
+            return False
+        found = answer.unwrap()
+        if isinstance(found, RetentionGap):
+            self._offset = found.first_retained
+            self._post(GapFound(gap=found))
+            return True
+        if found.records:
+            self._offset = found.records[-1].offset + 1
+        is_end = self._offset >= found.next_offset
+        self._post(PageRead(page=found, is_end=is_end))
+        return True
+
+
+def _backoff_s(failures: int) -> float:
+    ceiling_ms = min(BACKOFF_FIRST_MS * 2 ** min(failures - 1, 10), BACKOFF_LONGEST_MS)
+    return random.uniform(ceiling_ms / 2, ceiling_ms) / 1000
