Add a stand-in for model engines

Batches prefill and decode in real time with set costs, caches prefixes, streams deterministic text, takes orders, and has the faults of tests/fakes/engine_faults. A port is bound again after a crash: cheroot leaves SO_REUSEADDR off when the kernel chose the port, so the stand-ins' server sets it once it is bound.

--- /dev/null
+++ b/tests/fakes/engine_core.py
@@ -0,0 +1,577 @@
+"""The engine stand-in's work: queue, continuous batching, cache, orders.
+
+Time is real, costs are set. A step takes a chunk of prefill for the first
+requests in rank, and one token of decode for each request that is past it.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import time
+import uuid
+from collections import deque
+from concurrent.futures import Future
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from crocuswick.actor import Message
+from tests.fakes.engine_cache import PrefixCache, key_to_hex
+from tests.fakes.engine_faults import EngineFaults
+from tests.fakes.engine_jobs import Completion, Job, JobState, StreamStop, Subscription
+from tests.fakes.http_service import Reply, wall_ms
+from tests.fakes.task import Task
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+__all__ = [
+    "Cancel",
+    "CopyHistory",
+    "EngineCosts",
+    "EngineTask",
+    "ImportKeys",
+    "LoadEnded",
+    "Order",
+    "ReadCacheEvents",
+    "ReadExport",
+    "ReadLoad",
+    "ReadSnapshot",
+    "ReadState",
+    "Restart",
+    "Resume",
+    "SetFaults",
+    "Unsubscribe",
+]
+
+CRASH_EXIT_CODE = 70
+FINISHED_KEPT_S = 10.0
+UNATTENDED_KEPT_S = 5.0
+SWEEP_INTERVAL_S = 0.25
+LOAD_SAMPLE_INTERVAL_S = 0.01
+
+
+@attrs.frozen(kw_only=True)
+class EngineCosts:
+    """Costs and limits of an engine."""
+
+    prefill_us_per_token: float
+    decode_ms: float
+    max_running: int
+    max_queued: int
+    prefill_chunk_tokens: int
+    capacity_blocks: int
+
+
+@attrs.frozen(kw_only=True)
+class Resume(Message):
+    """Attaches to a request from an index on."""
+
+    request_id: str
+    start: int
+
+
+@attrs.frozen(kw_only=True)
+class Unsubscribe(Message):
+    """Detaches a connection."""
+
+    request_id: str
+    subscription: Subscription
+
+
+@attrs.frozen(kw_only=True)
+class Cancel(Message):
+    """Cancels a request."""
+
+    request_id: str
+
+
+@attrs.frozen(kw_only=True)
+class ReadLoad(Message):
+    """Reads the load as it was a while ago."""
+
+
+@attrs.frozen(kw_only=True)
+class ReadState(Message):
+    """Reads what orders have led to."""
+
+
+@attrs.frozen(kw_only=True)
+class ReadCacheEvents(Message):
+    """Reads cache events; waits when there are none."""
+
+    after: int
+    wait_s: float
+
+
+@attrs.frozen(kw_only=True)
+class ReadSnapshot(Message):
+    """Reads the keys of all cached blocks."""
+
+
+@attrs.frozen(kw_only=True)
+class ReadExport(Message):
+    """Tells which of some keys are cached."""
+
+    keys: list[int]
+
+
+@attrs.frozen(kw_only=True)
+class ImportKeys(Message):
+    """Adds blocks that another engine exported."""
+
+    keys: list[int]
+
+
+@attrs.frozen(kw_only=True)
+class Order(Message):
+    """An order to change what the engine serves."""
+
+    order_id: str
+    fencing_token: int
+    action: str
+    model: str = ""
+    weights_version: str = ""
+    adapter: str = ""
+    role: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class LoadEnded(Message):
+    """The weights of an order have arrived, or have failed to."""
+
+    order: Order
+    failure: str | None
+
+
+@attrs.frozen(kw_only=True)
+class SetFaults(Message):
+    """New fault settings."""
+
+    faults: EngineFaults
+
+
+@attrs.frozen(kw_only=True)
+class Restart(Message):
+    """Drops all requests and blocks and begins a new incarnation."""
+
+
+@attrs.frozen(kw_only=True)
+class CopyHistory(Message):
+    """Copies the records for the checkers."""
+
+
+@attrs.frozen(kw_only=True)
+class WaitingEvents:
+    """A read of cache events that waits."""
+
+    after: int
+    until_s: float
+    reply: Future[dict[str, Any]]
+
+
+class EngineTask(Task):
+    """Owns all state of the engine."""
+
+    def __init__(
+        self,
+        *,
+        costs: EngineCosts,
+        faults: EngineFaults,
+        version_by_model: dict[str, str],
+        check_tokens: bool,
+        history_file: Path | None,
+    ):
+        super().__init__(name="engine")
+        self._costs = costs
+        self._faults = faults
+        self._version_by_model = version_by_model
+        self._check_tokens = check_tokens
+        self._history_file = history_file
+        self._adapters: list[str] = []
+        self._role = "both"
+        self._highest_token = -1
+        self._last_order: Order | None = None
+        self._failed_order_id: str | None = None
+        self._failure: str | None = None
+        self._loading: Order | None = None
+        self._loaded: Order | None = None
+        self._records: list[dict[str, Any]] = []
+        self._order_records: list[dict[str, Any]] = []
+        self._tokens_left = 0
+        self._arrivals = 0
+        self._sweep_due_s = 0.0
+        self._step_due_s: float | None = None
+        self._chunks_by_job: dict[Job, int] = {}
+        self._waiting: list[WaitingEvents] = []
+        self._load_samples: deque[tuple[float, dict[str, Any]]] = deque()
+        self._begin_incarnation()
+
+    def _begin_incarnation(self) -> None:
+        self.incarnation = uuid.uuid4().hex[:16]
+        self._jobs_by_id: dict[str, Job] = {}
+        self._active: list[Job] = []
+        self._cache = PrefixCache(capacity_blocks=self._costs.capacity_blocks)
+        self._apply_faults()
+
+    # Requests
+
+    def on_completion(self, completion: Completion) -> Reply | Subscription:
+        """Queue a request, or refuse it."""
+        refusal = self._refusal(completion)
+        if refusal:
+            return refusal
+        self._arrivals += 1
+        job = Job.from_completion(completion, arrival=self._arrivals)
+        self._jobs_by_id[completion.request_id] = job
+        self._active.append(job)
+        self._write_history("start", job)
+        subscription = job.subscribe(start=0)
+        self._begin_step()
+        return subscription
+
+    def on_resume(self, message: Resume) -> Subscription | None:
+        """Attach to a request, if it is known."""
+        job = self._jobs_by_id.get(message.request_id)
+        return job.subscribe(start=message.start) if job else None
+
+    def on_unsubscribe(self, message: Unsubscribe) -> None:
+        """Detach a connection from its request."""
+        job = self._jobs_by_id.get(message.request_id)
+        if job:
+            job.unsubscribe(message.subscription)
+
+    def on_cancel(self, message: Cancel) -> bool:
+        """Cancel a request; tells whether it was still active."""
+        job = self._jobs_by_id.get(message.request_id)
+        if job is None or not job.is_active:
+            return False
+        self._end_job(job, JobState.CANCELLED, stop=StreamStop.CANCELLED)
+        return True
+
+    def _refusal(self, completion: Completion) -> Reply | None:
+        queued = sum(job.state is JobState.QUEUED for job in self._active)
+        if self._faults.leaving:
+            return _not_run("leaving")
+        if self._loading:
+            return _not_run("loading")
+        if self._faults.busy or queued >= self._costs.max_queued:
+            return _not_run("busy")
+        version = self._version_by_model.get(completion.model)
+        if version != completion.weights_version:
+            body = {"error": "weights_version", "run": False, "serves": version}
+            return Reply(status=409, body=body)
+        return None
+
+    # Steps
+
+    def next_due_s(self) -> float | None:
+        """Return when a step, a sweep or a waiting read is due."""
+        times = [waiting.until_s for waiting in self._waiting]
+        visible = [
+            self._cache.next_visible_s(after=item.after) for item in self._waiting
+        ]
+        times += [time_s for time_s in visible if time_s is not None]
+        if self._step_due_s is not None:
+            times.append(self._step_due_s)
+        if self._jobs_by_id:
+            times.append(self._sweep_due_s)
+        return min(times, default=None)
+
+    def on_due(self) -> None:
+        """Do what is due."""
+        now_s = time.monotonic()
+        if self._step_due_s is not None and self._step_due_s <= now_s:
+            self._end_step()
+            self._begin_step()
+        if self._sweep_due_s <= now_s:
+            self._sweep(now_s)
+        self._answer_waiting(now_s)
+
+    def _begin_step(self) -> None:
+        if self._step_due_s is not None or self._faults.freeze:
+            return
+        self._admit()
+        self._chunks_by_job = self._plan_prefill()
+        decodes = any(job.state is JobState.DECODE for job in self._active)
+        if not self._chunks_by_job and not decodes:
+            return
+        prefill_us = (
+            sum(self._chunks_by_job.values()) * self._costs.prefill_us_per_token
+        )
+        decode_us = self._costs.decode_ms * 1000 if decodes else 0
+        self._step_due_s = time.monotonic() + (prefill_us + decode_us) / 1e6
+
+    def _admit(self) -> None:
+        queued = [job for job in self._active if job.state is JobState.QUEUED]
+        free = self._costs.max_running - (len(self._active) - len(queued))
+        for job in sorted(queued, key=lambda job: job.rank)[: max(0, free)]:
+            marker = self._faults.poison_marker
+            if marker and marker in job.completion.prompt:
+                os._exit(CRASH_EXIT_CODE)
+            job.begin_prefill(cached_blocks=self._cache.match(job.keys))
+
+    def _plan_prefill(self) -> dict[Job, int]:
+        budget = self._costs.prefill_chunk_tokens
+        chunks: dict[Job, int] = {}
+        waiting = [job for job in self._active if job.state is JobState.PREFILL]
+        for job in sorted(waiting, key=lambda job: job.rank):
+            if budget <= 0:
+                break
+            chunks[job] = min(budget, job.prefill_left)
+            budget -= chunks[job]
+        return chunks
+
+    def _end_step(self) -> None:
+        self._step_due_s = None
+        decoding = [job for job in self._active if job.state is JobState.DECODE]
+        for job, chunk in self._chunks_by_job.items():
+            if job.state is not JobState.PREFILL:
+                continue
+            job.prefill_left -= chunk
+            if job.prefill_left <= 0:
+                job.state = JobState.DECODE
+                self._cache.store(job.keys)
+                decoding.append(job)
+        for job in decoding:
+            self._generate(job)
+        self._sample_load()
+
+    def _generate(self, job: Job) -> None:
+        job.generate()
+        if not job.is_active:
+            self._forget_active(job)
+        self._count_token()
+
+    def _count_token(self) -> None:
+        if self._tokens_left == 0:
+            return
+        self._tokens_left -= 1
+        if self._tokens_left > 0:
+            return
+        if self._faults.crash_after_tokens:
+            os._exit(CRASH_EXIT_CODE)
+        self._faults = attrs.evolve(self._faults, freeze=True)
+
+    def _end_job(self, job: Job, state: JobState, *, stop: StreamStop) -> None:
+        job.end(state, stop=stop)
+        self._forget_active(job)
+
+    def _forget_active(self, job: Job) -> None:
+        self._active.remove(job)
+        self._records.append(job.record(incarnation=self.incarnation))
+        self._write_history("end", job)
+        self._switch_when_idle()
+
+    def _sweep(self, now_s: float) -> None:
+        self._sweep_due_s = now_s + SWEEP_INTERVAL_S
+        for request_id, job in list(self._jobs_by_id.items()):
+            age_s = now_s - job.changed_s
+            if not job.is_active and age_s > FINISHED_KEPT_S:
+                del self._jobs_by_id[request_id]
+            elif job.is_active and not job.subscriptions and age_s > UNATTENDED_KEPT_S:
+                self._end_job(job, JobState.CANCELLED, stop=StreamStop.CANCELLED)
+
+    # Load
+
+    def on_read_load(self, message: ReadLoad) -> dict[str, Any]:
+        """Return the newest sample that is older than the lag."""
+        self._sample_load()
+        now_s = time.monotonic()
+        limit_s = now_s - self._faults.load_lag_ms / 1000
+        while len(self._load_samples) > 1 and self._load_samples[1][0] <= limit_s:
+            self._load_samples.popleft()
+        taken_s, load = self._load_samples[0]
+        # A sample stays true until the next one.
+        age_ms = round((now_s - max(taken_s, limit_s)) * 1000)
+        return {"incarnation": self.incarnation, **load, "age_ms": age_ms}
+
+    def _sample_load(self) -> None:
+        now_s = time.monotonic()
+        samples = self._load_samples
+        if len(samples) > 1 and now_s - samples[-2][0] < LOAD_SAMPLE_INTERVAL_S:
+            samples.pop()
+        samples.append((now_s, self._present_load()))
+        while samples[0][0] < now_s - self._faults.load_lag_ms / 1000 - 1:
+            if len(samples) == 1 or samples[1][0] > now_s - 1:
+                break
+            samples.popleft()
+
+    def _present_load(self) -> dict[str, Any]:
+        queued = [job for job in self._active if job.state is JobState.QUEUED]
+        prefill = [job for job in self._active if job.state is JobState.PREFILL]
+        waiting_tokens = sum(job.prompt_tokens for job in queued)
+        waiting_tokens += sum(job.prefill_left for job in prefill)
+        return {
+            "models": dict(self._version_by_model),
+            "role": self._role,
+            "state": self._state_name(),
+            "running": len(self._active) - len(queued),
+            "queued": len(queued),
+            "queued_tokens": waiting_tokens,
+            "cached_blocks": len(self._cache),
+            "capacity_blocks": self._costs.capacity_blocks,
+            "prefill_tokens_per_s": 1e6 / max(0.001, self._costs.prefill_us_per_token),
+            "decode_tokens_per_s": 1000 / max(0.001, self._costs.decode_ms),
+        }
+
+    def _state_name(self) -> str:
+        if self._faults.leaving:
+            return "leaving"
+        return "loading" if self._loading else "ready"
+
+    # Cache
+
+    def on_read_cache_events(
+        self, message: ReadCacheEvents
+    ) -> dict[str, Any] | Future[dict[str, Any]]:
+        """Return events at once, or when one becomes visible."""
+        body = self._events_body(message.after)
+        if body["events"] or message.wait_s <= 0:
+            return body
+        until_s = time.monotonic() + message.wait_s
+        waiting = WaitingEvents(after=message.after, until_s=until_s, reply=Future())
+        self._waiting.append(waiting)
+        return waiting.reply
+
+    def on_read_snapshot(self, message: ReadSnapshot) -> dict[str, Any]:
+        """Return the keys of all blocks."""
+        return {
+            "incarnation": self.incarnation,
+            "next_seq": self._cache.next_seq,
+            "keys": [key_to_hex(key) for key in self._cache.all_keys()],
+        }
+
+    def on_read_export(self, message: ReadExport) -> list[int]:
+        """Return those of some keys that are cached."""
+        return self._cache.present(message.keys)
+
+    def on_import_keys(self, message: ImportKeys) -> int:
+        """Add blocks; returns how many were new."""
+        return self._cache.store(message.keys)
+
+    def _events_body(self, after: int) -> dict[str, Any]:
+        return {"incarnation": self.incarnation, **self._cache.events_body(after=after)}
+
+    def _answer_waiting(self, now_s: float) -> None:
+        for waiting in list(self._waiting):
+            body = self._events_body(waiting.after)
+            # A lost event ends the wait too: it shows as a gap.
+            is_past = body["next_seq"] > waiting.after + 1
+            if is_past or waiting.until_s <= now_s:
+                self._waiting.remove(waiting)
+                waiting.reply.set_result(body)
+
+    # Orders
+
+    def on_order(self, order: Order) -> Reply:
+        """Accept an order, or refuse it as fenced."""
+        fenced = self._check_tokens and order.fencing_token < self._highest_token
+        self._order_records.append(
+            {"time_ms": wall_ms(), "fenced": fenced, **attrs.asdict(order)}
+        )
+        if fenced:
+            body = {"error": "fenced", "highest": self._highest_token}
+            return Reply(status=409, body=body)
+        self._highest_token = max(self._highest_token, order.fencing_token)
+        self._last_order = order
+        if self._faults.fail_orders:
+            self._fail_order(order, "told to fail by a fault")
+            return Reply(body={"accepted": True, "loading": False})
+        return Reply(body={"accepted": True, "loading": self._begin_order(order)})
+
+    def on_load_ended(self, message: LoadEnded) -> None:
+        """Serve the new weights once the requests on the old ones have ended."""
+        if message.order is not self._loading:
+            return
+        if message.failure:
+            self._fail_order(message.order, message.failure)
+            self._loading = None
+            return
+        self._loaded = message.order
+        self._switch_when_idle()
+
+    def on_read_state(self, message: ReadState) -> dict[str, Any]:
+        """Return what orders have led to."""
+        return {
+            "incarnation": self.incarnation,
+            "models": dict(self._version_by_model),
+            "adapters": list(self._adapters),
+            "role": self._role,
+            "state": self._state_name(),
+            "highest_token": self._highest_token,
+            "last_order_id": self._last_order.order_id if self._last_order else None,
+            "failed_order_id": self._failed_order_id,
+            "failure": self._failure,
+        }
+
+    def _begin_order(self, order: Order) -> bool:
+        """Apply an order; returns whether weights have to be loaded first."""
+        if order.action == "set_role":
+            self._role = order.role
+        elif order.action == "load_adapter":
+            if order.adapter not in self._adapters:
+                self._adapters.append(order.adapter)
+        elif self._version_by_model.get(order.model) != order.weights_version:
+            self._loading = order
+            self._loaded = None
+            return True
+        return False
+
+    def _fail_order(self, order: Order, failure: str) -> None:
+        self._failed_order_id = order.order_id
+        self._failure = failure
+
+    def _switch_when_idle(self) -> None:
+        if self._loaded is None or self._active:
+            return
+        order = self._loaded
+        self._version_by_model[order.model] = order.weights_version
+        self._loading = self._loaded = None
+        self._cache.clear()
+
+    # Control
+
+    def on_set_faults(self, message: SetFaults) -> None:
+        """Take over new fault settings."""
+        self._faults = message.faults
+        if self._faults.crash:
+            os._exit(CRASH_EXIT_CODE)
+        self._apply_faults()
+        self._begin_step()
+
+    def on_restart(self, message: Restart) -> str:
+        """Come back empty; returns the new incarnation."""
+        for job in list(self._active):
+            self._end_job(job, JobState.LOST, stop=StreamStop.RESET)
+        self._step_due_s = None
+        self._loading = self._loaded = None
+        self._begin_incarnation()
+        return self.incarnation
+
+    def on_copy_history(self, message: CopyHistory) -> dict[str, Any]:
+        """Copy the records, with those of unfinished requests."""
+        active = [job.record(incarnation=self.incarnation) for job in self._active]
+        return {
+            "incarnation": self.incarnation,
+            "requests": self._records + active,
+            "orders": list(self._order_records),
+        }
+
+    def _apply_faults(self) -> None:
+        faults = self._faults
+        self._cache.event_delay_s = faults.event_delay_ms / 1000
+        self._cache.event_drop_rate = faults.event_drop_rate
+        self._tokens_left = faults.crash_after_tokens or faults.freeze_after_tokens
+
+    def _write_history(self, phase: str, job: Job) -> None:
+        if self._history_file:
+            record = {"phase": phase, **job.record(incarnation=self.incarnation)}
+            with self._history_file.open("a") as file:
+                file.write(json.dumps(record) + "\n")
+
+
+def _not_run(error: str) -> Reply:
+    body = {"error": error, "run": False}
+    return Reply(status=503, body=body, headers={"Retry-After": "1"})
--- a/tests/fakes/engine_text.py
+++ b/tests/fakes/engine_text.py
@@ -9,7 +9,7 @@
 import base64
 import hashlib
 
-__all__ = ["CONTEXT_BYTES", "expected_answer", "next_token"]
+__all__ = ["CONTEXT_BYTES", "expected_answer", "next_token", "prompt_digest"]
 
 CONTEXT_BYTES = 48
 """Bytes of text on which the next token depends."""
@@ -43,3 +43,8 @@
         answer += token
         text = (text + token)[-CONTEXT_BYTES:]
     return answer
+
+
+def prompt_digest(prompt: str) -> str:
+    """Return the digest by which histories name a prompt."""
+    return hashlib.blake2b(prompt.encode(), digest_size=8).hexdigest()
--- a/tests/fakes/http_service.py
+++ b/tests/fakes/http_service.py
@@ -135,6 +135,20 @@
         return {**super().get_environ(), SOCKET_KEY: self.req.conn.socket}
 
 
+class FakeServer(wsgi.Server):
+    """A server whose port can be bound again right after the process has died."""
+
+    keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
+
+    @staticmethod
+    def bind_socket(socket_: socket.socket, bind_addr: tuple[str, int]) -> Any:
+        """Bind, and let a later process bind while old connections linger."""
+        socket_.bind(bind_addr)
+        # Only after bind: before, the kernel might choose a port that is in use.
+        socket_.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        return socket_
+
+
 def drop_connection() -> None:
     """End the present connection without an answer.
 
@@ -188,15 +202,15 @@
     Args:
         answer: Called on a server thread for each request.
     """
-    server = wsgi.Server(
+    server = FakeServer(
         (HOST_FLAG.value, PORT_FLAG.value),
         _application(answer),
         numthreads=THREADS_FLAG.value,
         request_queue_size=LISTEN_BACKLOG,
         timeout=CONNECTION_TIMEOUT_S,
     )
+    # The base class's constructor replaces the class attribute.
     server.gateway = SocketGateway
-    server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
     server.prepare()
     host, port = server.bind_addr[:2]
     print(f"ready {host}:{port}", flush=True)
