--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -84,6 +84,12 @@
 BLOCK_BYTES_FLAG = flags.DEFINE_integer(
     "export_block_bytes", 1024, "Size of an exported block."
 )
+FINISHED_KEPT_FLAG = flags.DEFINE_integer(
+    "finished_kept_ms", 10_000, "Time for which a finished request can be resumed."
+)
+UNATTENDED_KEPT_FLAG = flags.DEFINE_integer(
+    "unattended_kept_ms", 5_000, "Time after which a request nobody reads ends."
+)
 HISTORY_FLAG = flags.DEFINE_string(
     "history", "", "File to which the history is appended as JSON lines."
 )
@@ -296,6 +302,8 @@
         max_queued=QUEUED_FLAG.value,
         prefill_chunk_tokens=CHUNK_FLAG.value,
         capacity_blocks=CAPACITY_FLAG.value,
+        finished_kept_s=FINISHED_KEPT_FLAG.value / 1000,
+        unattended_kept_s=UNATTENDED_KEPT_FLAG.value / 1000,
     )
 
 
--- a/tests/fakes/engine_core.py
+++ b/tests/fakes/engine_core.py
@@ -46,8 +46,6 @@
 ]
 
 CRASH_EXIT_CODE = 70
-FINISHED_KEPT_S = 10.0
-UNATTENDED_KEPT_S = 5.0
 SWEEP_INTERVAL_S = 0.25
 LOAD_SAMPLE_INTERVAL_S = 0.01
 
@@ -62,6 +60,8 @@
     max_queued: int
     prefill_chunk_tokens: int
     capacity_blocks: int
+    finished_kept_s: float
+    unattended_kept_s: float
 
 
 @attrs.frozen(kw_only=True)
@@ -368,9 +368,13 @@
         self._sweep_due_s = now_s + SWEEP_INTERVAL_S
         for request_id, job in list(self._jobs_by_id.items()):
             age_s = now_s - job.changed_s
-            if not job.is_active and age_s > FINISHED_KEPT_S:
+            if not job.is_active and age_s > self._costs.finished_kept_s:
                 del self._jobs_by_id[request_id]
-            elif job.is_active and not job.subscriptions and age_s > UNATTENDED_KEPT_S:
+            elif (
+                job.is_active
+                and not job.subscriptions
+                and age_s > self._costs.unattended_kept_s
+            ):
                 self._end_job(job, JobState.CANCELLED, stop=StreamStop.CANCELLED)
 
     # Load
--- /dev/null
+++ b/tests/fakes/relay_tcp.py
@@ -0,0 +1,222 @@
+"""A TCP route of the relay; all of it runs on the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from tests.fakes.relay_routes import (
+    TO_CLIENT,
+    TO_TARGET,
+    RouteFaults,
+    RouteSpec,
+    split_address,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["TcpRoute"]
+
+LISTEN_HOST = "127.0.0.1"
+CHUNK_BYTES = 65536
+LISTEN_BACKLOG = 512
+LINGER_NOT = struct.pack("ii", 1, 0)
+MAX_CHUNKS = 256
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class Chunk:
+    """Data on its way; an empty one is the end of the stream."""
+
+    data: bytes
+    due_s: float
+
+
+class TcpConnection:
+    """One relayed connection, with a reader and a writer in each direction."""
+
+    def __init__(self, *, route: TcpRoute, client: Any, target: Any):
+        self.is_silenced = False
+        self._route = route
+        self._client_reader, self._client_writer = client
+        self._target_reader, self._target_writer = target
+
+    async def run(self) -> None:
+        """Relay until both sides have ended."""
+        try:
+            await asyncio.gather(
+                self._relay(TO_TARGET, self._client_reader, self._target_writer),
+                self._relay(TO_CLIENT, self._target_reader, self._client_writer),
+            )
+        except OSError:
+            # One side was reset, so the other is too.
+            self.reset()
+        finally:
+            self._client_writer.close()
+            self._target_writer.close()
+
+    def reset(self) -> None:
+        """Reset both sides."""
+        for writer in (self._client_writer, self._target_writer):
+            _reset(writer)
+
+    async def _relay(
+        self,
+        direction: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        chunks: asyncio.Queue[Chunk] = asyncio.Queue(maxsize=MAX_CHUNKS)
+        reading = asyncio.ensure_future(self._read(direction, reader, chunks))
+        try:
+            await self._write(direction, writer, chunks)
+            # An error of the reader counts as one of the connection.
+            await reading
+        finally:
+            reading.cancel()
+
+    async def _read(
+        self,
+        direction: str,
+        reader: asyncio.StreamReader,
+        chunks: asyncio.Queue[Chunk],
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        data = b"-"
+        while data:
+            # Not reading fills the sender's buffers, as a lost peer would.
+            await self._route.wait_open(direction, self)
+            try:
+                data = await reader.read(CHUNK_BYTES)
+            except OSError:
+                self.reset()
+                data = b""
+            delay_s = self._route.faults.delay_ms / 1000
+            await chunks.put(Chunk(data=data, due_s=loop.time() + delay_s))
+
+    async def _write(
+        self,
+        direction: str,
+        writer: asyncio.StreamWriter,
+        chunks: asyncio.Queue[Chunk],
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            chunk = await chunks.get()
+            await asyncio.sleep(max(0.0, chunk.due_s - loop.time()))
+            await self._route.wait_open(direction, self)
+            if not chunk.data:
+                if writer.can_write_eof() and not writer.transport.is_closing():
+                    writer.write_eof()
+                return
+            writer.write(chunk.data)
+            await writer.drain()
+            self._route.forwarded_bytes += len(chunk.data)
+
+
+class TcpRoute:
+    """Listens, and relays each connection to the target."""
+
+    def __init__(self, *, spec: RouteSpec):
+        self.faults = RouteFaults()
+        self.forwarded_bytes = 0
+        self._spec = spec
+        self._port = spec.port
+        self._server: asyncio.Server | None = None
+        self._connections: set[TcpConnection] = set()
+        self._changed = asyncio.Condition()
+
+    @property
+    def address(self) -> str:
+        """Address on which the route listens."""
+        return f"{LISTEN_HOST}:{self._port}"
+
+    async def open(self) -> None:
+        """Begin to listen."""
+        self._server = await asyncio.start_server(
+            self._accept,
+            LISTEN_HOST,
+            self._port,
+            backlog=LISTEN_BACKLOG,
+            reuse_address=True,
+        )
+        self._port = self._server.sockets[0].getsockname()[1]
+
+    async def set_faults(self, faults: RouteFaults) -> None:
+        """Put new fault settings in force."""
+        if faults.mode == "silent_existing":
+            self._silence_existing()
+            faults = attrs.evolve(faults, mode="pass")
+        self.faults = faults
+        if faults.mode == "refuse":
+            self._refuse()
+        elif self._server is None:
+            await self.open()
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def wait_open(self, direction: str, connection: TcpConnection) -> None:
+        """Wait until data may go in a direction of a connection."""
+        await self._wait_until(lambda: self._is_open(direction, connection))
+
+    def describe(self) -> dict[str, Any]:
+        """Return what the route is and carried."""
+        return {
+            "address": self.address,
+            "target": self._spec.target,
+            "protocol": "tcp",
+            "connections": len(self._connections),
+            "forwarded_bytes": self.forwarded_bytes,
+        }
+
+    async def _wait_until(self, is_open: Callable[[], bool]) -> None:
+        if is_open():
+            return
+        async with self._changed:
+            await self._changed.wait_for(is_open)
+
+    def _is_open(self, direction: str, connection: TcpConnection) -> bool:
+        return self.faults.lets_pass(direction) and not connection.is_silenced
+
+    def _silence_existing(self) -> None:
+        for connection in self._connections:
+            connection.is_silenced = True
+
+    def _refuse(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for connection in list(self._connections):
+            connection.reset()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        # A target beyond a cut doesn't hear of new connections.
+        await self._wait_until(lambda: self.faults.lets_pass(TO_TARGET))
+        try:
+            host, port = split_address(self._spec.target)
+            target = await asyncio.open_connection(host, port)
+        except OSError:
+            _reset(writer)
+            return
+        connection = TcpConnection(route=self, client=(reader, writer), target=target)
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    # Without lingering, a close sends a reset and not the end of the stream.
+    connection = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT)
+    writer.transport.abort()
--- /dev/null
+++ b/tests/fakes/weight_store.py
@@ -0,0 +1,149 @@
+"""Stand-in for the rate-limited weight store.
+
+A load takes ``load_ms`` while at most ``--full_rate_loads`` run at once, and
+proportionally longer while more do.
+
+Fault settings (`WeightFaults`): those of `CallFaults`, and ``load_ms``.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import attrs
+from absl import app, flags
+
+from crocuswick.actor import Message
+from tests.fakes.control import CallFaults, Controlled
+from tests.fakes.http_service import Reply, Request, Routes, serve, wall_ms
+from tests.fakes.task import Task
+
+__all__ = ["WeightFaults", "WeightStore"]
+
+WEIGHTS_FLAG = flags.DEFINE_list(
+    "weights", [], "Known weights as model=version; any if empty."
+)
+LOAD_FLAG = flags.DEFINE_integer("load_ms", 1000, "Time of a load at full rate.")
+FULL_RATE_FLAG = flags.DEFINE_integer(
+    "full_rate_loads", 2, "Loads that may run at once at full rate."
+)
+
+SLICE_S = 0.02
+
+
+@attrs.frozen(kw_only=True)
+class WeightFaults(CallFaults):
+    """Fault settings of the weight store."""
+
+    load_ms: int = 1000
+
+
+@attrs.frozen(kw_only=True)
+class Begin(Message):
+    """A load begins."""
+
+    weights: str
+
+
+@attrs.frozen(kw_only=True)
+class ReadRate(Message):
+    """Asks for the present part of the full rate."""
+
+
+@attrs.frozen(kw_only=True)
+class End(Message):
+    """A load ends."""
+
+    number: int
+
+
+@attrs.frozen(kw_only=True)
+class CopyLoads(Message):
+    """Copies the record of all loads."""
+
+
+class LoadsTask(Task):
+    """Owns the record of loads and counts those that run."""
+
+    def __init__(self, *, full_rate_loads: int):
+        super().__init__(name="weights")
+        self._full_rate_loads = full_rate_loads
+        self._loads: list[dict[str, Any]] = []
+        self._running = 0
+
+    def on_begin(self, message: Begin) -> int:
+        """Count a load; returns its number."""
+        self._running += 1
+        self._loads.append(
+            {
+                "weights": message.weights,
+                "start_ms": wall_ms(),
+                "end_ms": None,
+                "running": self._running,
+            }
+        )
+        return len(self._loads) - 1
+
+    def on_read_rate(self, message: ReadRate) -> float:
+        """Return the part of the full rate that each load gets."""
+        return min(1.0, self._full_rate_loads / max(1, self._running))
+
+    def on_end(self, message: End) -> None:
+        """Count the end of a load."""
+        self._running -= 1
+        self._loads[message.number]["end_ms"] = wall_ms()
+
+    def on_copy_loads(self, message: CopyLoads) -> list[dict[str, Any]]:
+        """Copy the record."""
+        return [dict(load) for load in self._loads]
+
+
+class WeightStore(Controlled):
+    """The HTTP side of the weight store."""
+
+    routes = Routes()
+
+    def __init__(self, *, faults: WeightFaults, task: LoadsTask, known: set[str]):
+        super().__init__(faults=faults)
+        self._task = task
+        self._known = known
+
+    def history(self) -> Any:
+        """Return all loads, with the number that ran at once."""
+        return {"loads": self._task.ask(CopyLoads())}
+
+    @routes.route("GET", "/v1/weights/{model}/{version}")
+    def get_weights(self, request: Request, model: str, version: str) -> Reply:
+        """Give weights after the time that their load takes."""
+        weights = f"{model}={version}"
+        if self._known and weights not in self._known:
+            return Reply(status=404, body={"error": "unknown weights"})
+        number = self._task.ask(Begin(weights=weights))
+        try:
+            self._wait_for_load(request)
+        finally:
+            self._task.tell(End(number=number))
+        return Reply(body={"model": model, "version": version})
+
+    def _wait_for_load(self, request: Request) -> None:
+        left_s = self.faults.load_ms / 1000
+        last_s = time.monotonic()
+        while left_s > 0 and not request.caller_is_gone():
+            time.sleep(min(SLICE_S, left_s))
+            now_s = time.monotonic()
+            left_s -= (now_s - last_s) * self._task.ask(ReadRate())
+            last_s = now_s
+
+
+def main(argv: list[str]) -> None:
+    """Run the stand-in."""
+    task = LoadsTask(full_rate_loads=FULL_RATE_FLAG.value)
+    task.start()
+    faults = WeightFaults(load_ms=LOAD_FLAG.value)
+    known = set(WEIGHTS_FLAG.value)
+    serve(WeightStore(faults=faults, task=task, known=known).answer)
+
+
+if __name__ == "__main__":
+    app.run(main)
