--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -25,11 +25,18 @@
 from absl import app, flags
 
 from tests.fakes.control import Controlled
-from tests.fakes.engine_core import (
+from tests.fakes.engine_core import EngineCosts, EngineTask
+from tests.fakes.engine_faults import (
+    EngineFaults,
+    StreamDoneError,
+    StreamEndedError,
+    with_stream_faults,
+)
+from tests.fakes.engine_history import EngineHistory
+from tests.fakes.engine_jobs import Completion, StreamStop, Subscription, TokenEvent
+from tests.fakes.engine_messages import (
     Cancel,
     CopyHistory,
-    EngineCosts,
-    EngineTask,
     ImportKeys,
     LoadEnded,
     Order,
@@ -43,13 +50,7 @@
     SetFaults,
     Unsubscribe,
 )
-from tests.fakes.engine_faults import (
-    EngineFaults,
-    StreamDoneError,
-    StreamEndedError,
-    with_stream_faults,
-)
-from tests.fakes.engine_jobs import Completion, StreamStop, Subscription, TokenEvent
+from tests.fakes.engine_orders import OrderBook
 from tests.fakes.http_service import Reply, Request, Routes, drop_connection, serve
 
 if TYPE_CHECKING:
@@ -93,6 +94,9 @@
 HISTORY_FLAG = flags.DEFINE_string(
     "history", "", "File to which the history is appended as JSON lines."
 )
+PROMPTS_FLAG = flags.DEFINE_bool(
+    "record_prompts", False, "Keep whole prompts in the history."
+)
 
 CALLER_CHECK_INTERVAL_S = 0.25
 PEER_TIMEOUT_S = 30.0
@@ -202,14 +206,15 @@
             return Reply(status=502, body={"error": "export failed", "imported": 0})
         keys = [key for key, _ in msgpack.unpackb(response.data)]
         time.sleep(len(keys) * IMPORT_FLAG.value / 1e6)
-        return Reply(body={"imported": self._task.ask(ImportKeys(keys=keys))})
+        message = ImportKeys(source=order["from"], keys=keys)
+        return Reply(body={"imported": self._task.ask(message)})
 
     @routes.route("POST", "/v1/orders")
     def order(self, request: Request) -> Reply:
         """Take an order; weights are loaded after the answer."""
         order = Order(**request.json())
         reply = self._task.ask(order)
-        if reply.status == 200 and reply.body.pop("loading"):
+        if reply.status == 200 and reply.body.pop("must_load"):
             name = f"load-{order.order_id}"
             loader = threading.Thread(
                 target=self._load_weights, args=(order,), name=name, daemon=True
@@ -310,13 +315,15 @@
 def main(argv: list[str]) -> None:
     """Run the stand-in."""
     faults = EngineFaults(poison_marker=POISON_FLAG.value)
-    task = EngineTask(
-        costs=_costs(),
-        faults=faults,
+    orders = OrderBook(
         version_by_model=dict(entry.split("=") for entry in MODELS_FLAG.value),
         check_tokens=CHECK_TOKENS_FLAG.value,
-        history_file=Path(HISTORY_FLAG.value) if HISTORY_FLAG.value else None,
     )
+    history = EngineHistory(
+        file=Path(HISTORY_FLAG.value) if HISTORY_FLAG.value else None,
+        with_prompts=PROMPTS_FLAG.value,
+    )
+    task = EngineTask(costs=_costs(), faults=faults, orders=orders, history=history)
     task.start()
     serve(Engine(faults=faults, task=task).answer)
 
--- a/tests/fakes/engine_core.py
+++ b/tests/fakes/engine_core.py
@@ -6,49 +6,46 @@
 
 from __future__ import annotations
 
-import json
 import os
 import time
 import uuid
-from collections import deque
 from concurrent.futures import Future
 from typing import TYPE_CHECKING, Any
 
 import attrs
 
-from crocuswick.actor import Message
 from tests.fakes.engine_cache import PrefixCache, key_to_hex
-from tests.fakes.engine_faults import EngineFaults
 from tests.fakes.engine_jobs import Completion, Job, JobState, StreamStop, Subscription
-from tests.fakes.http_service import Reply, wall_ms
+from tests.fakes.engine_load import LoadSamples
+from tests.fakes.http_service import Reply
 from tests.fakes.task import Task
 
 if TYPE_CHECKING:
-    from pathlib import Path
-
-__all__ = [
-    "Cancel",
-    "CopyHistory",
-    "EngineCosts",
-    "EngineTask",
-    "ImportKeys",
-    "LoadEnded",
-    "Order",
-    "ReadCacheEvents",
-    "ReadExport",
-    "ReadLoad",
-    "ReadSnapshot",
-    "ReadState",
-    "Restart",
-    "Resume",
-    "SetFaults",
-    "Unsubscribe",
-]
+    from tests.fakes.engine_faults import EngineFaults
+    from tests.fakes.engine_history import EngineHistory
+    from tests.fakes.engine_messages import (
+        Cancel,
+        CopyHistory,
+        ImportKeys,
+        LoadEnded,
+        Order,
+        ReadCacheEvents,
+        ReadExport,
+        ReadLoad,
+        ReadSnapshot,
+        ReadState,
+        Restart,
+        Resume,
+        SetFaults,
+        Unsubscribe,
+    )
+    from tests.fakes.engine_orders import OrderBook
+
+__all__ = ["EngineCosts", "EngineTask"]
 
 CRASH_EXIT_CODE = 70
 TOKEN_COUNT_FAULTS = frozenset({"crash_after_tokens", "freeze_after_tokens"})
 SWEEP_INTERVAL_S = 0.25
-LOAD_SAMPLE_INTERVAL_S = 0.01
 
 
 @attrs.frozen(kw_only=True)
@@ -65,106 +62,6 @@
     unattended_kept_s: float
 
 
-@attrs.frozen(kw_only=True)
-class Resume(Message):
-    """Attaches to a request from an index on."""
-
-    request_id: str
-    start: int
-
-
-@attrs.frozen(kw_only=True)
-class Unsubscribe(Message):
-    """Detaches a connection."""
-
-    request_id: str
-    subscription: Subscription
-
-
-@attrs.frozen(kw_only=True)
-class Cancel(Message):
-    """Cancels a request."""
-
-    request_id: str
-
-
-@attrs.frozen(kw_only=True)
-class ReadLoad(Message):
-    """Reads the load as it was a while ago."""
-
-
-@attrs.frozen(kw_only=True)
-class ReadState(Message):
-    """Reads what orders have led to."""
-
-
-@attrs.frozen(kw_only=True)
-class ReadCacheEvents(Message):
-    """Reads cache events; waits when there are none."""
-
-    after: int
-    wait_s: float
-
-
-@attrs.frozen(kw_only=True)
-class ReadSnapshot(Message):
-    """Reads the keys of all cached blocks."""
-
-
-@attrs.frozen(kw_only=True)
-class ReadExport(Message):
-    """Tells which of some keys are cached."""
-
-    keys: list[int]
-
-
-@attrs.frozen(kw_only=True)
-class ImportKeys(Message):
-    """Adds blocks that another engine exported."""
-
-    keys: list[int]
-
-
-@attrs.frozen(kw_only=True)
-class Order(Message):
-    """An order to change what the engine serves."""
-
-    order_id: str
-    fencing_token: int
-    action: str
-    model: str = ""
-    weights_version: str = ""
-    adapter: str = ""
-    role: str = ""
-
-
-@attrs.frozen(kw_only=True)
-class LoadEnded(Message):
-    """The weights of an order have arrived, or have failed to."""
-
-    order: Order
-    failure: str | None
-
-
-@attrs.frozen(kw_only=True)
-class SetFaults(Message):
-    """New fault settings."""
-
-    faults: EngineFaults
-    changed: frozenset[str]
-    """Names of the settings that were given."""
-
-
-@attrs.frozen(kw_only=True)
-class Restart(Message):
-    """Drops all requests and blocks and begins a new incarnation."""
-
-
-@attrs.frozen(kw_only=True)
-class CopyHistory(Message):
-    """Copies the records for the checkers."""
-
-
 @attrs.frozen(kw_only=True)
 class WaitingEvents:
     """A read of cache events that waits."""
@@ -182,37 +79,30 @@
         *,
         costs: EngineCosts,
         faults: EngineFaults,
-        version_by_model: dict[str, str],
-        check_tokens: bool,
-        history_file: Path | None,
+        orders: OrderBook,
+        history: EngineHistory,
     ):
         super().__init__(name="engine")
         self._costs = costs
         self._faults = faults
-        self._version_by_model = version_by_model
-        self._check_tokens = check_tokens
-        self._history_file = history_file
-        self._adapters: list[str] = []
-        self._role = "both"
-        self._highest_token = -1
-        self._last_order: Order | None = None
-        self._failed_order_id: str | None = None
-        self._failure: str | None = None
-        self._loading: Order | None = None
-        self._loaded: Order | None = None
-        self._records: list[dict[str, Any]] = []
-        self._order_records: list[dict[str, Any]] = []
+        self._orders = orders
+        self._history = history
+        self._load_samples = LoadSamples()
         self._tokens_left = 0
         self._arrivals = 0
         self._sweep_due_s = 0.0
         self._step_due_s: float | None = None
         self._chunks_by_job: dict[Job, int] = {}
         self._waiting: list[WaitingEvents] = []
-        self._load_samples: deque[tuple[float, dict[str, Any]]] = deque()
         self._begin_incarnation()
 
+    @property
+    def incarnation(self) -> str:
+        """Incarnation of the engine."""
+        return self._history.incarnation
+
     def _begin_incarnation(self) -> None:
-        self.incarnation = uuid.uuid4().hex[:16]
+        self._history.begin_life(uuid.uuid4().hex[:16])
         self._jobs_by_id: dict[str, Job] = {}
         self._active: list[Job] = []
         self._cache = PrefixCache(capacity_blocks=self._costs.capacity_blocks)
@@ -229,7 +119,7 @@
         job = Job.from_completion(completion, arrival=self._arrivals)
         self._jobs_by_id[completion.request_id] = job
         self._active.append(job)
-        self._write_history("start", job)
+        self._history.start_request(job, served_version=self._served_version(job))
         subscription = job.subscribe(start=0)
         self._begin_step()
         return subscription
@@ -257,11 +147,11 @@
         queued = sum(job.state is JobState.QUEUED for job in self._active)
         if self._faults.leaving:
             return _not_run("leaving")
-        if self._loading:
+        if self._orders.is_loading:
             return _not_run("loading")
         if self._faults.busy or queued >= self._costs.max_queued:
             return _not_run("busy")
-        version = self._version_by_model.get(completion.model)
+        version = self._orders.version_by_model.get(completion.model)
         if version != completion.weights_version:
             body = {"error": "weights_version", "run": False, "serves": version}
             return Reply(status=409, body=body)
@@ -363,8 +253,7 @@
 
     def _forget_active(self, job: Job) -> None:
         self._active.remove(job)
-        self._records.append(job.record(incarnation=self.incarnation))
-        self._write_history("end", job)
+        self._history.end_request(job, served_version=self._served_version(job))
         self._switch_when_idle()
 
     def _sweep(self, now_s: float) -> None:
@@ -383,24 +272,17 @@
     # Load
 
     def on_read_load(self, message: ReadLoad) -> dict[str, Any]:
-        """Return the newest sample that is older than the lag."""
+        """Return the load as it was a while ago."""
         self._sample_load()
-        now_s = time.monotonic()
-        limit_s = now_s - self._faults.load_lag_ms / 1000
-        taken_s, load = self._load_samples[0]
-        # A sample stays true until the next one.
-        age_ms = round((now_s - max(taken_s, limit_s)) * 1000)
-        return {"incarnation": self.incarnation, **load, "age_ms": age_ms}
+        report = self._load_samples.report(lag_s=self._load_lag_s)
+        return {"incarnation": self.incarnation, **report}
+
+    @property
+    def _load_lag_s(self) -> float:
+        return self._faults.load_lag_ms / 1000
 
     def _sample_load(self) -> None:
-        now_s = time.monotonic()
-        samples = self._load_samples
-        if len(samples) > 1 and now_s - samples[-2][0] < LOAD_SAMPLE_INTERVAL_S:
-            samples.pop()
-        samples.append((now_s, self._present_load()))
-        limit_s = now_s - self._faults.load_lag_ms / 1000
-        while len(samples) > 1 and samples[1][0] <= limit_s:
-            samples.popleft()
+        self._load_samples.add(self._present_load(), lag_s=self._load_lag_s)
 
     def _present_load(self) -> dict[str, Any]:
         queued = [job for job in self._active if job.state is JobState.QUEUED]
@@ -408,8 +290,8 @@
         waiting_tokens = sum(job.prompt_tokens for job in queued)
         waiting_tokens += sum(job.prefill_left for job in prefill)
         return {
-            "models": dict(self._version_by_model),
-            "role": self._role,
+            "models": dict(self._orders.version_by_model),
+            "role": self._orders.role,
             "state": self._state_name(),
             "running": len(self._active) - len(queued),
             "queued": len(queued),
@@ -423,7 +305,7 @@
     def _state_name(self) -> str:
         if self._faults.leaving:
             return "leaving"
-        return "loading" if self._loading else "ready"
+        return "loading" if self._orders.is_loading else "ready"
 
     # Cache
 
@@ -453,6 +335,7 @@
 
     def on_import_keys(self, message: ImportKeys) -> int:
         """Add blocks; returns how many were new."""
+        self._history.add_import(message)
         return self._cache.store(message.keys)
 
     def _events_body(self, after: int) -> dict[str, Any]:
@@ -469,69 +352,32 @@
 
     def on_order(self, order: Order) -> Reply:
         """Accept an order, or refuse it as fenced."""
-        fenced = self._check_tokens and order.fencing_token < self._highest_token
-        self._order_records.append(
-            {"time_ms": wall_ms(), "fenced": fenced, **attrs.asdict(order)}
-        )
+        fenced = self._orders.is_fenced(order)
+        self._history.add_order(order, fenced=fenced)
         if fenced:
-            body = {"error": "fenced", "highest": self._highest_token}
-            return Reply(status=409, body=body)
-        self._highest_token = max(self._highest_token, order.fencing_token)
-        self._last_order = order
-        if self._faults.fail_orders:
-            self._fail_order(order, "told to fail by a fault")
-            return Reply(body={"accepted": True, "loading": False})
-        return Reply(body={"accepted": True, "loading": self._begin_order(order)})
+            return self._orders.fenced_reply()
+        must_load = self._orders.accept(order, must_fail=self._faults.fail_orders)
+        return Reply(body={"accepted": True, "must_load": must_load})
 
     def on_load_ended(self, message: LoadEnded) -> None:
         """Serve the new weights once the requests on the old ones have ended."""
-        if message.order is not self._loading:
-            return
-        if message.failure:
-            self._fail_order(message.order, message.failure)
-            self._loading = None
-            return
-        self._loaded = message.order
+        self._orders.end_load(message)
         self._switch_when_idle()
 
     def on_read_state(self, message: ReadState) -> dict[str, Any]:
         """Return what orders have led to."""
         return {
             "incarnation": self.incarnation,
-            "models": dict(self._version_by_model),
-            "adapters": list(self._adapters),
-            "role": self._role,
             "state": self._state_name(),
-            "highest_token": self._highest_token,
-            "last_order_id": self._last_order.order_id if self._last_order else None,
-            "failed_order_id": self._failed_order_id,
-            "failure": self._failure,
+            **self._orders.state(),
         }
 
-    def _begin_order(self, order: Order) -> bool:
-        """Apply an order; returns whether weights have to be loaded first."""
-        if order.action == "set_role":
-            self._role = order.role
-        elif order.action == "load_adapter":
-            if order.adapter not in self._adapters:
-                self._adapters.append(order.adapter)
-        elif self._version_by_model.get(order.model) != order.weights_version:
-            self._loading = order
-            self._loaded = None
-            return True
-        return False
-
-    def _fail_order(self, order: Order, failure: str) -> None:
-        self._failed_order_id = order.order_id
-        self._failure = failure
-
     def _switch_when_idle(self) -> None:
-        if self._loaded is None or self._active:
-            return
-        order = self._loaded
-        self._version_by_model[order.model] = order.weights_version
-        self._loading = self._loaded = None
-        self._cache.clear()
+        if not self._active and self._orders.switch():
+            self._cache.clear()
+
+    def _served_version(self, job: Job) -> str:
+        return self._orders.version_by_model.get(job.completion.model, "")
 
     # Control
 
@@ -551,30 +397,20 @@
         for job in list(self._active):
             self._end_job(job, JobState.LOST, stop=StreamStop.RESET)
         self._step_due_s = None
-        self._loading = self._loaded = None
+        self._orders.abandon_load()
         self._begin_incarnation()
         return self.incarnation
 
     def on_copy_history(self, message: CopyHistory) -> dict[str, Any]:
         """Copy the records, with those of unfinished requests."""
-        active = [job.record(incarnation=self.incarnation) for job in self._active]
-        return {
-            "incarnation": self.incarnation,
-            "requests": self._records + active,
-            "orders": list(self._order_records),
-        }
+        active = [(job, self._served_version(job)) for job in self._active]
+        return self._history.copy(active=active)
 
     def _apply_faults(self) -> None:
         faults = self._faults
         self._cache.event_delay_s = faults.event_delay_ms / 1000
         self._cache.event_drop_rate = faults.event_drop_rate
 
-    def _write_history(self, phase: str, job: Job) -> None:
-        if self._history_file:
-            record = {"phase": phase, **job.record(incarnation=self.incarnation)}
-            with self._history_file.open("a") as file:
-                file.write(json.dumps(record) + "\n")
-
 
 def _not_run(error: str) -> Reply:
     body = {"error": error, "run": False}
--- a/tests/fakes/engine_jobs.py
+++ b/tests/fakes/engine_jobs.py
@@ -12,6 +12,7 @@
 
 from crocuswick.actor import Message
 from crocuswick.block_key import BLOCK_TOKENS, block_keys, count_tokens
+from tests.fakes.engine_cache import key_to_hex
 from tests.fakes.engine_text import CONTEXT_BYTES, next_token, prompt_digest
 from tests.fakes.http_service import wall_ms
 
@@ -201,6 +202,7 @@
             "model": self.completion.model,
             "cache_salt": self.completion.cache_salt,
             "weights_version": self.completion.weights_version,
+            "block_keys": [key_to_hex(key) for key in self.keys],
             "prompt_digest": prompt_digest(self.completion.prompt),
             "priority": self.completion.priority,
             "prompt_tokens": self.prompt_tokens,
--- a/tests/fakes/plain_service.py
+++ b/tests/fakes/plain_service.py
@@ -63,6 +63,18 @@
     time_ms: int
 
 
+@attrs.frozen(kw_only=True)
+class RecordedRun:
+    """A run with the booking that it made."""
+
+    run: Run
+    booking: str
+
+    def as_record(self) -> dict[str, Any]:
+        """Return what the checkers get."""
+        return {**attrs.asdict(self.run), "booking": self.booking}
+
+
 @attrs.frozen(kw_only=True)
 class CopyRuns(Message):
     """Copies the runs."""
@@ -73,22 +85,23 @@
 
     def __init__(self, *, runs_file: Path | None):
         super().__init__(name="bookings")
-        self._runs: list[Run] = []
+        self._runs: list[RecordedRun] = []
         self._runs_file = runs_file
 
     def on_run(self, run: Run) -> dict[str, Any]:
         """Count a run and return the booking."""
-        self._runs.append(run)
+        booking = f"booking-{run.time_ms}-{len(self._runs) + 1}"
+        recorded = RecordedRun(run=run, booking=booking)
+        self._runs.append(recorded)
         if self._runs_file:
             with self._runs_file.open("a") as file:
-                file.write(json.dumps(attrs.asdict(run)) + "\n")
-        same = [item for item in self._runs if item.seat == run.seat]
-        booking = f"booking-{len(self._runs)}"
+                file.write(json.dumps(recorded.as_record()) + "\n")
+        same = [item for item in self._runs if item.run.seat == run.seat]
         return {"booking": booking, "seat": run.seat, "runs": len(same)}
 
     def on_copy_runs(self, message: CopyRuns) -> list[dict[str, Any]]:
         """Copy the runs."""
-        return [attrs.asdict(run) for run in self._runs]
+        return [run.as_record() for run in self._runs]
 
 
 class PlainService(Controlled):
