--- a/tests/fakes/control.py
+++ b/tests/fakes/control.py
@@ -1,11 +1,12 @@
 """The control interface that every stand-in offers under ``/control/``.
 
-=========================  =====================================================
-``GET /control/ready``     200 once the stand-in serves
-``GET /control/faults``    the fault settings in force
-``POST /control/faults``   sets the given fields, leaves the others
-``GET /control/history``   what the stand-in recorded for the checkers
-=========================  =====================================================
+==========================  ===================================================
+``GET /control/ready``      200 once the stand-in serves
+``GET /control/faults``     the fault settings in force
+``POST /control/faults``    sets the given fields, leaves the others
+``DELETE /control/faults``  puts back the settings of the start
+``GET /control/history``    what the stand-in recorded for the checkers
+==========================  ===================================================
 
 Control calls are never hit by faults.
 """
@@ -80,6 +81,7 @@
     routes: ClassVar[Routes] = Routes()
 
     def __init__(self, *, faults: Any):
+        self._first_faults = faults
         self.faults = faults
         """Replaced as a whole and never changed in place."""
 
@@ -127,6 +129,13 @@
         self.faults_changed(frozenset(changes))
         return Reply(body=attrs.asdict(self.faults))
 
+    @control_routes.route("DELETE", "/control/faults")
+    def delete_faults(self, request: Request) -> Reply:
+        """Put the first fault settings back."""
+        self.faults = self._first_faults
+        self.faults_changed(frozenset(attrs.fields_dict(type(self.faults))))
+        return Reply(body=attrs.asdict(self.faults))
+
     @control_routes.route("GET", "/control/history")
     def get_history(self, request: Request) -> Reply:
         """Give the records for the checkers."""
--- a/tests/fakes/launcher.py
+++ b/tests/fakes/launcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import atexit
 import json
 import os
 import signal
@@ -192,6 +193,10 @@
         """Set fault settings of a stand-in and return all of them."""
         return self.call("POST", "/control/faults", faults)
 
+    def clear_faults(self) -> Any:
+        """Put back the fault settings with which a stand-in started."""
+        return self.call("DELETE", "/control/faults")
+
     def history(self) -> Any:
         """Return the history of a stand-in."""
         return self.call("GET", "/control/history")
@@ -233,6 +238,8 @@
         self.processes_by_name: dict[str, Process] = {}
         self._temporary = tempfile.TemporaryDirectory(prefix="crocuswick-")
         self.directory = Path(self._temporary.name)
+        # For callers that end without leaving the context.
+        atexit.register(self.close)
 
     def __enter__(self) -> Self:
         return self
@@ -245,6 +252,7 @@
         for process in self.processes_by_name.values():
             process.end()
         self._temporary.cleanup()
+        atexit.unregister(self.close)
 
     def fake(
         self, module: str, *, name: str = "", wait: bool = True, **settings: Any
--- a/tests/fakes/relay.py
+++ b/tests/fakes/relay.py
@@ -141,6 +141,11 @@
         """Set faults of several routes."""
         return self._set(request.json()["routes"])
 
+    @routes.route("DELETE", "/control/faults")
+    def delete_route_faults(self, request: Request) -> Reply:
+        """Let all routes pass everything again."""
+        return self._set({ALL_ROUTES: attrs.asdict(RouteFaults())})
+
     def _set(self, changes_by_name: dict[str, dict[str, Any]]) -> Reply:
         try:
             for name, changes in changes_by_name.items():
--- a/tests/fakes/test_engine.py
+++ b/tests/fakes/test_engine.py
@@ -60,6 +60,7 @@
     def setUp(self) -> None:
         self.first, self.second = self.engines
         for engine in self.engines:
+            engine.clear_faults()
             engine.call("POST", "/control/restart")
 
     def test_answer_continued_elsewhere_is_the_same_answer(self):
@@ -78,6 +79,48 @@
         self.assertEqual([event["index"] for event in rest], [2, 3])
         self.assertEqual(rest[-1]["finish_reason"], "length")
 
+    def test_stream_faults_reach_the_caller(self):
+        whole = [0, 1, 2, 3]
+        seen_by_fault = {
+            "crossed_rate": [index for index in whole for _ in range(2)],
+            "repeat_rate": [index for index in whole for _ in range(2)],
+            "missing_rate": [3],
+            "end_after": [0],
+            "done_after": [0],
+        }
+        for fault, seen in seen_by_fault.items():
+            with self.subTest(fault=fault):
+                self.first.clear_faults()
+                self.first.set_faults(**{fault: 1})
+                body = complete(self.first, fault, "prompt").data
+                events = events_of(body)
+                self.assertEqual([event["index"] for event in events], seen)
+                ids = {event["request_id"] for event in events}
+                self.assertEqual(len(ids) > 1, fault == "crossed_rate")
+                self.assertEqual(body.endswith(b"[DONE]\n\n"), fault != "end_after")
+
+    def test_lost_cache_event_shows_only_with_a_later_one(self):
+        path = "/v1/cache/events?after=-1"
+        self.first.set_faults(event_drop_rate=1)
+        complete(self.first, "lost", "a" * BLOCK_BYTES).read()
+        self.assertEqual(self.first.call("GET", path)["next_seq"], 0)
+        self.first.set_faults(event_drop_rate=0)
+        complete(self.first, "kept", "b" * BLOCK_BYTES).read()
+        events = self.first.call("GET", path)["events"]
+        self.assertEqual([event["seq"] for event in events], [1])
+        self.assertEqual(len(self.first.call("GET", "/v1/cache")["keys"]), 2)
+
+    def test_new_weights_empty_the_cache_and_refuse_the_old_version(self):
+        engine = self.launcher.fake("engine", name="loader", slow_load_ms=10)
+        complete(engine, "old", "a" * BLOCK_BYTES).read()
+        order = {"order_id": "o", "fencing_token": 1, "action": "load_model"}
+        order |= {"model": "m", "weights_version": "v2"}
+        engine.call("POST", "/v1/orders", order)
+        wait_until(lambda: engine.call("GET", "/v1/state")["models"] == {"m": "v2"})
+        self.assertEqual(engine.call("GET", "/v1/cache")["keys"], [])
+        self.assertEqual(complete(engine, "late", "a").status, 409)
+        self.assertEqual(engine.history()["requests"][0]["served_version"], "v1")
+
     def test_cache_is_counted_published_and_imported(self):
         prompt = "x" * (2 * BLOCK_BYTES + 5)
         keys = [f"{key:016x}" for key in block_keys(prompt, salt=SALT)]
@@ -114,7 +157,6 @@
 
     def test_work_of_a_caller_that_left_is_cancelled(self):
         self.first.set_faults(freeze=True)
-        self.addCleanup(self.first.set_faults, freeze=False)
         stream = complete(self.first, "g", "prompt")
         stream.close()
         stream.release_conn()
--- a/tests/fakes/test_log_service.py
+++ b/tests/fakes/test_log_service.py
@@ -24,9 +24,7 @@
         cls.log = cls.launcher.fake("log_service", store=store)
 
     def setUp(self) -> None:
-        self.addCleanup(
-            self.log.set_faults, reads="none", retention_records=0, streams=[]
-        )
+        self.log.clear_faults()
 
     def append(self, *values: Any) -> int:
         body = {"records": list(values)}
