Add membership by authenticated heartbeats and zone digests

Nodes of a zone send each other heartbeats; two nodes of each zone send its digest to every other zone. The protocol has no sockets or clocks, so that it can be tested and measured on encoded messages.

--- /dev/null
+++ b/src/crocuswick/nodes/flap_damper.py
@@ -0,0 +1,50 @@
+"""Route-flap style damping of members that come and go."""
+
+from __future__ import annotations
+
+__all__ = ["FlapDamper"]
+
+SUPPRESS_PENALTY = 2.5
+"""Penalty above which a member is suppressed."""
+
+REUSE_PENALTY = 1.0
+"""Penalty below which a suppressed member is used again."""
+
+HALF_LIFE_S = 15.0
+"""Time in which the penalty halves."""
+
+
+class FlapDamper:
+    """Penalty of one member; each flap adds 1 and the sum decays."""
+
+    __slots__ = ("_noted_s", "_penalty", "_suppressed")
+
+    def __init__(self):
+        self._penalty = 0.0
+        self._noted_s = 0.0
+        self._suppressed = False
+
+    def note_flap(self, *, now_s: float) -> None:
+        """Count one flap.
+
+        Args:
+            now_s: Monotonic time.
+        """
+        self._penalty = self._decayed(now_s) + 1.0
+        self._noted_s = now_s
+        if self._penalty > SUPPRESS_PENALTY:
+            self._suppressed = True
+
+    def is_suppressed(self, *, now_s: float) -> bool:
+        """Return whether the member is suppressed.
+
+        Args:
+            now_s: Monotonic time.
+        """
+        if self._suppressed and self._decayed(now_s) < REUSE_PENALTY:
+            self._suppressed = False
+        return self._suppressed
+
+    def _decayed(self, now_s: float) -> float:
+        elapsed_s = max(0.0, now_s - self._noted_s)
+        return self._penalty * 0.5 ** (elapsed_s / HALF_LIFE_S)
--- /dev/null
+++ b/src/crocuswick/nodes/membership_protocol.py
@@ -0,0 +1,493 @@
+"""Heartbeat protocol of one node, without sockets, threads and clocks."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from crocuswick.nodes.contact_plan import ContactPlan, digest_senders
+from crocuswick.nodes.datagrams import (
+    Heartbeat,
+    ZoneDigest,
+    open_datagram,
+    seal_datagram,
+)
+from crocuswick.nodes.membership_listener import MembershipListener
+from crocuswick.nodes.membership_table import MembershipTable
+from crocuswick.nodes.message_builder import (
+    MessageBuilder,
+    NodeIdentity,
+    RecentNews,
+)
+from crocuswick.nodes.news_board import NewsBoard
+from crocuswick.nodes.node_state import (
+    EndpointSignal,
+    NodeAddress,
+    NodeLiveness,
+    NodePhase,
+    NodeState,
+    NodeStatus,
+    PeerAddress,
+)
+from crocuswick.nodes.replay_filter import ReplayFilter, ReplayVerdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Sequence
+
+    from crocuswick.nodes.membership_table import PlatformNode
+    from crocuswick.nodes.node_state import FleetDemand
+    from crocuswick.nodes.peer_keys import PeerKeys
+    from crocuswick.quarantine import CrashReport
+    from crocuswick.time_line import TimeLine
+
+__all__ = ["MembershipCounters", "MembershipProtocol", "Outgoing"]
+
+RELAY_INTERVAL_S = 4.0
+"""Interval at which an unchanged digest of another zone is passed on."""
+
+EARLY_GAP_S = 0.1
+"""Shortest time between messages that are sent ahead of their turn."""
+
+REVISION_REPEAT_S = 1.0
+"""Interval at which a missing configuration revision is reported again."""
+
+
+@attrs.frozen(kw_only=True)
+class Outgoing:
+    """A datagram to be sent."""
+
+    data: bytes
+    """Signed datagram."""
+
+    to: PeerAddress
+    """Receiver."""
+
+
+@attrs.define(kw_only=True)
+class MembershipCounters:
+    """What the protocol has counted since the start of the process."""
+
+    sent: int = 0
+    """Datagrams sent."""
+
+    sent_bytes: int = 0
+    """Bytes in the datagrams sent."""
+
+    received: int = 0
+    """Datagrams received."""
+
+    received_bytes: int = 0
+    """Bytes in the datagrams received."""
+
+    rejected_unauthenticated: int = 0
+    """Datagrams that no key in force has signed."""
+
+    rejected_repeated: int = 0
+    """Datagrams that were not later than their sender's last one."""
+
+    rejected_wrong_clock: int = 0
+    """First datagrams of a sender whose clock is far away from the own one."""
+
+
+@attrs.frozen(kw_only=True)
+class _DigestKey:
+    """What must change in a digest for it to be passed on ahead of its turn."""
+
+    configuration_revision: int
+    live_nodes: int
+    phases: frozenset[tuple[str, NodePhase]]
+
+
+@attrs.define(kw_only=True)
+class _Relay:
+    key: _DigestKey
+    sent_s: float
+
+
+class MembershipProtocol:
+    """Turns intervals and received datagrams into datagrams to send and news."""
+
+    def __init__(
+        self,
+        *,
+        identity: NodeIdentity,
+        seeds: Sequence[PeerAddress],
+        keys: PeerKeys,
+        state_provider: Callable[[], NodeState],
+        listener: MembershipListener | None = None,
+        time_line: TimeLine | None = None,
+    ):
+        """Create the protocol of a node that knows no other node.
+
+        Args:
+            identity: Own node.
+            seeds: Addresses of some nodes.
+            keys: Keys of the fleet.
+            state_provider: Returns the own state to tell.
+            listener: Receiver of news.
+            time_line: Record of changes, or None to record none.
+        """
+        self._identity = identity
+        self._keys = keys
+        self._state_provider = state_provider
+        self._listener = listener or MembershipListener()
+        self._time_line = time_line
+        self._table = MembershipTable(node_id=identity.node_id, zone=identity.zone)
+        own = PeerAddress(
+            host=identity.address.host,
+            port=identity.address.peer_port,
+            zone=identity.zone,
+        )
+        self._plan = ContactPlan(own=own, seeds=seeds)
+        self._replays = ReplayFilter()
+        self._crash_reports: NewsBoard[CrashReport] = NewsBoard()
+        self._endpoint_signals: NewsBoard[EndpointSignal] = NewsBoard()
+        self._relays_by_zone: dict[str, _Relay] = {}
+        self._liveness_by_id: dict[str, NodeLiveness] = {}
+        self._builder = MessageBuilder(identity=identity, table=self._table)
+        self._news = RecentNews()
+        self._heartbeat_s = float("-inf")
+        self._digests_s = float("-inf")
+        self._reported_revision = 0
+        self._reported_revision_s = float("-inf")
+        self._is_leaving = False
+        self.counters = MembershipCounters()
+        self._refresh_state()
+
+    def tick(self, *, now_s: float, wall_ms: int) -> list[Outgoing]:
+        """Begin a heartbeat interval.
+
+        Args:
+            now_s: Monotonic time.
+            wall_ms: Wall clock, in ms since the epoch.
+
+        Returns:
+            Heartbeats and digests to send.
+        """
+        self._plan.next_interval()
+        self._builder.next_turn()
+        self._table.forget_silent(now_s=now_s)
+        self._replays.forget_silent(now_s=now_s)
+        self._report_changes(now_s=now_s)
+        self._refresh_news(now_s=now_s)
+        return self.announce(now_s=now_s, wall_ms=wall_ms)
+
+    def announce(self, *, now_s: float, wall_ms: int) -> list[Outgoing]:
+        """Tell the own state at once.
+
+        Args:
+            now_s: Monotonic time.
+            wall_ms: Wall clock, in ms since the epoch.
+
+        Returns:
+            Heartbeats and digests to send.
+        """
+        self._refresh_state()
+        return [
+            *self._heartbeats(now_s=now_s, wall_ms=wall_ms),
+            *self._digests(now_s=now_s, wall_ms=wall_ms),
+        ]
+
+    def receive(self, data: bytes, *, now_s: float, wall_ms: int) -> list[Outgoing]:
+        """Take in a datagram.
+
+        Args:
+            data: Datagram as received.
+            now_s: Monotonic time.
+            wall_ms: Wall clock, in ms since the epoch.
+
+        Returns:
+            Datagrams to send in consequence.
+        """
+        self.counters.received += 1
+        self.counters.received_bytes += len(data)
+        message = open_datagram(data, keys=self._keys)
+        if message is None:
+            self.counters.rejected_unauthenticated += 1
+            return []
+        if not self._is_fresh(message, now_s=now_s, wall_ms=wall_ms):
+            return []
+        if isinstance(message, Heartbeat):
+            return self._receive_heartbeat(message, now_s=now_s, wall_ms=wall_ms)
+        return self._receive_digest(message, now_s=now_s, wall_ms=wall_ms)
+
+    def hear_platform(self, nodes: Sequence[PlatformNode]) -> None:
+        """Take in the platform's list of entry VMs.
+
+        Args:
+            nodes: The whole list.
+        """
+        self._table.hear_platform(nodes)
+        self._plan.hear_platform(
+            node for node in nodes if node.node_id != self._identity.node_id
+        )
+        if self._table.is_leaving() and not self._is_leaving:
+            self._record(kind="own_node_leaving", subject=self._identity.node_id)
+            self._listener.on_own_node_leaving()
+            self.leave()
+
+    def leave(self) -> None:
+        """Tell from now on that this node is draining, whatever its state is."""
+        self._is_leaving = True
+        self._refresh_state()
+
+    def share_endpoint_signal(self, signal: EndpointSignal, *, now_s: float) -> None:
+        """Pass news of an endpoint on with the next heartbeats.
+
+        Args:
+            signal: What was noticed at this node.
+            now_s: Monotonic time.
+        """
+        self._endpoint_signals.add([signal], now_s=now_s)
+        self._refresh_news(now_s=now_s)
+
+    def share_crash_report(self, report: CrashReport, *, now_s: float) -> None:
+        """Pass news of a crash on with the next heartbeats.
+
+        Args:
+            report: Crash seen at this node.
+            now_s: Monotonic time.
+        """
+        self._crash_reports.add([report], now_s=now_s)
+        self._refresh_news(now_s=now_s)
+
+    def statuses(self, *, now_s: float) -> tuple[NodeStatus, ...]:
+        """Return what is believed of all nodes, the own one included.
+
+        Args:
+            now_s: Monotonic time.
+        """
+        statuses = (self._own_status(), *self._table.statuses(now_s=now_s))
+        return tuple(sorted(statuses, key=lambda status: status.node_id))
+
+    def fleet_demand(self, *, now_s: float) -> FleetDemand:
+        """Return the demand at the other nodes and the size of the fleet.
+
+        Args:
+            now_s: Monotonic time.
+        """
+        return self._table.fleet_demand(now_s=now_s)
+
+    def _is_fresh(
+        self, message: Heartbeat | ZoneDigest, *, now_s: float, wall_ms: int
+    ) -> bool:
+        if message.node_id == self._identity.node_id:
+            return False
+        verdict = self._replays.check(message, now_s=now_s, wall_ms=wall_ms)
+        if verdict is ReplayVerdict.REPEATED:
+            self.counters.rejected_repeated += 1
+        if verdict is ReplayVerdict.WRONG_CLOCK:
+            self.counters.rejected_wrong_clock += 1
+        return verdict is ReplayVerdict.FRESH
+
+    def _receive_heartbeat(
+        self, heartbeat: Heartbeat, *, now_s: float, wall_ms: int
+    ) -> list[Outgoing]:
+        self._table.hear_heartbeat(heartbeat, now_s=now_s)
+        address = _peer_address(heartbeat.address, zone=heartbeat.zone)
+        outgoing = []
+        if heartbeat.wants_reply:
+            outgoing += self._replies(
+                address, zone=heartbeat.zone, now_s=now_s, wall_ms=wall_ms
+            )
+        self._hear_revision(
+            heartbeat.node_id, address, heartbeat.configuration_revision, now_s=now_s
+        )
+        has_news = self._hear_news(heartbeat, now_s=now_s)
+        if has_news and now_s - self._digests_s >= EARLY_GAP_S:
+            # The nodes of the own zone got it from the same sender.
+            outgoing += self._digests(now_s=now_s, wall_ms=wall_ms)
+        return outgoing
+
+    def _receive_digest(
+        self, digest: ZoneDigest, *, now_s: float, wall_ms: int
+    ) -> list[Outgoing]:
+        self._table.hear_digest(digest, now_s=now_s)
+        self._plan.learn(digest.contacts)
+        for summary in digest.nodes:
+            self._hear_revision(
+                summary.node_id,
+                _peer_address(summary.address, zone=digest.zone),
+                summary.configuration_revision,
+                now_s=now_s,
+            )
+        has_news = self._hear_news(digest, now_s=now_s)
+        outgoing = self._relays(digest, now_s=now_s, wall_ms=wall_ms)
+        if has_news and now_s - self._heartbeat_s >= EARLY_GAP_S:
+            outgoing += self._heartbeats(now_s=now_s, wall_ms=wall_ms)
+        return outgoing
+
+    def _refresh_state(self) -> None:
+        state = self._state_provider()
+        if self._is_leaving:
+            state = attrs.evolve(state, phase=NodePhase.DRAINING)
+        self._builder.state = state
+
+    def _hear_revision(
+        self, node_id: str, address: PeerAddress, revision: int, *, now_s: float
+    ) -> None:
+        if revision <= self._builder.state.configuration_revision:
+            return
+        is_due = now_s - self._reported_revision_s >= REVISION_REPEAT_S
+        if revision > self._reported_revision or is_due:
+            self._reported_revision = max(revision, self._reported_revision)
+            self._reported_revision_s = now_s
+            self._listener.on_configuration_revision(node_id, address, revision)
+
+    def _hear_news(self, message: Heartbeat | ZoneDigest, *, now_s: float) -> bool:
+        reports = self._crash_reports.add(message.crash_reports, now_s=now_s)
+        signals = self._endpoint_signals.add(message.endpoint_signals, now_s=now_s)
+        if reports:
+            self._listener.on_quarantine(reports)
+        for signal in signals:
+            self._listener.on_endpoint_signal(message.node_id, signal)
+        has_news = bool(reports or signals)
+        if has_news:
+            self._refresh_news(now_s=now_s)
+        return has_news
+
+    def _heartbeats(self, *, now_s: float, wall_ms: int) -> list[Outgoing]:
+        self._heartbeat_s = now_s
+        statuses = self._table.statuses(now_s=now_s)
+        near = self._plan.near(statuses)
+        outgoing = self._heartbeat(near, near_nodes=len(near), wall_ms=wall_ms)
+        unanswered = self._plan.unanswered(statuses)
+        return outgoing + self._heartbeat(
+            unanswered, near_nodes=len(near), wall_ms=wall_ms, wants_reply=True
+        )
+
+    def _heartbeat(
+        self,
+        receivers: Sequence[PeerAddress],
+        *,
+        near_nodes: int,
+        wall_ms: int,
+        wants_reply: bool = False,
+    ) -> list[Outgoing]:
+        if not receivers:
+            return []
+        heartbeat = self._builder.heartbeat(
+            near_nodes=near_nodes,
+            news=self._news,
+            wall_ms=wall_ms,
+            wants_reply=wants_reply or self._plan.is_starting,
+        )
+        return self._sealed(heartbeat, receivers)
+
+    def _digests(self, *, now_s: float, wall_ms: int) -> list[Outgoing]:
+        self._digests_s = now_s
+        statuses = self._table.statuses(now_s=now_s)
+        senders = [self._identity.node_id]
+        senders += [s.node_id for s in statuses if self._builder.is_near_and_live(s)]
+        outgoing = []
+        for zone in self._other_zones(statuses):
+            chosen = digest_senders(senders, zone=self._identity.zone, other_zone=zone)
+            if self._identity.node_id not in chosen:
+                continue
+            receivers = self._plan.digest_receivers(statuses, zone=zone)
+            if receivers:
+                digest = self._digest(statuses, zone=zone, now_s=now_s, wall_ms=wall_ms)
+                outgoing += self._sealed(digest, receivers)
+        return outgoing
+
+    def _other_zones(self, statuses: Sequence[NodeStatus]) -> list[str]:
+        zones = {status.zone for status in statuses}
+        zones.update(self._table.zones.other_zones)
+        return sorted(zones - {self._identity.zone})
+
+    def _replies(
+        self, to: PeerAddress, *, zone: str, now_s: float, wall_ms: int
+    ) -> list[Outgoing]:
+        """Return digests that tell a newcomer whom to send heartbeats to."""
+        statuses = self._table.statuses(now_s=now_s)
+        digest = self._digest(statuses, zone=zone, now_s=now_s, wall_ms=wall_ms)
+        if zone != self._identity.zone:
+            return self._sealed(digest, [to])
+        outgoing = []
+        for page in self._builder.pages(digest, statuses):
+            outgoing += self._sealed(page, [to])
+        return outgoing
+
+    def _relays(
+        self, digest: ZoneDigest, *, now_s: float, wall_ms: int
+    ) -> list[Outgoing]:
+        """Return another zone's digest for the nodes of the own zone."""
+        is_direct = digest.age_ms == 0 and digest.zone != self._identity.zone
+        if not is_direct or not self._relay_is_due(digest, now_s=now_s):
+            return []
+        relayed = self._builder.relayed(digest, wall_ms=wall_ms)
+        return self._sealed(relayed, self._plan.near(self._table.statuses(now_s=now_s)))
+
+    def _relay_is_due(self, digest: ZoneDigest, *, now_s: float) -> bool:
+        key = _DigestKey(
+            configuration_revision=digest.configuration_revision,
+            live_nodes=digest.live_nodes,
+            phases=frozenset((node.node_id, node.phase) for node in digest.nodes),
+        )
+        relay = self._relays_by_zone.get(digest.zone)
+        if relay and relay.key == key and now_s - relay.sent_s < RELAY_INTERVAL_S:
+            return False
+        self._relays_by_zone[digest.zone] = _Relay(key=key, sent_s=now_s)
+        return True
+
+    def _digest(
+        self, statuses: Sequence[NodeStatus], *, zone: str, now_s: float, wall_ms: int
+    ) -> ZoneDigest:
+        return self._builder.digest(
+            statuses,
+            contacts=self._plan.contacts(statuses, zone=zone),
+            news=self._news,
+            now_s=now_s,
+            wall_ms=wall_ms,
+        )
+
+    def _refresh_news(self, *, now_s: float) -> None:
+        self._news = RecentNews(
+            crash_reports=self._crash_reports.shared(now_s=now_s),
+            endpoint_signals=self._endpoint_signals.shared(now_s=now_s),
+        )
+
+    def _report_changes(self, *, now_s: float) -> None:
+        statuses = self._table.statuses(now_s=now_s)
+        for status in statuses:
+            before = self._liveness_by_id.get(status.node_id)
+            if before is not status.liveness:
+                self._record(
+                    kind=f"node_{status.liveness}",
+                    subject=status.node_id,
+                    detail=f"was {before or 'unknown'}",
+                )
+                self._listener.on_node_changed(status)
+        self._liveness_by_id = {s.node_id: s.liveness for s in statuses}
+
+    def _own_status(self) -> NodeStatus:
+        is_leaving = self._builder.state.phase is NodePhase.DRAINING
+        return NodeStatus(
+            node_id=self._identity.node_id,
+            zone=self._identity.zone,
+            region=self._identity.region,
+            address=self._identity.address,
+            incarnation=self._identity.incarnation,
+            phase=self._builder.state.phase,
+            liveness=NodeLiveness.LEAVING if is_leaving else NodeLiveness.LIVE,
+            configuration_revision=self._builder.state.configuration_revision,
+            age_ms=0,
+        )
+
+    def _sealed(
+        self, message: Heartbeat | ZoneDigest, receivers: Iterable[PeerAddress]
+    ) -> list[Outgoing]:
+        data = seal_datagram(message, keys=self._keys)
+        outgoing = [Outgoing(data=data, to=receiver) for receiver in receivers]
+        self.counters.sent += len(outgoing)
+        self.counters.sent_bytes += len(outgoing) * len(data)
+        return outgoing
+
+    def _record(self, *, kind: str, subject: str, detail: str = "") -> None:
+        if self._time_line is not None:
+            self._time_line.record(kind=kind, subject=subject, detail=detail)
+
+
+def _peer_address(address: NodeAddress, *, zone: str) -> PeerAddress:
+    return PeerAddress(host=address.host, port=address.peer_port, zone=zone)
--- /dev/null
+++ b/src/crocuswick/quarantine.py
@@ -0,0 +1,190 @@
+"""Requests that crashed endpoints, so that their repeats can be refused.
+
+A request is refused once two different endpoints have crashed while they ran it.
+Each crash is told to the other nodes, because the second one is as a rule seen by
+another node than the first.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+import attrs
+from result import Err, Ok
+
+from crocuswick.errors import Refusal
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from result import Result
+
+__all__ = ["CrashReport", "Quarantine", "request_fingerprint"]
+
+CRASHES_TO_REFUSE = 2
+"""Different endpoints that must have crashed before a request is refused."""
+
+REPORT_LIFETIME_S = 600.0
+"""Time after its last crash for which a request is remembered."""
+
+RECENT_S = 10.0
+"""Time for which a report is passed on to other nodes."""
+
+MAX_RECENT_REPORTS = 8
+"""Reports passed on at once."""
+
+MAX_FINGERPRINTS = 1024
+"""Requests remembered; the one whose last crash is oldest is forgotten first."""
+
+FINGERPRINT_BYTES = 8
+"""Bytes in a fingerprint, which is written as hexadecimal digits."""
+
+_MS_PER_S = 1000
+
+
+@attrs.frozen(kw_only=True)
+class CrashReport:
+    """An endpoint that crashed while it ran a request."""
+
+    fingerprint: str
+    """Fingerprint of the request."""
+
+    endpoint_id: str
+    """Endpoint that crashed."""
+
+    age_ms: int = 0
+    """Time since the crash, in ms."""
+
+
+def request_fingerprint(*, organisation: str, model: str, body: bytes) -> str:
+    """Return a fingerprint that only repeats of the same request share.
+
+    Args:
+        organisation: Organisation of the caller.
+        model: Model or service asked for.
+        body: What is run, in a form that does not vary between repeats.
+    """
+    parts = (organisation.encode(), model.encode(), body)
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+class Quarantine:
+    """Remembers which requests crashed which endpoints; has a single owner."""
+
+    def __init__(self, *, max_fingerprints: int = MAX_FINGERPRINTS):
+        """Create an empty quarantine.
+
+        Args:
+            max_fingerprints: Requests remembered.
+        """
+        self._max_fingerprints = max_fingerprints
+        self._crash_times_by_fingerprint: dict[str, dict[str, float]] = {}
+
+    def add(self, reports: Iterable[CrashReport], *, now_s: float) -> list[CrashReport]:
+        """Take in reports of this node or of others, in any order or twice.
+
+        Args:
+            reports: Crashes seen.
+            now_s: Monotonic time.
+
+        Returns:
+            The reports that were not known before.
+        """
+        news = []
+        for report in reports:
+            if self._add_one(report, now_s=now_s):
+                news.append(report)
+        self._bound()
+        return news
+
+    def check(self, fingerprint: str, *, now_s: float) -> Result[None, Refusal]:
+        """Refuse a request that crashed several endpoints.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            now_s: Monotonic time.
+        """
+        crash_times = self._crash_times_by_fingerprint.get(fingerprint)
+        if crash_times is None:
+            return Ok(None)
+        expires_s = max(crash_times.values()) + REPORT_LIFETIME_S
+        if now_s >= expires_s:
+            del self._crash_times_by_fingerprint[fingerprint]
+            return Ok(None)
+        if len(crash_times) < CRASHES_TO_REFUSE:
+            return Ok(None)
+        return Err(_refusal(crash_times, retry_after_s=expires_s - now_s))
+
+    def recent(self, *, now_s: float) -> tuple[CrashReport, ...]:
+        """Return the latest reports, to be passed on to other nodes.
+
+        Args:
+            now_s: Monotonic time.
+        """
+        reports = [
+            report
+            for report in self.all(now_s=now_s)
+            if report.age_ms < RECENT_S * _MS_PER_S
+        ]
+        reports.sort(key=lambda report: report.age_ms)
+        return tuple(reports[:MAX_RECENT_REPORTS])
+
+    def all(self, *, now_s: float) -> tuple[CrashReport, ...]:
+        """Return all reports in force, for a node that has just started.
+
+        Args:
+            now_s: Monotonic time.
+        """
+        return tuple(
+            CrashReport(
+                fingerprint=fingerprint,
+                endpoint_id=endpoint_id,
+                age_ms=max(0, round((now_s - crashed_s) * _MS_PER_S)),
+            )
+            for fingerprint, crash_times in self._crash_times_by_fingerprint.items()
+            for endpoint_id, crashed_s in crash_times.items()
+            if now_s - crashed_s < REPORT_LIFETIME_S
+        )
+
+    def _add_one(self, report: CrashReport, *, now_s: float) -> bool:
+        crashed_s = now_s - report.age_ms / _MS_PER_S
+        if now_s - crashed_s >= REPORT_LIFETIME_S:
+            return False
+        crash_times = self._crash_times_by_fingerprint.setdefault(
+            report.fingerprint, {}
+        )
+        is_new = report.endpoint_id not in crash_times
+        if is_new:
+            crash_times[report.endpoint_id] = crashed_s
+        elif crashed_s > crash_times[report.endpoint_id] + RECENT_S:
+            # The same endpoint crashed again; a mere repeat of the report has
+            # nearly the same time of crash.
+            crash_times[report.endpoint_id] = crashed_s
+        return is_new
+
+    def _bound(self) -> None:
+        excess = len(self._crash_times_by_fingerprint) - self._max_fingerprints
+        if excess <= 0:
+            return
+        oldest_first = sorted(
+            self._crash_times_by_fingerprint,
+            key=lambda key: max(self._crash_times_by_fingerprint[key].values()),
+        )
+        for fingerprint in oldest_first[:excess]:
+            del self._crash_times_by_fingerprint[fingerprint]
+
+
+def _refusal(crash_times: dict[str, float], *, retry_after_s: float) -> Refusal:
+    endpoints = ", ".join(sorted(crash_times))
+    return Refusal(
+        status=422,
+        title="request crashed endpoints",
+        detail=f"An identical request crashed {endpoints}; it is not run again.",
+        step="quarantine",
+        retry_after_s=retry_after_s,
+    )
