--- a/src/crocuswick/nodes/__init__.py
+++ b/src/crocuswick/nodes/__init__.py
@@ -17,23 +17,52 @@
     OrganisationDemand,
     PeerAddress,
 )
+from crocuswick.nodes.peer_client import PeerClient
 from crocuswick.nodes.peer_keys import PeerKeys, read_key_file
+from crocuswick.nodes.peer_messages import (
+    BlockLookupReply,
+    BlockLookupRequest,
+    EndpointDepth,
+    NodeListReply,
+    NodeListRequest,
+    SnapshotReply,
+    SnapshotRequest,
+    TimeLineReply,
+    TimeLineRequest,
+    peer_registry,
+)
+from crocuswick.nodes.peer_server import PeerServer
+from crocuswick.nodes.snapshot_keeper import SnapshotKeeper, snapshot_order
 
 __all__ = [
+    "BlockLookupReply",
+    "BlockLookupRequest",
+    "EndpointDepth",
     "EndpointSignal",
     "EndpointSignalKind",
     "FleetDemand",
     "Membership",
     "MembershipListener",
     "NodeAddress",
+    "NodeListReply",
+    "NodeListRequest",
     "NodeLiveness",
     "NodePhase",
     "NodeState",
     "NodeStatus",
     "OrganisationDemand",
     "PeerAddress",
+    "PeerClient",
     "PeerKeys",
+    "PeerServer",
     "PlatformNode",
     "PlatformState",
+    "SnapshotKeeper",
+    "SnapshotReply",
+    "SnapshotRequest",
+    "TimeLineReply",
+    "TimeLineRequest",
+    "peer_registry",
     "read_key_file",
+    "snapshot_order",
 ]
--- a/src/crocuswick/time_line.py
+++ b/src/crocuswick/time_line.py
@@ -101,8 +101,8 @@
             node_id: Id of the node that records.
             capacity: Number of events kept; older ones are dropped.
             clock_error_ms: Bound of the wall clock's error.
-            incarnation: Incarnation of the process, or None to take it from the
-                clock.
+            incarnation: Incarnation of the process, or None to take the clock's
+                reading in µs.
             clock_ns: Wall clock, in ns since the epoch.
         """
         self._node_id = node_id
@@ -110,7 +110,9 @@
         self._clock_ns = clock_ns
         self._sequence = itertools.count()
         self._events: deque[TimeLineEvent] = deque(maxlen=capacity)
-        self.incarnation = clock_ns() if incarnation is None else incarnation
+        self.incarnation = (
+            clock_ns() // _NS_PER_US if incarnation is None else incarnation
+        )
 
     def record(
         self,
