--- a/src/crocuswick/configuration/__init__.py
+++ b/src/crocuswick/configuration/__init__.py
@@ -9,6 +9,7 @@
     check_set,
     parse_set,
 )
+from crocuswick.configuration.keeper import ConfigurationKeeper
 from crocuswick.configuration.model import EMPTY_CONFIGURATION, Configuration
 from crocuswick.configuration.objects import (
     Endpoint,
@@ -19,18 +20,23 @@
     Organisation,
     RoutingPolicy,
     Service,
+    to_record,
 )
+from crocuswick.configuration.submission import Change, ObjectName
 from crocuswick.configuration.verdict import Verdict, VerdictKind
 
 __all__ = [
     "EMPTY_CONFIGURATION",
+    "Change",
     "Configuration",
+    "ConfigurationKeeper",
     "Endpoint",
     "EndpointPool",
     "Fault",
     "Key",
     "Limit",
     "ModelVersion",
+    "ObjectName",
     "ObjectSet",
     "Organisation",
     "RoutingPolicy",
@@ -40,4 +46,5 @@
     "check_objects",
     "check_set",
     "parse_set",
+    "to_record",
 ]
--- /dev/null
+++ b/src/crocuswick/configuration/keeper.py
@@ -0,0 +1,312 @@
+"""Keeps a node's configuration up to date and submits changes to it."""
+
+from __future__ import annotations
+
+import random
+import time
+from concurrent.futures import Future
+from typing import TYPE_CHECKING
+
+import attrs
+from result import Err, Ok, Result
+
+from crocuswick.actor import Ticker
+from crocuswick.configuration._keeper_actor import (
+    AwaitRevision,
+    AwaitVerdict,
+    KeeperActor,
+    KeeperView,
+    OfferState,
+)
+from crocuswick.configuration.fold import snapshot_record
+from crocuswick.configuration.state import decode_state, encode_state
+from crocuswick.configuration.submission import (
+    Change,
+    Submission,
+    change_between,
+    submission_to_record,
+)
+from crocuswick.configuration.verdict import Verdict, VerdictKind
+from crocuswick.errors import PeerError
+from crocuswick.outcome import Outcome
+from crocuswick.platform_log import LogClient, LogFollower
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Any
+
+    from crocuswick.configuration.checks import ObjectSet
+    from crocuswick.configuration.model import Configuration
+    from crocuswick.configuration.state import ConfigurationState
+
+__all__ = ["CONFIGURATION_STREAM", "ConfigurationKeeper"]
+
+CONFIGURATION_STREAM = "configuration"
+APPEND_TIMEOUT_MS = 2_000
+SUBMIT_TIMEOUT_MS = 10_000
+SUBMIT_RETRY_MS = 300
+VERDICT_WAIT_MS = 2_000
+SNAPSHOT_INTERVAL_MS = 600_000
+RECOVERY_DELAY_MS = 5_000
+TICK_INTERVAL_MS = 500
+
+
+class ConfigurationKeeper:
+    """Follows the configuration stream and keeps the revision in force.
+
+    Every node folds the same records by the same function, so all of them agree
+    on each submission's verdict. A revision never goes back: a state from the
+    log, a snapshot or another node is taken only if it is newer.
+    """
+
+    def __init__(
+        self,
+        *,
+        log_address: str,
+        on_change: Callable[[Configuration], None],
+        append_timeout_ms: int = APPEND_TIMEOUT_MS,
+        snapshot_interval_ms: int = SNAPSHOT_INTERVAL_MS,
+        recovery_delay_ms: int = RECOVERY_DELAY_MS,
+    ):
+        self._client = LogClient(address=log_address, timeout_ms=append_timeout_ms)
+        self._peer = f"log {log_address}"
+        self._view = KeeperView()
+        self._actor_ref = KeeperActor.start(publish=self._set_view, on_change=on_change)
+        self._follower = LogFollower(
+            client=self._client,
+            stream=CONFIGURATION_STREAM,
+            post=self._actor_ref.tell,
+        )
+        self._snapshots = _SnapshotSchedule(
+            interval_ms=snapshot_interval_ms, recovery_delay_ms=recovery_delay_ms
+        )
+        self._ticker = Ticker(
+            name="configuration-snapshots",
+            interval_s=TICK_INTERVAL_MS / 1000,
+            call=self._append_due_snapshot,
+        )
+
+    @property
+    def current(self) -> Configuration:
+        """The revision in force."""
+        return self._view.state.configuration
+
+    @property
+    def has_configuration(self) -> bool:
+        """Whether the node may serve: it has a revision or read an empty stream."""
+        view = self._view
+        return view.state.configuration.revision > 0 or (
+            view.is_caught_up and view.state.is_complete
+        )
+
+    @property
+    def is_log_reachable(self) -> bool:
+        """Whether the last read of the stream succeeded."""
+        return self._view.is_log_reachable
+
+    def start(self) -> None:
+        """Start following the stream."""
+        self._follower.start()
+        self._ticker.start()
+
+    def stop(self) -> None:
+        """Stop following; the revision in force stays readable."""
+        self._follower.stop()
+        self._ticker.stop()
+        self._actor_ref.stop(block=False)
+
+    def snapshot(self) -> bytes:
+        """Return the state for other nodes."""
+        return encode_state(self._view.state)
+
+    def offer(self, snapshot: bytes) -> Result[None, str]:
+        """Take another node's snapshot if it knows more.
+
+        Args:
+            snapshot: Bytes made by `snapshot`.
+
+        Returns:
+            Nothing, or why the bytes are no sound snapshot.
+        """
+        decoded = decode_state(snapshot)
+        if decoded.is_err():
+            return decoded
+        self._actor_ref.tell(OfferState(state=decoded.unwrap()))
+        return Ok(None)
+
+    def change_to(self, wanted: ObjectSet) -> Change:
+        """Return what a set would change in the revision in force."""
+        return change_between(self.current, wanted)
+
+    def submit(
+        self,
+        wanted: ObjectSet,
+        *,
+        submission_id: str,
+        author: str = "",
+        timeout_ms: int = SUBMIT_TIMEOUT_MS,
+    ) -> Result[Verdict, PeerError]:
+        """Submit a set and return the verdict that was read back from the log.
+
+        Args:
+            wanted: A checked set.
+            submission_id: Id of the submission; a repeat gets the same verdict.
+            author: Who submits.
+            timeout_ms: Longest wait for the verdict.
+
+        Returns:
+            The verdict, or an error. Its outcome is ``not_run`` only if no append
+            was sent; after ``unknown`` a repeat with the same id settles it.
+        """
+        deadline_s = time.monotonic() + timeout_ms / 1000
+        found = self._await_base(wanted.base_revision, deadline_s)
+        if found.is_err():
+            return found
+        state = found.unwrap()
+        known = _known_verdict(state, wanted, submission_id)
+        if known is not None:
+            return Ok(known)
+        change = change_between(state.configuration, wanted)
+        if change.is_empty:
+            return Ok(_verdict(state, submission_id, VerdictKind.UNCHANGED))
+        submission = Submission(
+            submission_id=submission_id,
+            base_revision=wanted.base_revision,
+            author=author,
+            put=(*change.added, *change.changed),
+            removed=change.removed,
+        )
+        return self._append_until_judged(submission, deadline_s)
+
+    def _await_base(
+        self, revision: int, deadline_s: float
+    ) -> Result[ConfigurationState, PeerError]:
+        future: Future[ConfigurationState] = Future()
+        self._actor_ref.tell(AwaitRevision(revision=revision, state=future))
+        state = _result_before(future, deadline_s)
+        if state is not None:
+            return Ok(state)
+        detail = (
+            f"this node knows revision {self.current.revision}, "
+            f"the set is based on {revision}, and the log gave no newer one in time"
+        )
+        return Err(self._error("await_base", detail, Outcome.NOT_RUN))
+
+    def _append_until_judged(
+        self, submission: Submission, deadline_s: float
+    ) -> Result[Verdict, PeerError]:
+        future: Future[Verdict] = Future()
+        self._actor_ref.tell(
+            AwaitVerdict(submission_id=submission.submission_id, verdict=future)
+        )
+        record = submission_to_record(submission)
+        outcome = Outcome.NOT_RUN
+        detail = "no time left"
+        while time.monotonic() < deadline_s:
+            # Appending twice is harmless: the fold judges an id once.
+            appended = self._client.append(CONFIGURATION_STREAM, [record])
+            if appended.is_err():
+                detail = appended.unwrap_err().detail
+            if appended.is_ok() or appended.unwrap_err().outcome != Outcome.NOT_RUN:
+                outcome = Outcome.UNKNOWN
+            wait_ms = VERDICT_WAIT_MS if appended.is_ok() else SUBMIT_RETRY_MS
+            until_s = min(deadline_s, time.monotonic() + wait_ms / 1000)
+            verdict = _result_before(future, until_s, cancel=False)
+            if verdict is not None:
+                return Ok(verdict)
+        future.cancel()
+        return Err(self._error("append", f"no verdict read back: {detail}", outcome))
+
+    def _append_due_snapshot(self) -> None:
+        record = self._snapshots.due_record(self._view)
+        if record is not None:
+            self._client.append(CONFIGURATION_STREAM, [record])
+
+    def _set_view(self, view: KeeperView) -> None:
+        self._view = view
+
+    def _error(self, step: str, detail: str, outcome: Outcome) -> PeerError:
+        return PeerError(step=step, peer=self._peer, detail=detail, outcome=outcome)
+
+
+class _SnapshotSchedule:
+    """Decides when this node appends a snapshot; owned by the ticker's thread.
+
+    Every node waits a random time past the interval, and starts anew when it
+    reads a snapshot, so that one node of the fleet usually writes for all.
+    """
+
+    def __init__(self, *, interval_ms: int, recovery_delay_ms: int):
+        self._interval_s = interval_ms / 1000
+        self._recovery_delay_s = recovery_delay_ms / 1000
+        self._snapshots_seen = 0
+        self._due_s = self._next_due_s()
+        self._recovery_due_s: float | None = None
+
+    def due_record(self, view: KeeperView) -> dict[str, Any] | None:
+        """Return the snapshot record to append now, or None.
+
+        Args:
+            view: What the node knows of the stream.
+        """
+        state = view.state
+        if view.snapshots_seen != self._snapshots_seen:
+            self._snapshots_seen = view.snapshots_seen
+            self._due_s = self._next_due_s()
+        is_caught_up = view.is_caught_up and view.is_log_reachable
+        if not is_caught_up or state.configuration.revision == 0:
+            return None
+        if not state.is_complete:
+            return self._due_recovery(state)
+        self._recovery_due_s = None
+        if time.monotonic() < self._due_s:
+            return None
+        self._due_s = self._next_due_s()
+        return snapshot_record(state)
+
+    def _due_recovery(self, state: ConfigurationState) -> dict[str, Any] | None:
+        now_s = time.monotonic()
+        if self._recovery_due_s is None:
+            jitter = random.uniform(1.0, 1.5)
+            self._recovery_due_s = now_s + self._recovery_delay_s * jitter
+        if now_s < self._recovery_due_s:
+            return None
+        self._recovery_due_s = None
+        return snapshot_record(state, is_recovery=True)
+
+    def _next_due_s(self) -> float:
+        return time.monotonic() + self._interval_s * random.uniform(1.0, 1.5)
+
+
+def _known_verdict(
+    state: ConfigurationState, wanted: ObjectSet, submission_id: str
+) -> Verdict | None:
+    verdict = state.verdicts_by_submission_id.get(submission_id)
+    if verdict is not None:
+        return verdict
+    if wanted.base_revision == state.configuration.revision:
+        return None
+    # Revisions only rise, so a set with an older base can never be accepted.
+    return attrs.evolve(
+        _verdict(state, submission_id, VerdictKind.LOST),
+        lost_to=state.made_by,
+        lost_to_author=state.made_by_author,
+    )
+
+
+def _verdict(
+    state: ConfigurationState, submission_id: str, kind: VerdictKind
+) -> Verdict:
+    return Verdict(
+        submission_id=submission_id, kind=kind, revision=state.configuration.revision
+    )
+
+
+def _result_before(future: Future, deadline_s: float, *, cancel: bool = True) -> Any:
+    """Return a future's result, or None if there is none before the deadline."""
+    try:
+        return future.result(timeout=max(0.0, deadline_s - time.monotonic()))
+    except TimeoutError:
+        if cancel:
+            future.cancel()
+        return None
--- a/src/crocuswick/configuration/objects.py
+++ b/src/crocuswick/configuration/objects.py
@@ -230,8 +230,12 @@
 
 def to_record(configuration_object: ConfigurationObject) -> dict[str, Any]:
     """Return the plain JSON form of an object, as set files write it."""
-    values = attrs.asdict(configuration_object, retain_collection_types=False)
+    values = attrs.asdict(configuration_object, value_serializer=_tuple_to_list)
     record: dict[str, Any] = {"kind": configuration_object.kind_name}
     for attribute in attrs.fields(type(configuration_object)):
         record[fields.record_name_of(attribute)] = values[attribute.name]
     return record
+
+
+def _tuple_to_list(_owner: Any, _attribute: Any, value: Any) -> Any:
+    return list(value) if isinstance(value, tuple) else value
--- a/src/crocuswick/platform_log/follower.py
+++ b/src/crocuswick/platform_log/follower.py
@@ -73,6 +73,7 @@
         self._offset = from_offset
         self._post = post
         self._poll_wait_ms = poll_wait_ms
+        self._is_at_end = False
         self._stopped = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name=f"log-{stream}", daemon=True
@@ -96,11 +97,12 @@
             self._stopped.wait(_backoff_s(failures))
 
     def _read_once(self) -> bool:
-        answer = self._client.read(
-            self._stream, self._offset, PAGE_RECORDS, self._poll_wait_ms
-        )
+        # The first read returns at once, so that a start learns where the end is.
+        wait_ms = self._poll_wait_ms if self._is_at_end else 0
+        answer = self._client.read(self._stream, self._offset, PAGE_RECORDS, wait_ms)
         if self._stopped.is_set():
             return True
+        self._is_at_end = False
         if answer.is_err():
             self._post(LogUnavailable(error=answer.unwrap_err()))
             return False
@@ -111,8 +113,8 @@
             return True
         if found.records:
             self._offset = found.records[-1].offset + 1
-        is_end = self._offset >= found.next_offset
-        self._post(PageRead(page=found, is_end=is_end))
+        self._is_at_end = self._offset >= found.next_offset
+        self._post(PageRead(page=found, is_end=self._is_at_end))
         return True
 
 
--- /dev/null
+++ b/tests/configuration/test_keeper.py
@@ -0,0 +1,148 @@
+"""Tests of the keeper against the log stand-in."""
+
+from __future__ import annotations
+
+import threading
+import unittest
+
+from crocuswick.configuration import ConfigurationKeeper, VerdictKind
+from crocuswick.outcome import Outcome
+from tests.configuration.sets import object_set, organisation
+from tests.fakes.launcher import Launcher, wait_until
+
+
+class KeeperTestCase(unittest.TestCase):
+    def setUp(self):
+        self.launcher = Launcher()
+        self.addCleanup(self.launcher.close)
+        self.log = self.launcher.fake("log_service")
+
+    def keeper(self, **settings):
+        settings.setdefault("on_change", lambda configuration: None)
+        keeper = ConfigurationKeeper(
+            log_address=self.log.address, append_timeout_ms=500, **settings
+        )
+        keeper.start()
+        self.addCleanup(keeper.stop)
+        return keeper
+
+
+class SubmitTests(KeeperTestCase):
+    def test_accepted_set_reaches_all_nodes(self):
+        seen = []
+        keepers = [self.keeper(on_change=seen.append) for _ in range(3)]
+        verdict = (
+            keepers[0]
+            .submit(object_set(0, [organisation(1)]), submission_id="s1")
+            .unwrap()
+        )
+        self.assertEqual((verdict.kind, verdict.revision), (VerdictKind.ACCEPTED, 1))
+        wait_until(lambda: len(seen) == 3)
+        self.assertTrue(all("org-1" in each.organisations_by_id for each in seen))
+
+    def test_race_has_one_winner_and_tells_the_losers(self):
+        keepers = [self.keeper() for _ in range(4)]
+        verdicts = []
+
+        def submit(number):
+            wanted = object_set(0, [organisation(number)])
+            verdicts.append(
+                keepers[number].submit(wanted, submission_id=f"s{number}").unwrap()
+            )
+
+        threads = [threading.Thread(target=submit, args=(n,)) for n in range(4)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        winners = [v for v in verdicts if v.kind == VerdictKind.ACCEPTED]
+        losers = [v for v in verdicts if v.kind == VerdictKind.LOST]
+        self.assertEqual((len(winners), len(losers)), (1, 3))
+        self.assertEqual({v.lost_to for v in losers}, {winners[0].submission_id})
+
+    def test_lost_answers_make_one_revision_and_no_false_rejection(self):
+        self.log.set_faults(lose_next_answers=2)
+        keeper = self.keeper()
+        wanted = object_set(0, [organisation(1)])
+        verdict = keeper.submit(wanted, submission_id="s1").unwrap()
+        self.assertEqual((verdict.kind, verdict.revision), (VerdictKind.ACCEPTED, 1))
+        repeated = keeper.submit(wanted, submission_id="s1").unwrap()
+        self.assertEqual(repeated, verdict)
+        self.assertEqual(keeper.current.revision, 1)
+
+    def test_log_down_is_not_run(self):
+        keeper = self.keeper()
+        wait_until(lambda: keeper.has_configuration)
+        self.log.kill()
+        error = keeper.submit(
+            object_set(0, [organisation(1)]), submission_id="s1", timeout_ms=600
+        ).unwrap_err()
+        self.assertEqual(error.outcome, Outcome.NOT_RUN)
+
+    def test_set_of_an_old_base_loses(self):
+        keeper = self.keeper()
+        keeper.submit(object_set(0, [organisation(1)]), submission_id="s1").unwrap()
+        verdict = keeper.submit(
+            object_set(0, [organisation(2)]), submission_id="s2"
+        ).unwrap()
+        self.assertEqual((verdict.kind, verdict.lost_to), (VerdictKind.LOST, "s1"))
+
+
+class RestartTests(KeeperTestCase):
+    def fill(self, keeper, revisions):
+        for revision in range(revisions):
+            wanted = object_set(revision, [organisation(revision)])
+            keeper.submit(wanted, submission_id=f"s{revision}").unwrap()
+
+    def test_node_starts_from_a_snapshot_after_retention(self):
+        keeper = self.keeper(snapshot_interval_ms=100)
+        self.fill(keeper, 3)
+        wait_until(lambda: self._has_snapshot_of(3))
+        self.log.set_faults(retention_records=1)
+        late = self.keeper()
+        wait_until(lambda: late.current.revision == 3)
+        wait_until(lambda: self._has_snapshot_of(3))
+        verdict = late.submit(
+            object_set(3, [organisation(9)]), submission_id="late"
+        ).unwrap()
+        self.assertEqual(verdict.revision, 4)
+        wait_until(lambda: keeper.current.revision == 4)
+
+    def test_node_starts_from_a_peer_while_the_log_is_down(self):
+        keeper = self.keeper()
+        self.fill(keeper, 2)
+        self.log.kill()
+        late = self.keeper()
+        self.assertFalse(late.has_configuration)
+        late.offer(keeper.snapshot()).unwrap()
+        wait_until(lambda: late.current == keeper.current)
+        self.assertTrue(late.has_configuration)
+        self.assertTrue(late.offer(b"\xc1").is_err())
+
+    def test_fleet_recovers_when_the_log_dropped_unread_records(self):
+        ahead, behind = (
+            self.keeper(recovery_delay_ms=200, snapshot_interval_ms=60_000)
+            for _ in range(2)
+        )
+        self.fill(ahead, 3)
+        wait_until(lambda: behind.current.revision == 3)
+        self.log.set_faults(reads="unavailable")
+        wait_until(lambda: not (ahead.is_log_reachable or behind.is_log_reachable))
+        self.log.call(
+            "POST",
+            "/v1/streams/configuration/records",
+            {"records": [{"noise": number} for number in range(5)]},
+        )
+        self.log.set_faults(reads="none", retention_records=1)
+        fresh = self.keeper()
+        wait_until(lambda: fresh.current.revision == 3, timeout_s=15)
+        self.assertEqual(fresh.current, ahead.current)
+
+    def _has_snapshot_of(self, revision):
+        records = self.log.history()["streams"]["configuration"]["records"]
+        last = records[-1]["value"]
+        return last.get("snapshot", {}).get("revision") == revision
+
+
+if __name__ == "__main__":
+    unittest.main()
