Count a relayed connection as open from its acceptance on

Cause: a connection was registered only once the target was connected to, so a refusal set in between left it alone. Ruled out: a slow machine, as the test waits 5 s.

--- a/tests/fakes/relay_tcp.py
+++ b/tests/fakes/relay_tcp.py
@@ -6,7 +6,7 @@
 import contextlib
 import socket
 import struct
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import attrs
 
@@ -18,9 +18,6 @@
     split_address,
 )
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 __all__ = ["TcpRoute"]
 
 LISTEN_HOST = "127.0.0.1"
@@ -41,29 +38,46 @@
 class TcpConnection:
     """One relayed connection, with a reader and a writer in each direction."""
 
-    def __init__(self, *, route: TcpRoute, client: Any, target: Any):
+    def __init__(
+        self,
+        *,
+        route: TcpRoute,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ):
         self.is_silenced = False
+        self.is_reset = False
         self._route = route
-        self._client_reader, self._client_writer = client
-        self._target_reader, self._target_writer = target
+        self._client_reader = reader
+        self._writers = [writer]
 
-    async def run(self) -> None:
-        """Relay until both sides have ended."""
+    async def run(self, target: str) -> None:
+        """Connect to the target and relay until both sides have ended."""
         try:
+            if self._route.faults.mode == "refuse":
+                raise ConnectionRefusedError
+            # A target beyond a cut doesn't hear of new connections.
+            await self._route.wait_open(TO_TARGET, self)
+            host, port = split_address(target)
+            target_reader, target_writer = await asyncio.open_connection(host, port)
+            self._writers.append(target_writer)
+            if self.is_reset:
+                raise ConnectionResetError
             await asyncio.gather(
-                self._relay(TO_TARGET, self._client_reader, self._target_writer),
-                self._relay(TO_CLIENT, self._target_reader, self._client_writer),
+                self._relay(TO_TARGET, self._client_reader, target_writer),
+                self._relay(TO_CLIENT, target_reader, self._writers[0]),
             )
         except OSError:
-            # One side was reset, so the other is too.
+            # One side was reset or refused, so the other is reset too.
             self.reset()
         finally:
-            self._client_writer.close()
-            self._target_writer.close()
+            for writer in self._writers:
+                writer.close()
 
     def reset(self) -> None:
         """Reset both sides."""
-        for writer in (self._client_writer, self._target_writer):
+        self.is_reset = True
+        for writer in self._writers:
             _reset(writer)
 
     async def _relay(
@@ -162,8 +176,11 @@
             self._changed.notify_all()
 
     async def wait_open(self, direction: str, connection: TcpConnection) -> None:
-        """Wait until data may go in a direction of a connection."""
-        await self._wait_until(lambda: self._is_open(direction, connection))
+        """Wait until data may go in a direction, or the connection was reset."""
+        if self._is_open(direction, connection):
+            return
+        async with self._changed:
+            await self._changed.wait_for(lambda: self._is_open(direction, connection))
 
     def describe(self) -> dict[str, Any]:
         """Return what the route is and carried."""
@@ -175,13 +192,9 @@
             "forwarded_bytes": self.forwarded_bytes,
         }
 
-    async def _wait_until(self, is_open: Callable[[], bool]) -> None:
-        if is_open():
-            return
-        async with self._changed:
-            await self._changed.wait_for(is_open)
-
     def _is_open(self, direction: str, connection: TcpConnection) -> bool:
+        if connection.is_reset:
+            return True
         return self.faults.lets_pass(direction) and not connection.is_silenced
 
     def _silence_existing(self) -> None:
@@ -198,18 +211,11 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        # A target beyond a cut doesn't hear of new connections.
-        await self._wait_until(lambda: self.faults.lets_pass(TO_TARGET))
-        try:
-            host, port = split_address(self._spec.target)
-            target = await asyncio.open_connection(host, port)
-        except OSError:
-            _reset(writer)
-            return
-        connection = TcpConnection(route=self, client=(reader, writer), target=target)
+        # From here on it counts as open, also while the target is connected to.
+        connection = TcpConnection(route=self, reader=reader, writer=writer)
         self._connections.add(connection)
         try:
-            await connection.run()
+            await connection.run(self._spec.target)
         finally:
             self._connections.discard(connection)
 
