--- a/src/crocuswick/nodes/__init__.py
+++ b/src/crocuswick/nodes/__init__.py
@@ -4,17 +4,14 @@
 
 from crocuswick.nodes.membership import Membership
 from crocuswick.nodes.membership_listener import MembershipListener
-from crocuswick.nodes.membership_table import PlatformNode, PlatformState
 from crocuswick.nodes.node_state import (
     EndpointSignal,
     EndpointSignalKind,
-    FleetDemand,
     NodeAddress,
     NodeLiveness,
     NodePhase,
     NodeState,
     NodeStatus,
-    OrganisationDemand,
     PeerAddress,
 )
 from crocuswick.nodes.peer_client import PeerClient
@@ -32,6 +29,7 @@
     peer_registry,
 )
 from crocuswick.nodes.peer_server import PeerServer
+from crocuswick.nodes.platform_node import PlatformNode, PlatformState
 from crocuswick.nodes.snapshot_keeper import SnapshotKeeper, snapshot_order
 
 __all__ = [
@@ -40,7 +38,6 @@
     "EndpointDepth",
     "EndpointSignal",
     "EndpointSignalKind",
-    "FleetDemand",
     "Membership",
     "MembershipListener",
     "NodeAddress",
@@ -50,7 +47,6 @@
     "NodePhase",
     "NodeState",
     "NodeStatus",
-    "OrganisationDemand",
     "PeerAddress",
     "PeerClient",
     "PeerKeys",
--- a/src/crocuswick/nodes/datagrams.py
+++ b/src/crocuswick/nodes/datagrams.py
@@ -6,12 +6,12 @@
 
 import attrs
 
+from crocuswick.demand_meter import OrganisationDemand
 from crocuswick.nodes._codec import MessageRegistry
 from crocuswick.nodes.node_state import (
     EndpointSignal,
     NodeAddress,
     NodePhase,
-    OrganisationDemand,
     PeerAddress,
 )
 from crocuswick.nodes.peer_keys import MAC_BYTES
--- a/src/crocuswick/nodes/membership.py
+++ b/src/crocuswick/nodes/membership.py
@@ -16,17 +16,17 @@
 
 from crocuswick.actor import Message, handler_name
 from crocuswick.errors import PeerError
+from crocuswick.fleet_share import FleetShare
 from crocuswick.nodes.membership_protocol import MembershipCounters, MembershipProtocol
-from crocuswick.nodes.membership_table import PlatformNode
 from crocuswick.nodes.message_builder import NodeIdentity
 from crocuswick.nodes.node_state import (
     EndpointSignal,
-    FleetDemand,
     NodeAddress,
     NodeLiveness,
     NodeStatus,
     PeerAddress,
 )
+from crocuswick.nodes.platform_node import PlatformNode
 from crocuswick.outcome import Outcome
 from crocuswick.quarantine import CrashReport
 
@@ -90,6 +90,13 @@
     report: CrashReport
 
 
+@attrs.frozen(kw_only=True)
+class FleetSizeHeard(Message):
+    """Take in how many nodes another node knows."""
+
+    fleet_nodes: int
+
+
 @attrs.frozen(kw_only=True)
 class StopMembership(Message):
     """Tell the others that the node is leaving and end."""
@@ -100,7 +107,7 @@
     """What other threads may read; replaced as a whole."""
 
     statuses: tuple[NodeStatus, ...]
-    fleet_demand: FleetDemand
+    fleet_share: FleetShare
 
 
 class Membership:
@@ -218,6 +225,17 @@
         """
         self._tell(PlatformListSeen(nodes=tuple(nodes)))
 
+    def hear_fleet_size(self, fleet_nodes: int) -> None:
+        """Take in how many nodes another node knows, from its snapshot.
+
+        Until this node has heard of as many itself, it takes only its part of
+        limits in a fleet of that size.
+
+        Args:
+            fleet_nodes: Nodes that may be serving.
+        """
+        self._tell(FleetSizeHeard(fleet_nodes=fleet_nodes))
+
     def share_endpoint_signal(self, signal: EndpointSignal) -> None:
         """Tell all nodes what was noticed at an endpoint.
 
@@ -251,9 +269,9 @@
         live = tuple(s for s in there if s.liveness is NodeLiveness.LIVE)
         return live or tuple(status for status in there if status.damped)
 
-    def fleet_demand(self) -> FleetDemand:
-        """Return the demand at the other nodes and the size of the fleet."""
-        return self._published.fleet_demand
+    def fleet_share(self) -> FleetShare:
+        """Return the size of the fleet and the other nodes' demand."""
+        return self._published.fleet_share
 
     @property
     def counters(self) -> MembershipCounters:
@@ -268,6 +286,10 @@
         """Merge the platform's list."""
         self._protocol.hear_platform(message.nodes)
 
+    def on_fleet_size_heard(self, message: FleetSizeHeard) -> None:
+        """Remember the size."""
+        self._protocol.hear_fleet_size(message.fleet_nodes, now_s=time.monotonic())
+
     def on_share_endpoint_signal(self, message: ShareEndpointSignal) -> None:
         """Send the news at once."""
         self._protocol.share_endpoint_signal(message.signal, now_s=time.monotonic())
@@ -352,7 +374,7 @@
         now_s = time.monotonic()
         return _Published(
             statuses=self._protocol.statuses(now_s=now_s),
-            fleet_demand=self._protocol.fleet_demand(now_s=now_s),
+            fleet_share=self._protocol.fleet_share(now_s=now_s),
         )
 
 
--- a/src/crocuswick/nodes/membership_protocol.py
+++ b/src/crocuswick/nodes/membership_protocol.py
@@ -35,9 +35,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
 
-    from crocuswick.nodes.membership_table import PlatformNode
-    from crocuswick.nodes.node_state import FleetDemand
+    from crocuswick.fleet_share import FleetShare
     from crocuswick.nodes.peer_keys import PeerKeys
+    from crocuswick.nodes.platform_node import PlatformNode
     from crocuswick.quarantine import CrashReport
     from crocuswick.time_line import TimeLine
 
@@ -227,6 +227,15 @@
             self._listener.on_own_node_leaving()
             self.leave()
 
+    def hear_fleet_size(self, fleet_nodes: int, *, now_s: float) -> None:
+        """Take in how many nodes another node knows.
+
+        Args:
+            fleet_nodes: Nodes that may be serving.
+            now_s: Monotonic time.
+        """
+        self._table.zones.hear_fleet_size(fleet_nodes, now_s=now_s)
+
     def leave(self) -> None:
         """Tell from now on that this node is draining, whatever its state is."""
         self._is_leaving = True
@@ -261,13 +270,13 @@
         statuses = (self._own_status(), *self._table.statuses(now_s=now_s))
         return tuple(sorted(statuses, key=lambda status: status.node_id))
 
-    def fleet_demand(self, *, now_s: float) -> FleetDemand:
-        """Return the demand at the other nodes and the size of the fleet.
+    def fleet_share(self, *, now_s: float) -> FleetShare:
+        """Return the size of the fleet and the other nodes' demand.
 
         Args:
             now_s: Monotonic time.
         """
-        return self._table.fleet_demand(now_s=now_s)
+        return self._table.fleet_share(now_s=now_s)
 
     def _is_fresh(
         self, message: Heartbeat | ZoneDigest, *, now_s: float, wall_ms: int
--- a/src/crocuswick/nodes/membership_table.py
+++ b/src/crocuswick/nodes/membership_table.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
 from typing import TYPE_CHECKING
 
 import attrs
@@ -19,15 +18,16 @@
     NodePhase,
     NodeStatus,
 )
+from crocuswick.nodes.platform_node import PlatformNode, PlatformState
 from crocuswick.nodes.zone_table import ZoneTable
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
+    from crocuswick.fleet_share import FleetShare
     from crocuswick.nodes.datagrams import Heartbeat, ZoneDigest
-    from crocuswick.nodes.node_state import FleetDemand
 
-__all__ = ["LivenessLimits", "MembershipTable", "PlatformNode", "PlatformState"]
+__all__ = ["LivenessLimits", "MembershipTable"]
 
 NEAR_SUSPECT_S = 3.0
 """Silence after which a node of the own zone is suspect."""
@@ -47,39 +47,6 @@
 _MS_PER_S = 1000
 
 
-class PlatformState(StrEnum):
-    """States of a VM in the platform's list."""
-
-    LIVE = "live"
-    """In use."""
-
-    LEAVING = "leaving"
-    """To be taken away soon."""
-
-    GONE = "gone"
-    """Taken away."""
-
-
-@attrs.frozen(kw_only=True)
-class PlatformNode:
-    """An entry VM in the platform's list."""
-
-    node_id: str
-    """Id of the VM, which is the node's id."""
-
-    zone: str
-    """Availability zone of the VM."""
-
-    state: PlatformState
-    """State of the VM."""
-
-    host: str = ""
-    """IP number of the VM."""
-
-    peer_port: int = 0
-    """Port for other nodes, 0 if the platform does not tell it."""
-
-
 @attrs.frozen(kw_only=True)
 class LivenessLimits:
     """Silences after which a node is no longer believed to be live."""
@@ -215,8 +182,8 @@
         """Return whether the platform says that the own node is leaving."""
         return self._platform_state(self._node_id) == PlatformState.LEAVING
 
-    def fleet_demand(self, *, now_s: float) -> FleetDemand:
-        """Return the demand and the size of the whole fleet.
+    def fleet_share(self, *, now_s: float) -> FleetShare:
+        """Return the size of the fleet and the other nodes' demand.
 
         Args:
             now_s: Monotonic time.
@@ -226,7 +193,7 @@
         reachable = [
             entry for entry in near if now_s - entry.heard_s < entry.limits.suspect_s
         ]
-        return self.zones.fleet_demand(
+        return self.zones.fleet_share(
             near_reachable=1 + len(reachable),
             near_known=1 + len(serving),
             now_s=now_s,
--- a/src/crocuswick/nodes/message_builder.py
+++ b/src/crocuswick/nodes/message_builder.py
@@ -14,13 +14,13 @@
     NodePhase,
     NodeState,
     NodeStatus,
-    OrganisationDemand,
 )
 from crocuswick.quarantine import CrashReport
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from crocuswick.demand_meter import OrganisationDemand
     from crocuswick.nodes.membership_table import MembershipTable
     from crocuswick.nodes.node_state import PeerAddress
 
--- a/src/crocuswick/nodes/node_state.py
+++ b/src/crocuswick/nodes/node_state.py
@@ -6,16 +6,16 @@
 
 import attrs
 
+from crocuswick.demand_meter import OrganisationDemand
+
 __all__ = [
     "EndpointSignal",
     "EndpointSignalKind",
-    "FleetDemand",
     "NodeAddress",
     "NodeLiveness",
     "NodePhase",
     "NodeState",
     "NodeStatus",
-    "OrganisationDemand",
     "PeerAddress",
 ]
 
@@ -103,28 +103,6 @@
     """TCP and UDP port for other nodes."""
 
 
-@attrs.frozen(kw_only=True)
-class OrganisationDemand:
-    """What the callers of one organisation ask of a node or of a zone."""
-
-    organisation: str
-    """Organisation id."""
-
-    requests_per_s: float
-    """Requests a second, refused ones included."""
-
-    tokens_per_s: float
-    """Tokens a second, refused ones included."""
-
-    def plus(self, other: OrganisationDemand) -> OrganisationDemand:
-        """Return the sum of two demands of the same organisation."""
-        return OrganisationDemand(
-            organisation=self.organisation,
-            requests_per_s=self.requests_per_s + other.requests_per_s,
-            tokens_per_s=self.tokens_per_s + other.tokens_per_s,
-        )
-
-
 @attrs.frozen(kw_only=True)
 class EndpointSignal:
     """News of an endpoint."""
@@ -189,17 +167,3 @@
 
     damped: bool = False
     """Whether it counts as suspect only because it has been flapping."""
-
-
-@attrs.frozen(kw_only=True)
-class FleetDemand:
-    """Demand at all reachable nodes, this one left out."""
-
-    reachable_nodes: int
-    """Nodes heard lately, this one included."""
-
-    fleet_nodes: int
-    """Nodes known, including those out of reach that may still serve."""
-
-    demand_by_organisation: dict[str, OrganisationDemand]
-    """Summed demand at the other reachable nodes."""
--- a/src/crocuswick/nodes/peer_keys.py
+++ b/src/crocuswick/nodes/peer_keys.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from crocuswick.errors import PeerError
+from crocuswick.outcome import Outcome
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -21,11 +22,10 @@
 MAC_BYTES = 16
 """Bytes in a message authentication code."""
 
-MIN_KEY_BYTES = 16
-"""Bytes that a key must have at least."""
+MIN_SECRET_CHARACTERS = 16
+"""Length that a secret must have at least."""
 
-MAX_KEY_BYTES = 64
-"""Bytes that a key can have at most."""
+_KEY_PURPOSE = b"crocuswick-key"
 
 
 class PeerKeys:
@@ -41,7 +41,7 @@
             keys: Keys in force; the first one signs.
 
         Raises:
-            ValueError: If there is no key or one has a wrong length.
+            ValueError: If there is no key or one is empty.
         """
         self._keys: tuple[bytes, ...] = ()
         self.replace(keys)
@@ -53,17 +53,11 @@
             keys: Keys in force from now on; the first one signs.
 
         Raises:
-            ValueError: If there is no key or one has a wrong length.
+            ValueError: If there is no key or one is empty.
         """
         new_keys = tuple(keys)
-        if not new_keys:
-            raise ValueError("no key given")
-        for key in new_keys:
-            if not MIN_KEY_BYTES <= len(key) <= MAX_KEY_BYTES:
-                raise ValueError(
-                    f"a key has {len(key)} bytes, needs {MIN_KEY_BYTES} to "
-                    f"{MAX_KEY_BYTES}"
-                )
+        if not all(new_keys) or not new_keys:
+            raise ValueError("no key, or an empty one")
         self._keys = new_keys
 
     def sign(self, body: bytes, *, purpose: bytes) -> bytes:
@@ -91,23 +85,37 @@
 
 
 def read_key_file(path: Path) -> Result[list[bytes], PeerError]:
-    """Read keys from a file with one key a line in hexadecimal digits.
+    """Read keys from a file with one secret a line.
 
     Args:
-        path: File; empty lines and lines that start with ``#`` are ignored.
+        path: File; empty lines and lines that start with ``#`` are ignored. A
+            secret is any text of at least 16 characters.
 
     Returns:
         The keys, the signing one first, or why the file cannot be used.
     """
     try:
         lines = [line.strip() for line in path.read_text().splitlines()]
-        keys = [
-            bytes.fromhex(line) for line in lines if line and not line.startswith("#")
-        ]
-        PeerKeys(keys=keys)
     except (OSError, ValueError) as error:
-        return Err(PeerError(step="read key", peer=str(path), detail=str(error)))
-    return Ok(keys)
+        return _unusable(path, str(error))
+    secrets = [line for line in lines if line and not line.startswith("#")]
+    if not secrets:
+        return _unusable(path, "it holds no secret")
+    if min(len(secret) for secret in secrets) < MIN_SECRET_CHARACTERS:
+        return _unusable(path, f"a secret has under {MIN_SECRET_CHARACTERS} characters")
+    return Ok([_key(secret) for secret in secrets])
+
+
+def _key(secret: str) -> bytes:
+    return hashlib.blake2b(secret.encode(), person=_KEY_PURPOSE).digest()
+
+
+def _unusable(path: Path, detail: str) -> Err[PeerError]:
+    return Err(
+        PeerError(
+            step="read key", peer=str(path), detail=detail, outcome=Outcome.NOT_RUN
+        )
+    )
 
 
 def _code(key: bytes, body: bytes, *, purpose: bytes) -> bytes:
--- a/src/crocuswick/nodes/peer_messages.py
+++ b/src/crocuswick/nodes/peer_messages.py
@@ -71,8 +71,8 @@
     crash_reports: tuple[CrashReport, ...] = ()
     """Crash reports in force, so that quarantine goes on."""
 
-    limits: bytes = b""
-    """Encoded state of the limits."""
+    fleet_nodes: int = 0
+    """Nodes that may be serving, for the newcomer's part of limits."""
 
     index_hints: bytes = b""
     """Encoded hints of what the endpoints have cached."""
--- /dev/null
+++ b/src/crocuswick/nodes/platform_node.py
@@ -0,0 +1,42 @@
+"""Entry VMs as the platform lists them."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import attrs
+
+__all__ = ["PlatformNode", "PlatformState"]
+
+
+class PlatformState(StrEnum):
+    """States of a VM in the platform's list."""
+
+    LIVE = "live"
+    """In use."""
+
+    LEAVING = "leaving"
+    """To be taken away soon."""
+
+    GONE = "gone"
+    """Taken away."""
+
+
+@attrs.frozen(kw_only=True)
+class PlatformNode:
+    """An entry VM in the platform's list."""
+
+    node_id: str
+    """Id of the VM, which is the node's id."""
+
+    zone: str
+    """Availability zone of the VM."""
+
+    state: PlatformState
+    """State of the VM."""
+
+    host: str = ""
+    """IP number of the VM."""
+
+    peer_port: int = 0
+    """Port for other nodes, 0 if the platform does not tell it."""
--- a/src/crocuswick/nodes/zone_table.py
+++ b/src/crocuswick/nodes/zone_table.py
@@ -6,13 +6,15 @@
 
 import attrs
 
-from crocuswick.nodes.node_state import FleetDemand, OrganisationDemand
+from crocuswick.demand_meter import OrganisationDemand
+from crocuswick.fleet_share import FleetShare
+from crocuswick.nodes.platform_node import PlatformState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from crocuswick.nodes.datagrams import ZoneDigest
-    from crocuswick.nodes.membership_table import PlatformNode
+    from crocuswick.nodes.platform_node import PlatformNode
 
 __all__ = ["ZoneTable"]
 
@@ -25,6 +27,9 @@
 ZONE_REMEMBERED_S = 7200.0
 """Time since its last digest for which a zone's nodes may still be serving."""
 
+TOLD_SIZE_LIFETIME_S = 60.0
+"""Time for which the size of the fleet that another node has told is used."""
+
 
 @attrs.define(kw_only=True)
 class _Demands:
@@ -73,6 +78,9 @@
         self._zones_by_name: dict[str, _Zone] = {}
         self._demands_by_node_id: dict[str, _Demands] = {}
         self._platform_zones: frozenset[str] = frozenset()
+        self._platform_nodes = 0
+        self._told_nodes = 0
+        self._told_nodes_s = float("-inf")
 
     @property
     def other_zones(self) -> tuple[str, ...]:
@@ -111,8 +119,19 @@
 
     def hear_platform(self, nodes: Iterable[PlatformNode]) -> None:
         """Take in the platform's list of entry VMs."""
-        zones = {node.zone for node in nodes}
-        self._platform_zones = frozenset(zones - {self._zone})
+        present = [node for node in nodes if node.state is not PlatformState.GONE]
+        self._platform_zones = frozenset(node.zone for node in present) - {self._zone}
+        self._platform_nodes = len(present)
+
+    def hear_fleet_size(self, fleet_nodes: int, *, now_s: float) -> None:
+        """Take in how many nodes another node knows.
+
+        Args:
+            fleet_nodes: Nodes that may be serving.
+            now_s: Monotonic time.
+        """
+        self._told_nodes = fleet_nodes
+        self._told_nodes_s = now_s
 
     def forget_node(self, node_id: str) -> None:
         """Drop the demand that a node told."""
@@ -126,10 +145,10 @@
         """
         return self._sum(self._demands_by_node_id.values(), now_s=now_s)
 
-    def fleet_demand(
+    def fleet_share(
         self, *, near_reachable: int, near_known: int, now_s: float
-    ) -> FleetDemand:
-        """Return the demand and the size of the whole fleet.
+    ) -> FleetShare:
+        """Return the size of the fleet and the other nodes' demand.
 
         Args:
             near_reachable: Nodes of the own zone heard lately, with the own one.
@@ -139,10 +158,15 @@
         zones = self._zones_by_name.values()
         reachable = [z for z in zones if now_s - z.told_s < ZONE_REACHABLE_S]
         remembered = [z for z in zones if now_s - z.told_s < ZONE_REMEMBERED_S]
+        told_lately = now_s - self._told_nodes_s < TOLD_SIZE_LIFETIME_S
         demands = [*self._demands_by_node_id.values(), *(z.demands for z in reachable)]
-        return FleetDemand(
+        return FleetShare(
             reachable_nodes=near_reachable + sum(z.live_nodes for z in reachable),
-            fleet_nodes=near_known + sum(z.live_nodes for z in remembered),
+            fleet_nodes=max(
+                near_known + sum(z.live_nodes for z in remembered),
+                self._platform_nodes,
+                self._told_nodes if told_lately else 0,
+            ),
             demand_by_organisation=self._sum(demands, now_s=now_s),
         )
 
--- /dev/null
+++ b/src/crocuswick/token_bucket.py
@@ -0,0 +1,64 @@
+"""Token bucket that may go into debt for one request."""
+
+from __future__ import annotations
+
+__all__ = ["TokenBucket"]
+
+BURST_S = 1.0
+"""Time whose tokens an idle bucket holds."""
+
+
+class TokenBucket:
+    """Lets a rate pass on average, whatever the size of a single request.
+
+    A request passes while the level is above 0 and may take more than the level,
+    so that one which is larger than the bucket is delayed, not refused for good.
+    """
+
+    __slots__ = ("_filled_s", "_level", "_rate_per_s")
+
+    def __init__(self, *, rate_per_s: float, now_s: float):
+        """Create a full bucket.
+
+        Args:
+            rate_per_s: Tokens added a second.
+            now_s: Monotonic time.
+        """
+        self._rate_per_s = rate_per_s
+        self._level = rate_per_s * BURST_S
+        self._filled_s = now_s
+
+    def set_rate(self, rate_per_s: float, *, now_s: float) -> None:
+        """Change the rate from now on; debt stays.
+
+        Args:
+            rate_per_s: Tokens added a second.
+            now_s: Monotonic time.
+        """
+        self._fill(now_s)
+        self._rate_per_s = rate_per_s
+        self._level = min(self._level, rate_per_s * BURST_S)
+
+    def wait_s(self, *, now_s: float) -> float:
+        """Return the time until a request passes, 0 if it passes now.
+
+        Args:
+            now_s: Monotonic time.
+        """
+        self._fill(now_s)
+        if self._level > 0:
+            return 0.0
+        if self._rate_per_s <= 0:
+            return float("inf")
+        # Just above 0, so that a repeat after the wait is sure to pass.
+        return -self._level / self._rate_per_s + 0.001
+
+    def take(self, tokens: float) -> None:
+        """Take tokens, or give some back if negative."""
+        self._level = min(self._level - tokens, self._rate_per_s * BURST_S)
+
+    def _fill(self, now_s: float) -> None:
+        added = (now_s - self._filled_s) * self._rate_per_s
+        if added > 0:
+            self._level = min(self._level + added, self._rate_per_s * BURST_S)
+        self._filled_s = max(self._filled_s, now_s)
