--- a/tests/fakes/control.py
+++ b/tests/fakes/control.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import random
+import threading
 import time
 from typing import TYPE_CHECKING, Any, ClassVar
 
@@ -82,6 +83,8 @@
 
     def __init__(self, *, faults: Any):
         self._first_faults = faults
+        # Server threads change the settings, too: they use up counts.
+        self._faults_lock = threading.Lock()
         self.faults = faults
         """Replaced as a whole and never changed in place."""
 
@@ -101,6 +104,21 @@
             return None
         return apply_call_fault(self)
 
+    def take_count(self, name: str) -> int:
+        """Use up one of a fault's count.
+
+        Args:
+            name: Name of a setting that counts down to 0.
+
+        Returns:
+            The count before, 0 if it was used up.
+        """
+        with self._faults_lock:
+            count = getattr(self.faults, name)
+            if count > 0:
+                self.faults = attrs.evolve(self.faults, **{name: count - 1})
+            return count
+
     def history(self) -> Any:
         """Return what was recorded for the checkers."""
         return {}
@@ -123,7 +141,8 @@
         """Replace some of the fault settings."""
         changes = request.json()
         try:
-            self.faults = update_faults(self.faults, changes)
+            with self._faults_lock:
+                self.faults = update_faults(self.faults, changes)
         except Exception as error:
             return Reply(status=400, body={"error": cattrs.transform_error(error)})
         self.faults_changed(frozenset(changes))
@@ -132,7 +151,8 @@
     @control_routes.route("DELETE", "/control/faults")
     def delete_faults(self, request: Request) -> Reply:
         """Put the first fault settings back."""
-        self.faults = self._first_faults
+        with self._faults_lock:
+            self.faults = self._first_faults
         self.faults_changed(frozenset(attrs.fields_dict(type(self.faults))))
         return Reply(body=attrs.asdict(self.faults))
 
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -100,6 +100,7 @@
 
 CALLER_CHECK_INTERVAL_S = 0.25
 PEER_TIMEOUT_S = 30.0
+NO_FAULTS = EngineFaults()
 STREAM_HEADERS = {"Cache-Control": "no-store"}
 _COMPLETION_FIELDS = {field.name for field in attrs.fields(Completion)}
 
@@ -220,7 +221,8 @@
                 target=self._load_weights, args=(order,), name=name, daemon=True
             )
             loader.start()
-        self._maybe_lose_order_answer()
+        if self.take_count("lose_next_order_answers"):
+            drop_connection()
         return reply
 
     def _load_weights(self, order: Order) -> None:
@@ -238,12 +240,6 @@
             return str(error)
         return None if response.status == 200 else f"weight store: {response.status}"
 
-    def _maybe_lose_order_answer(self) -> None:
-        left = self.faults.lose_next_order_answers
-        if left > 0:
-            self.faults = attrs.evolve(self.faults, lose_next_order_answers=left - 1)
-            drop_connection()
-
     def _stream(
         self, request: Request, request_id: str, subscription: Subscription
     ) -> Reply:
@@ -274,12 +270,8 @@
 
     def _next_stream_faults(self) -> EngineFaults:
         faults = self.faults
-        if faults.fault_streams == 0:
-            return EngineFaults()
-        if faults.fault_streams > 0:
-            left = faults.fault_streams - 1
-            self.faults = attrs.evolve(faults, fault_streams=left)
-        return faults
+        all_streams = faults.fault_streams < 0
+        return faults if all_streams or self.take_count("fault_streams") else NO_FAULTS
 
 
 def _events(request: Request, subscription: Subscription) -> Iterator[TokenEvent]:
--- a/tests/fakes/log_service.py
+++ b/tests/fakes/log_service.py
@@ -278,12 +278,9 @@
         return self._task.ask(read)
 
     def _answer_is_lost(self) -> bool:
-        faults = self.faults
-        if faults.lose_next_answers > 0:
-            left = faults.lose_next_answers - 1
-            self.faults = attrs.evolve(faults, lose_next_answers=left)
+        if self.take_count("lose_next_answers"):
             return True
-        return random.random() < faults.lose_answers
+        return random.random() < self.faults.lose_answers
 
 
 def main(argv: list[str]) -> None:
--- a/tests/fakes/plain_service.py
+++ b/tests/fakes/plain_service.py
@@ -147,17 +147,11 @@
         return Reply(body={"query": request.query, "headers": request.headers})
 
     def _hit_after_run(self) -> None:
-        faults = self.faults
-        if faults.crash_after_runs == 1:
+        if self.take_count("crash_after_runs") == 1:
             os._exit(CRASH_EXIT_CODE)
-        if faults.crash_after_runs > 1:
-            left = faults.crash_after_runs - 1
-            self.faults = attrs.evolve(faults, crash_after_runs=left)
-        if faults.lose_next_answers > 0:
-            left = faults.lose_next_answers - 1
-            self.faults = attrs.evolve(self.faults, lose_next_answers=left)
+        if self.take_count("lose_next_answers"):
             drop_connection()
-        if random.random() < faults.lose_answers:
+        if random.random() < self.faults.lose_answers:
             drop_connection()
 
 
