Claim idempotency keys through the log

The first claim of a key in log order runs the call. A claim that is not read back in time is never run by its node and is abandoned in the log.

--- a/src/crocuswick/configuration/_fields.py
+++ b/src/crocuswick/configuration/_fields.py
@@ -33,7 +33,6 @@
 _SPEC = "crocuswick_field_spec"
 _IDENTIFIER = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}")
 _PREFIX = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
-_RESERVED_PREFIXES = frozenset({"healthz", "metrics", "readyz", "v1"})
 _SHA256 = re.compile(r"[0-9a-f]{64}")
 _MAX_TEXT_CHARACTERS = 1024
 _MAX_NUMBER = 1e15
@@ -197,11 +196,9 @@
 
 
 def _parse_prefix(value: Any) -> Parsed:
-    if not isinstance(value, str) or not _PREFIX.fullmatch(value):
-        return _problem("must be one path segment of letters, digits or any of . _ -")
-    if value in _RESERVED_PREFIXES:
-        return _problem("is a path of crocuswick itself")
-    return Parsed(value=value)
+    if isinstance(value, str) and _PREFIX.fullmatch(value):
+        return Parsed(value=value)
+    return _problem("must be one path segment of letters, digits or any of . _ -")
 
 
 def _parse_text(value: Any) -> Parsed:
--- a/src/crocuswick/platform_log/__init__.py
+++ b/src/crocuswick/platform_log/__init__.py
@@ -2,6 +2,13 @@
 
 from __future__ import annotations
 
+from crocuswick.platform_log.claim_table import ClaimTable, ClaimVerdictKind
+from crocuswick.platform_log.claims import (
+    IDEMPOTENCY_WINDOW_MS,
+    ClaimKeeper,
+    ClaimVerdict,
+    RecordedAnswer,
+)
 from crocuswick.platform_log.client import LogClient
 from crocuswick.platform_log.follower import (
     GapFound,
@@ -17,7 +24,12 @@
 )
 
 __all__ = [
+    "IDEMPOTENCY_WINDOW_MS",
     "AppendReceipt",
+    "ClaimKeeper",
+    "ClaimTable",
+    "ClaimVerdict",
+    "ClaimVerdictKind",
     "GapFound",
     "LogClient",
     "LogFollower",
@@ -25,5 +37,6 @@
     "LogRecord",
     "LogUnavailable",
     "PageRead",
+    "RecordedAnswer",
     "RetentionGap",
 ]
--- /dev/null
+++ b/src/crocuswick/platform_log/claims.py
@@ -0,0 +1,272 @@
+"""Claims that let a non-idempotent call run at most once over all nodes."""
+
+from __future__ import annotations
+
+import base64
+import threading
+import time
+from concurrent.futures import Future
+from typing import TYPE_CHECKING
+
+import attrs
+from result import Err, Ok, Result
+
+from crocuswick.actor import Message, Ticker
+from crocuswick.errors import PeerError
+from crocuswick.outcome import Outcome
+from crocuswick.platform_log._claim_actor import (
+    AwaitClaim,
+    ClaimActor,
+    ClaimsFailed,
+    JudgedClaim,
+    LookUpScope,
+)
+from crocuswick.platform_log._claim_appender import ClaimAppender
+from crocuswick.platform_log.claim_records import (
+    ClaimAbandoned,
+    ClaimCompleted,
+    ClaimEndedUnknown,
+    ClaimMade,
+    StreamMark,
+    claim_scope,
+    decode_claim_record,
+    new_claim_id,
+)
+from crocuswick.platform_log.claim_table import ClaimVerdictKind
+from crocuswick.platform_log.client import LogClient
+from crocuswick.platform_log.follower import LogFollower, PageRead
+
+if TYPE_CHECKING:
+    from crocuswick.platform_log.records import LogRecord
+
+__all__ = [
+    "CLAIMS_STREAM",
+    "IDEMPOTENCY_WINDOW_MS",
+    "ClaimKeeper",
+    "ClaimVerdict",
+    "RecordedAnswer",
+]
+
+CLAIMS_STREAM = "claims"
+IDEMPOTENCY_WINDOW_MS = 3_600_000
+"""Log time for which an idempotency key is held; the log must keep records longer."""
+
+APPEND_TIMEOUT_MS = 700
+CLAIM_TIMEOUT_MS = 1_500
+MARKS_IN_WINDOW = 4
+
+
+@attrs.frozen(kw_only=True)
+class RecordedAnswer:
+    """The recorded answer of a call, for its repeats."""
+
+    status: int
+    """HTTP status."""
+
+    headers: dict[str, str]
+    """Headers."""
+
+    body: bytes
+    """Body."""
+
+
+@attrs.frozen(kw_only=True)
+class ClaimVerdict:
+    """What a claimant may do."""
+
+    kind: ClaimVerdictKind
+    """The verdict."""
+
+    claim_id: str = ""
+    """Id to complete or abandon, for `ClaimVerdictKind.FIRST`."""
+
+    replay: RecordedAnswer | None = None
+    """The answer, for `ClaimVerdictKind.REPLAY`."""
+
+
+class ClaimKeeper:
+    """Claims idempotency keys through the platform's log.
+
+    The first claim of a key in log order runs the call. A claimant that cannot
+    read back its claim in time never runs the call: it says ``not_run`` and keeps
+    an abandonment until the log has it, so that a later repeat can run.
+    """
+
+    def __init__(
+        self,
+        *,
+        log_address: str,
+        node_id: str,
+        window_ms: int = IDEMPOTENCY_WINDOW_MS,
+        append_timeout_ms: int = APPEND_TIMEOUT_MS,
+        claim_timeout_ms: int = CLAIM_TIMEOUT_MS,
+    ):
+        self._peer = f"log {log_address}"
+        self._claim_timeout_s = claim_timeout_ms / 1000
+        self._client = LogClient(address=log_address, timeout_ms=append_timeout_ms)
+        self._actor = ClaimActor.start(window_ms=window_ms)
+        self._appender = ClaimAppender(
+            client=self._client,
+            stream=CLAIMS_STREAM,
+            on_claims_failed=self._report_failed,
+        )
+        self._follower = LogFollower(
+            client=self._client, stream=CLAIMS_STREAM, post=self._post
+        )
+        self._marks = _MarkSchedule(window_ms=window_ms)
+        self._marker = Ticker(
+            name="claim-marks",
+            interval_s=window_ms / 1000 / MARKS_IN_WINDOW / 4,
+            call=lambda: self._append_due_mark(node_id),
+        )
+
+    def start(self) -> None:
+        """Start following the stream and appending to it."""
+        self._follower.start()
+        self._appender.start()
+        self._marker.start()
+
+    def stop(self) -> None:
+        """Append what is owed, if the log takes it, and end."""
+        self._marker.stop()
+        self._appender.stop()
+        self._follower.stop()
+        self._actor.stop(block=False)
+
+    def claim(
+        self, *, organisation: str, service: str, key: str, fingerprint: str
+    ) -> Result[ClaimVerdict, PeerError]:
+        """Claim an idempotency key for a call.
+
+        Args:
+            organisation: Id of the caller's organisation.
+            service: Id of the service.
+            key: The idempotency key.
+            fingerprint: Digest of the call's content.
+
+        Returns:
+            The verdict. An error's outcome is always ``not_run``: this node will
+            not run the call under this claim.
+        """
+        scope = claim_scope(organisation=organisation, service=service, key=key)
+        known = self._actor.ask(LookUpScope(scope=scope, fingerprint=fingerprint))
+        if known.kind is not None:
+            return Ok(self._verdict(known, claim_id=""))
+        down = self._appender.recent_error
+        if down is not None:
+            return Err(attrs.evolve(down, step="claim", outcome=Outcome.NOT_RUN))
+        return self._append_claim(new_claim_id(scope), fingerprint)
+
+    def complete(
+        self, claim_id: str, *, status: int, headers: dict[str, str], body: bytes
+    ) -> None:
+        """Record the answer of a claimed call, for its repeats.
+
+        Args:
+            claim_id: Id of the claim.
+            status: HTTP status of the answer.
+            headers: Headers of the answer that a replay repeats.
+            body: Body of the answer.
+        """
+        self._appender.put(
+            ClaimCompleted(
+                claim_id=claim_id,
+                status=status,
+                headers=headers,
+                body_base64=base64.b64encode(body).decode(),
+            )
+        )
+
+    def complete_unknown(self, claim_id: str) -> None:
+        """Record that a claimed call was sent and its answer was lost."""
+        self._appender.put(ClaimEndedUnknown(claim_id=claim_id))
+
+    def abandon(self, claim_id: str) -> None:
+        """Record that a claimed call was not run and will not be."""
+        self._appender.put(ClaimAbandoned(claim_id=claim_id))
+
+    def _append_claim(
+        self, claim_id: str, fingerprint: str
+    ) -> Result[ClaimVerdict, PeerError]:
+        judged: Future[JudgedClaim] = Future()
+        self._actor.tell(AwaitClaim(claim_id=claim_id, judged=judged))
+        self._appender.put(ClaimMade(claim_id=claim_id, fingerprint=fingerprint))
+        try:
+            found = judged.result(timeout=self._claim_timeout_s)
+        except TimeoutError:
+            if judged.cancel():
+                self.abandon(claim_id)
+                return Err(self._error("the claim was not read back in time"))
+            # The verdict arrived between the time-out and the cancellation.
+            found = judged.result()
+        if found.error is not None:
+            return Err(attrs.evolve(found.error, step="claim"))
+        if found.kind is ClaimVerdictKind.UNPROVEN:
+            self.abandon(claim_id)
+            return Err(self._error("the log no longer covers the idempotency window"))
+        return Ok(self._verdict(found, claim_id=claim_id))
+
+    def _verdict(self, judged: JudgedClaim, *, claim_id: str) -> ClaimVerdict:
+        if judged.kind is not ClaimVerdictKind.REPLAY:
+            return ClaimVerdict(kind=judged.kind, claim_id=claim_id)
+        answer = judged.answer or self._read_answer(judged.done_offset)
+        if answer is None:
+            return ClaimVerdict(kind=ClaimVerdictKind.IN_PROGRESS_OR_UNKNOWN)
+        replay = RecordedAnswer(
+            status=answer.status, headers=answer.headers, body=answer.body
+        )
+        return ClaimVerdict(kind=ClaimVerdictKind.REPLAY, replay=replay)
+
+    def _read_answer(self, offset: int) -> ClaimCompleted | None:
+        """Read an old answer back from the log, or return None."""
+        answer = self._client.read(CLAIMS_STREAM, offset, 1, 0)
+        records: tuple[LogRecord, ...] = ()
+        if answer.is_ok():
+            records = getattr(answer.unwrap(), "records", ())
+        decoded = decode_claim_record(records[0].value) if records else None
+        return decoded if isinstance(decoded, ClaimCompleted) else None
+
+    def _post(self, message: Message) -> None:
+        if isinstance(message, PageRead) and message.page.records:
+            self._marks.note_record()
+        self._actor.tell(message)
+
+    def _append_due_mark(self, node_id: str) -> None:
+        if self._marks.is_due():
+            self._appender.put(StreamMark(node_id=node_id))
+
+    def _report_failed(self, claim_ids: list[str], error: PeerError) -> None:
+        self._actor.tell(ClaimsFailed(claim_ids=claim_ids, error=error))
+
+    def _error(self, detail: str) -> PeerError:
+        return PeerError(
+            step="claim", peer=self._peer, detail=detail, outcome=Outcome.NOT_RUN
+        )
+
+
+class _MarkSchedule:
+    """Decides when an idle stream needs a mark.
+
+    Marks let a node that starts later prove that the records which the log still
+    keeps reach back a whole window.
+    """
+
+    def __init__(self, *, window_ms: int):
+        self._interval_s = window_ms / 1000 / MARKS_IN_WINDOW
+        self._has_record = threading.Event()
+        self._last_s = time.monotonic()
+
+    def note_record(self) -> None:
+        """Note that the stream has a new record."""
+        self._has_record.set()
+
+    def is_due(self) -> bool:
+        """Whether the stream was silent for its part of the window."""
+        now_s = time.monotonic()
+        if self._has_record.is_set():
+            self._has_record.clear()
+            self._last_s = now_s
+        if now_s - self._last_s < self._interval_s:
+            return False
+        self._last_s = now_s
+        return True
--- a/src/crocuswick/platform_log/client.py
+++ b/src/crocuswick/platform_log/client.py
@@ -23,6 +23,7 @@
 
 _HTTP_OK = 200
 _HTTP_GONE = 410
+_HTTP_UNAVAILABLE = 503
 
 
 class LogClient:
@@ -46,7 +47,8 @@
 
         Returns:
             The offsets, or an error. Its outcome is ``not_run`` only if nothing
-            was sent; after any other failure the records may be in the log.
+            was sent or the log said that it is unavailable; after any other
+            failure the records may be in the log.
         """
         answer = self._call(
             "append", "POST", stream, json={"records": values}, wait_s=0.0
@@ -54,6 +56,8 @@
         if answer.is_err():
             return answer
         response = answer.unwrap()
+        if response.status == _HTTP_UNAVAILABLE:
+            return self._error("append", "unavailable", outcome=Outcome.NOT_RUN)
         if response.status != _HTTP_OK:
             return self._error("append", f"status {response.status}")
         return self._decode("append", response, _to_receipt)
--- /dev/null
+++ b/tests/platform_log/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform log as a peer."""
--- /dev/null
+++ b/tests/platform_log/test_claims.py
@@ -0,0 +1,135 @@
+"""Tests of claims against the log stand-in."""
+
+from __future__ import annotations
+
+import threading
+import time
+import unittest
+
+from crocuswick.outcome import Outcome
+from crocuswick.platform_log import ClaimKeeper, ClaimVerdictKind
+from tests.fakes.launcher import Launcher, wait_until
+
+
+class ClaimKeeperTests(unittest.TestCase):
+    def setUp(self):
+        self.launcher = Launcher()
+        self.addCleanup(self.launcher.close)
+        self.log = self.launcher.fake("log_service")
+
+    def keeper(self, name="node-1", **settings):
+        keeper = ClaimKeeper(
+            log_address=self.log.address,
+            node_id=name,
+            append_timeout_ms=300,
+            claim_timeout_ms=800,
+            **settings,
+        )
+        keeper.start()
+        self.addCleanup(keeper.stop)
+        return keeper
+
+    def claim(self, keeper, key="seat-1", fingerprint="f"):
+        return keeper.claim(
+            organisation="swanfold", service="tent", key=key, fingerprint=fingerprint
+        )
+
+    def await_kind(self, keeper, kind):
+        return wait_until(
+            lambda: (
+                (found := self.claim(keeper)).is_ok()
+                and found.unwrap().kind is kind
+                and found.unwrap()
+            )
+        )
+
+    def test_repeat_at_another_node_replays_the_answer(self):
+        first, second = self.keeper("node-1"), self.keeper("node-2")
+        verdict = self.claim(first).unwrap()
+        self.assertIs(verdict.kind, ClaimVerdictKind.FIRST)
+        repeat = self.claim(second).unwrap()
+        self.assertIs(repeat.kind, ClaimVerdictKind.IN_PROGRESS_OR_UNKNOWN)
+        mismatch = self.claim(second, fingerprint="other").unwrap()
+        self.assertIs(mismatch.kind, ClaimVerdictKind.MISMATCH)
+        first.complete(verdict.claim_id, status=201, headers={"A": "b"}, body=b"\0ok")
+        replay = self.await_kind(second, ClaimVerdictKind.REPLAY).replay
+        self.assertEqual(
+            (replay.status, replay.headers, replay.body), (201, {"A": "b"}, b"\0ok")
+        )
+        late = self.keeper("node-3")
+        late_verdict = self.await_kind(late, ClaimVerdictKind.REPLAY)
+        self.assertEqual(late_verdict.replay, replay)
+
+    def test_concurrent_claims_have_one_first(self):
+        keepers = [self.keeper(f"node-{number}") for number in range(3)]
+        kinds = []
+        threads = [
+            threading.Thread(
+                target=lambda k=keeper: kinds.append(self.claim(k).unwrap().kind)
+            )
+            for keeper in keepers * 4
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(kinds.count(ClaimVerdictKind.FIRST), 1)
+        self.assertEqual(kinds.count(ClaimVerdictKind.IN_PROGRESS_OR_UNKNOWN), 11)
+
+    def test_lost_append_answer_is_settled_by_reading_back(self):
+        self.log.set_faults(lose_next_answers=1)
+        verdict = self.claim(self.keeper()).unwrap()
+        self.assertIs(verdict.kind, ClaimVerdictKind.FIRST)
+
+    def test_log_down_refuses_at_once_and_frees_the_key_afterwards(self):
+        keeper = self.keeper()
+        self.log.kill()
+        for _ in range(3):
+            began_s = time.monotonic()
+            error = self.claim(keeper).unwrap_err()
+            self.assertIs(error.outcome, Outcome.NOT_RUN)
+            self.assertLess(time.monotonic() - began_s, 0.3)
+        self.log.restart()
+        self.await_kind(keeper, ClaimVerdictKind.FIRST)
+
+    def test_claim_of_unknown_fate_is_never_run_and_frees_the_key(self):
+        keeper = self.keeper()
+        self.claim(keeper, key="warm-up").unwrap()
+        # The poll that is under way still returns once; only then are reads down.
+        self.log.set_faults(reads="unavailable")
+        self.claim(keeper, key="ends-the-poll").unwrap()
+        self.log.set_faults(lose_next_answers=1)
+        error = self.claim(keeper).unwrap_err()
+        self.assertIs(error.outcome, Outcome.NOT_RUN)
+        self.log.set_faults(reads="none")
+        other = self.keeper("node-2")
+        self.await_kind(other, ClaimVerdictKind.FIRST)
+        values = [
+            record["value"]
+            for record in self.log.history()["streams"]["claims"]["records"]
+        ]
+        self.assertIn("abandoned", [value["type"] for value in values])
+
+    def test_outage_answered_by_503_refuses_at_once(self):
+        keeper = self.keeper()
+        self.log.set_faults(appends="unavailable")
+        began_s = time.monotonic()
+        error = self.claim(keeper).unwrap_err()
+        self.assertIs(error.outcome, Outcome.NOT_RUN)
+        self.assertLess(time.monotonic() - began_s, 0.3)
+
+    def test_end_of_retention(self):
+        keeper = self.keeper(window_ms=1_200)
+        self.claim(keeper, key="seat-0").unwrap()
+        self.assertIs(self.claim(keeper).unwrap().kind, ClaimVerdictKind.FIRST)
+        self.log.set_faults(retention_records=1)
+        late = self.keeper("node-2", window_ms=1_200)
+        error = self.claim(late, key="seat-2").unwrap_err()
+        self.assertIs(error.outcome, Outcome.NOT_RUN)
+        # Marks show that the stream was kept, so that claims go on in time.
+        self.log.set_faults(retention_records=0)
+        self.await_kind(late, ClaimVerdictKind.FIRST)
+
+
+if __name__ == "__main__":
+    unittest.main()
