--- /dev/null
+++ b/src/crocuswick/operators/__init__.py
@@ -0,0 +1,8 @@
+"""The operators as a peer: their port and their command-line tool."""
+
+from __future__ import annotations
+
+from crocuswick.operators.admin import AdminProviders, admin_application
+from crocuswick.operators.exit_code import ExitCode
+
+__all__ = ["AdminProviders", "ExitCode", "admin_application"]
--- /dev/null
+++ b/src/crocuswick/operators/_output.py
@@ -0,0 +1,79 @@
+"""Writes results as tables for people or as JSON for programs."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import sys
+from typing import TYPE_CHECKING, Any
+
+from rich.console import Console
+from rich.table import Table
+from rich.text import Text
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping, Sequence
+
+__all__ = ["Output"]
+
+PIPE_WIDTH = 200
+
+
+class Output:
+    """The standard output and error of one command."""
+
+    def __init__(self, *, is_json: bool):
+        self.is_json = is_json
+        width = None if sys.stdout.isatty() else PIPE_WIDTH
+        self._console = Console(width=width, highlight=False)
+        self._errors = Console(stderr=True, highlight=False, soft_wrap=True)
+
+    def json(self, value: Any) -> None:
+        """Write a value as JSON."""
+        print(json.dumps(value, indent=2))
+
+    def line(self, text: str, *, style: str = "") -> None:
+        """Write a line for people."""
+        self._console.print(Text(text, style=style), soft_wrap=True)
+
+    def error(self, text: str) -> None:
+        """Write a line to standard error."""
+        self._errors.print(Text(text, style="red"))
+
+    def table(self, columns: Sequence[str], rows: Sequence[Mapping[str, Any]]) -> None:
+        """Write a table for people.
+
+        Args:
+            columns: Names of the columns, each a key of every row.
+            rows: The rows.
+        """
+        table = Table(box=None, pad_edge=False, header_style="bold")
+        for column in columns:
+            table.add_column(column.upper().replace("_", " "))
+        for row in rows:
+            table.add_row(*(_cell(row.get(column)) for column in columns))
+        self._console.print(table)
+
+    @contextlib.contextmanager
+    def progress(self, text: str) -> Iterator[Any]:
+        """Show a line that changes while something is awaited, on a terminal only.
+
+        Args:
+            text: The line at first.
+
+        Yields:
+            A function that replaces the line.
+        """
+        if not self._errors.is_terminal:
+            yield lambda text: None
+            return
+        with self._errors.status(text) as status:
+            yield status.update
+
+
+def _cell(value: Any) -> Text:
+    if value is None:
+        return Text("-")
+    if isinstance(value, bool):
+        return Text("yes" if value else "no")
+    return Text(str(value))
--- /dev/null
+++ b/src/crocuswick/operators/admin.py
@@ -0,0 +1,273 @@
+"""The operators' port: configuration, nodes, endpoints, time line, drain."""
+
+from __future__ import annotations
+
+import hmac
+import json
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import attrs
+import cattrs
+import cherrypy
+from result import Err, Ok, Result
+
+from crocuswick.configuration import (
+    Configuration,
+    Fault,
+    ObjectSet,
+    Verdict,
+    VerdictKind,
+    check_objects,
+    to_record,
+)
+from crocuswick.errors import PeerError
+from crocuswick.outcome import Outcome
+from crocuswick.time_line import TimeLineEvent
+
+__all__ = ["AdminProviders", "admin_application"]
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_SUBMISSION_ID_CHARACTERS = 128
+
+
+@attrs.frozen(kw_only=True)
+class AdminProviders:
+    """What the operators' port needs of its node."""
+
+    configuration: Callable[[], Configuration]
+    """Returns the configuration in force."""
+
+    submit: Callable[[ObjectSet, str, str], Result[Verdict, PeerError]]
+    """Submits a set under a submission id and an author's name."""
+
+    nodes: Callable[[], Sequence[Any]]
+    """Returns what the node believes of each node, as attrs objects."""
+
+    endpoints: Callable[[], Sequence[Any]]
+    """Returns what the node thinks of each endpoint, as attrs objects."""
+
+    explain: Callable[[str], Sequence[TimeLineEvent]]
+    """Returns the events of one request on all nodes."""
+
+    time_line: Callable[[], Sequence[TimeLineEvent]]
+    """Returns the events of all nodes."""
+
+    drain: Callable[[], None]
+    """Takes the node out of service, finishing what is in flight."""
+
+    secret: Callable[[], bytes]
+    """Returns the operators' key."""
+
+
+@attrs.frozen(kw_only=True)
+class _Problem:
+    """An answer that denies an operator's request."""
+
+    status: int
+    title: str
+    detail: str
+    outcome: Outcome = Outcome.NOT_RUN
+    faults: tuple[Fault, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class _Submission:
+    """A submission as it came over HTTP, its objects checked."""
+
+    submission_id: str
+    author: str
+    wanted: ObjectSet
+
+
+class _AdminRoot:
+    """The CherryPy root object of the operators' port."""
+
+    def __init__(self, *, providers: AdminProviders):
+        self._providers = providers
+        self._handlers_by_route: dict[tuple[str, str], Callable[[], Any]] = {
+            ("GET", "configuration"): self._get_configuration,
+            ("POST", "configuration"): self._submit,
+            ("GET", "nodes"): lambda: {"nodes": _plain(providers.nodes())},
+            ("GET", "endpoints"): lambda: {"endpoints": _plain(providers.endpoints())},
+            ("GET", "timeline"): lambda: {"events": _plain(providers.time_line())},
+            ("POST", "drain"): self._drain,
+        }
+
+    @cherrypy.expose
+    def default(self, *path: str, **_query: str) -> bytes:
+        """Answer every path."""
+        if not self._is_authorised():
+            problem = _Problem(
+                status=401,
+                title="unauthorised",
+                detail="the operators' key is missing or wrong",
+            )
+            return _answer(problem)
+        return _answer(self._route(path))
+
+    def _route(self, path: tuple[str, ...]) -> Any:
+        method = cherrypy.request.method
+        if method == "GET" and path[:2] == ("v1", "requests") and len(path) == 3:
+            return self._explain(path[2])
+        if len(path) != 2 or path[0] != "v1":
+            return _not_found("no such page")
+        handler = self._handlers_by_route.get((method, path[1]))
+        if handler is not None:
+            return handler()
+        if any(name == path[1] for _, name in self._handlers_by_route):
+            return _Problem(
+                status=405,
+                title="method-not-allowed",
+                detail=f"{method} is not answered here",
+            )
+        return _not_found("no such page")
+
+    def _is_authorised(self) -> bool:
+        header = cherrypy.request.headers.get("Authorization", "")
+        scheme, _, given = header.partition(" ")
+        secret = self._providers.secret()
+        matches = hmac.compare_digest(given.strip().encode(), secret)
+        return bool(secret) and scheme.lower() == "bearer" and matches
+
+    def _get_configuration(self) -> dict[str, Any]:
+        configuration = self._providers.configuration()
+        return {
+            "revision": configuration.revision,
+            "objects": [to_record(item) for item in configuration.objects()],
+        }
+
+    def _submit(self) -> Any:
+        read = _read_submission()
+        if read.is_err():
+            return read.unwrap_err()
+        submission = read.unwrap()
+        answer = self._providers.submit(
+            submission.wanted, submission.submission_id, submission.author
+        )
+        if answer.is_err():
+            return _log_problem(answer.unwrap_err())
+        verdict = answer.unwrap()
+        if verdict.kind is VerdictKind.LOST:
+            cherrypy.response.status = 409
+        if verdict.kind is VerdictKind.FAULTY:
+            cherrypy.response.status = 422
+        return {"verdict": _plain(verdict)}
+
+    def _explain(self, request_id: str) -> Any:
+        events = self._providers.explain(request_id)
+        if not events:
+            return _not_found(f"no node knows a request {request_id!r}")
+        return {"events": _plain(events)}
+
+    def _drain(self) -> dict[str, Any]:
+        self._providers.drain()
+        return {"draining": True}
+
+
+def admin_application(providers: AdminProviders) -> cherrypy.Application:
+    """Return the WSGI application of the operators' port.
+
+    Args:
+        providers: What the port needs of its node.
+    """
+    config = {
+        "/": {
+            "request.process_request_body": False,
+            "request.show_tracebacks": False,
+            "tools.encode.on": False,
+        }
+    }
+    application = cherrypy.Application(
+        _AdminRoot(providers=providers), "", config=config
+    )
+    application.log.access_log.disabled = True
+    return application
+
+
+def _read_submission() -> Result[_Submission, _Problem]:
+    body = _read_json()
+    if body.is_err():
+        return body
+    value = body.unwrap()
+    for field, is_sound in _SUBMISSION_FIELDS.items():
+        if not is_sound(value.get(field)):
+            return Err(_bad_request(f"the field {field!r} is missing or malformed"))
+    checked = check_objects(value["objects"])
+    if checked.is_err():
+        return Err(
+            _Problem(
+                status=422,
+                title="faulty-set",
+                detail="the set has faults and was not submitted",
+                faults=tuple(checked.unwrap_err()),
+            )
+        )
+    wanted = ObjectSet(base_revision=value["base_revision"], objects=checked.unwrap())
+    return Ok(
+        _Submission(
+            submission_id=value["submission_id"], author=value["author"], wanted=wanted
+        )
+    )
+
+
+def _is_name(value: Any) -> bool:
+    return isinstance(value, str) and 0 < len(value) <= MAX_SUBMISSION_ID_CHARACTERS
+
+
+_SUBMISSION_FIELDS: dict[str, Callable[[Any], bool]] = {
+    "submission_id": _is_name,
+    "author": _is_name,
+    "base_revision": lambda value: type(value) is int and value >= 0,
+    "objects": lambda value: isinstance(value, list),
+}
+
+
+def _read_json() -> Result[dict[str, Any], _Problem]:
+    length = cherrypy.request.headers.get("Content-Length", "")
+    if not length.isdigit():
+        return Err(
+            _Problem(status=411, title="length-required", detail="no Content-Length")
+        )
+    if int(length) > MAX_BODY_BYTES:
+        detail = f"the body exceeds {MAX_BODY_BYTES} bytes"
+        return Err(_Problem(status=413, title="body-too-large", detail=detail))
+    try:
+        value = json.loads(cherrypy.request.rfile.read(int(length)))
+    except (ValueError, RecursionError) as error:
+        return Err(_bad_request(f"the body is not JSON: {error}"))
+    if not isinstance(value, dict):
+        return Err(_bad_request("the body is not a JSON object"))
+    return Ok(value)
+
+
+def _bad_request(detail: str) -> _Problem:
+    return _Problem(status=400, title="bad-request", detail=detail)
+
+
+def _not_found(detail: str) -> _Problem:
+    return _Problem(status=404, title="not-found", detail=detail)
+
+
+def _log_problem(error: PeerError) -> _Problem:
+    return _Problem(
+        status=503,
+        title="log-unavailable",
+        detail=str(error),
+        outcome=error.outcome,
+    )
+
+
+def _answer(body: Any) -> bytes:
+    content_type = "application/json"
+    if isinstance(body, _Problem):
+        cherrypy.response.status = body.status
+        content_type = "application/problem+json"
+        # What is left of a refused body is not read, so the connection ends.
+        cherrypy.response.headers["Connection"] = "close"
+    cherrypy.response.headers["Content-Type"] = content_type
+    return json.dumps(_plain(body)).encode()
+
+
+def _plain(value: Any) -> Any:
+    return cattrs.unstructure(value)
--- /dev/null
+++ b/src/crocuswick/operators/ctl.py
@@ -0,0 +1,102 @@
+"""``crocuswickctl``, the operators' command-line tool."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+from absl import app, flags
+
+from crocuswick.operators._admin_client import AdminClient
+from crocuswick.operators._commands import COMMANDS_BY_NAME, Command, Context
+from crocuswick.operators._output import Output
+from crocuswick.operators.exit_code import ExitCode
+
+__all__ = ["main"]
+
+_JSON = flags.DEFINE_boolean("json", False, "Print JSON for programs.")
+_NODE = flags.DEFINE_string(
+    "node", "127.0.0.1:8081", "Operators' port of any node, as host:port."
+)
+_KEY_FILE = flags.DEFINE_string("key_file", "", "File with the operators' key.")
+_WAIT_S = flags.DEFINE_float(
+    "wait_s", 10.0, "Longest time that apply waits for all nodes; 0: do not wait."
+)
+
+EXAMPLES = """\
+Examples:
+  crocuswickctl check samples/swanfold.jsonc
+  crocuswickctl --node=10.0.0.7:8081 --key_file=operator.key diff new.jsonc
+  crocuswickctl --node=10.0.0.7:8081 --key_file=operator.key apply new.jsonc
+  crocuswickctl --node=10.0.0.7:8081 --key_file=operator.key --json nodes
+"""
+
+
+def main() -> None:
+    """Run the tool and exit with one of `ExitCode`."""
+    app.run(_run, flags_parser=_parse_flags)
+
+
+def _parse_flags(argv: list[str]) -> list[str]:
+    if any(argument in ("-h", "--help", "-help") for argument in argv[1:]):
+        print(_help_text())
+        sys.exit(ExitCode.OK)
+    try:
+        return flags.FLAGS(argv)
+    except flags.Error as error:
+        _fail_usage(str(error))
+
+
+def _run(argv: list[str]) -> int:
+    command = _command_of(argv)
+    output = Output(is_json=_JSON.value)
+    client = AdminClient(node=_NODE.value, secret=_secret(command))
+    context = Context(client=client, output=output, wait_s=_WAIT_S.value)
+    argument = argv[2] if command.argument else ""
+    return command.run(context, argument)
+
+
+def _command_of(argv: list[str]) -> Command:
+    if len(argv) < 2:
+        _fail_usage("no command is given")
+    command = COMMANDS_BY_NAME.get(argv[1])
+    if command is None:
+        _fail_usage(f"there is no command {argv[1]!r}")
+    wanted = 3 if command.argument else 2
+    if len(argv) != wanted:
+        _fail_usage(f"usage: crocuswickctl {command.name} {command.argument}")
+    return command
+
+
+def _secret(command: Command) -> str:
+    if not command.needs_node:
+        return ""
+    if not _KEY_FILE.value:
+        _fail_usage("--key_file is missing")
+    try:
+        return Path(_KEY_FILE.value).read_text().strip()
+    except (OSError, UnicodeDecodeError) as error:
+        _fail_usage(str(error))
+
+
+def _fail_usage(message: str) -> None:
+    print(message, file=sys.stderr)
+    print("crocuswickctl --help shows the commands.", file=sys.stderr)
+    sys.exit(ExitCode.USAGE)
+
+
+def _help_text() -> str:
+    lines = ["usage: crocuswickctl [flags] COMMAND [ARGUMENT]", "", "Commands:"]
+    for command in COMMANDS_BY_NAME.values():
+        usage = f"{command.name} {command.argument}".strip()
+        lines.append(f"  {usage:<22}{command.summary}")
+    lines += ["", "Flags:"]
+    for flag in (_NODE, _KEY_FILE, _JSON, _WAIT_S):
+        lines.append(f"  --{flag.name:<20}{flags.FLAGS[flag.name].help}")
+    lines += ["", "Exit codes:"]
+    lines += [f"  {code.value}  {code.name.lower()}" for code in ExitCode]
+    return "\n".join([*lines, "", EXAMPLES])
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the operators' port and tool."""
