Add the scenarios' runner, callers, faults and files

Scenarios start stand-ins and daemons, send traffic, cause faults and check the history. No scenario has run against a finished daemon yet; the tests of this commit cover the language, the checkers, the files and the sockets that a partition cuts.

--- a/tests/scenarios/checkers/own_answer.py
+++ b/tests/scenarios/checkers/own_answer.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from tests.scenarios.checkers.registry import Checked, Violation, checker
-from tests.scenarios.history import Completion, Ending
+from tests.scenarios.history import Booking, Completion, Ending
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -24,6 +24,16 @@
     return ""
 
 
+def _check_bookings(history: History) -> Iterator[Violation | Checked]:
+    for booking in history.of(Booking):
+        if booking.ending is not Ending.DONE:
+            continue
+        yield Checked(record=booking)
+        if booking.booked_seat != booking.seat:
+            reason = f"asked for {booking.seat}, was answered {booking.booked_seat}"
+            yield Violation(reason=reason, record=booking)
+
+
 @checker(
     property_name="own-answer",
     title="Each caller gets the whole answer to its own request",
@@ -39,3 +49,4 @@
         if len(completion.answer_ids) > 1 + completion.resumptions:
             reason = f"answers {completion.answer_ids} are mixed in one stream"
             yield Violation(reason=reason, record=completion)
+    yield from _check_bookings(history)
--- /dev/null
+++ b/tests/scenarios/cut_daemon.py
@@ -0,0 +1,113 @@
+"""Runs ``crocuswickd`` with sockets that a network partition can cut.
+
+The file named by the environment variable ``CUT_FILE`` holds the ports, as a JSON
+list, that the process cannot reach. Like in a partition, nothing is refused:
+connecting and reading wait, what is sent is lost, and a connection that lost data
+is of no use once the partition has healed.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import sys
+import threading
+import time
+from pathlib import Path
+from typing import Any
+
+__all__ = ["CutSocket", "cut_ports", "main"]
+
+CUT_FILE_VARIABLE = "CUT_FILE"
+POLL_INTERVAL_S = 0.02
+WAIT_STEP_S = 0.02
+CONNECT_TIMEOUT_S = 30.0
+
+cut_ports: set[int] = set()
+"""Ports that can't be reached now."""
+
+
+def follow_file(path: Path) -> None:
+    """Keep `cut_ports` as the file says."""
+    while True:
+        cut = set(json.loads(path.read_text())) if path.exists() else set()
+        if cut != cut_ports:
+            cut_ports.clear()
+            cut_ports.update(cut)
+        time.sleep(POLL_INTERVAL_S)
+
+
+class CutSocket(socket.socket):
+    """A socket that obeys `cut_ports`."""
+
+    _peer_port = 0
+    _lost_data = False
+
+    def connect(self, address: Any) -> None:
+        """Connect, unless the peer can't be reached."""
+        self._peer_port = address[1] if isinstance(address, tuple) else 0
+        self._wait(self.gettimeout() or CONNECT_TIMEOUT_S)
+        super().connect(address)
+
+    def send(self, data: Any, *flags: int) -> int:
+        """Send, or lose the data."""
+        if self._loses_data():
+            return memoryview(data).nbytes
+        return super().send(data, *flags)
+
+    def sendall(self, data: Any, *flags: int) -> None:
+        """Send, or lose the data."""
+        if not self._loses_data():
+            super().sendall(data, *flags)
+
+    def sendto(self, data: Any, *rest: Any) -> int:
+        """Send a datagram, or lose it."""
+        if rest[-1][1] in cut_ports:
+            return memoryview(data).nbytes
+        return super().sendto(data, *rest)
+
+    def recv(self, *arguments: Any) -> bytes:
+        """Receive, not before the peer can be reached."""
+        self._wait_to_read()
+        return super().recv(*arguments)
+
+    def recv_into(self, *arguments: Any) -> int:
+        """Receive, not before the peer can be reached."""
+        self._wait_to_read()
+        return super().recv_into(*arguments)
+
+    def _loses_data(self) -> bool:
+        if self._peer_port in cut_ports:
+            self._lost_data = True
+        elif self._lost_data:
+            raise ConnectionResetError("data was lost in a partition")
+        return self._lost_data
+
+    def _wait_to_read(self) -> None:
+        if self._peer_port and self.gettimeout() != 0:
+            self._wait(self.gettimeout() or CONNECT_TIMEOUT_S)
+            if self._lost_data:
+                raise ConnectionResetError("data was lost in a partition")
+
+    def _wait(self, timeout_s: float) -> None:
+        until_s = time.monotonic() + timeout_s
+        while self._peer_port in cut_ports:
+            if time.monotonic() > until_s:
+                raise TimeoutError("cut off by a partition")
+            time.sleep(WAIT_STEP_S)
+
+
+def main() -> None:
+    """Replace the socket class and run the daemon."""
+    path = Path(os.environ[CUT_FILE_VARIABLE])
+    threading.Thread(target=follow_file, args=(path,), daemon=True).start()
+    socket.socket = CutSocket  # type: ignore[misc]
+    # Imported only now, so that every module sees the replaced class.
+    from crocuswick.daemon import main as run_daemon
+
+    run_daemon()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/scenarios/history.py
+++ b/tests/scenarios/history.py
@@ -131,6 +131,8 @@
     status: int = 0
     outcome: str = ""
     booking: str = ""
+    booked_seat: str = ""
+    """The seat that the answer names."""
     step: str = ""
     detail: str = ""
 
--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -9,20 +9,16 @@
 from lark import Lark, Token, Tree
 from lark.exceptions import UnexpectedCharacters, UnexpectedEOF, UnexpectedInput
 
+from tests.scenarios.actions import actions_by_verb
 from tests.scenarios.checkers import checkers_by_property
-from tests.scenarios.vocabulary import (
-    ACTIONS,
-    COUNTERS,
-    MEASURES,
-    PART_KINDS,
-    TRAFFIC_OPTIONS,
-    TRAFFICS,
-)
+from tests.scenarios.measures import measures_by_name
+from tests.scenarios.traffic import traffics_by_kind
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
 __all__ = [
+    "PART_KINDS",
     "Action",
     "At",
     "Event",
@@ -40,7 +36,9 @@
 
 GRAMMAR_FILE = Path(__file__).with_name("scenario.lark")
 HEADER_NAMES = ("name", "tab", "property")
-ANY_COUNT = 1
+PART_KINDS = frozenset({"zone", "node", "engine", "service"})
+COUNTERS = frozenset({"answers", "tokens", "bookings", "revisions"})
+STAND_INS = frozenset({"log", "vm-list"})
 
 
 class ScenarioError(Exception):
@@ -231,9 +229,9 @@
 @_builds("send")
 def _build_send(source: _Source, tree: Tree[Token]) -> Send:
     kind, callers, duration, options = tree.children
-    name = source.word(kind, TRAFFICS, "traffic")
+    name = source.word(kind, traffics_by_kind, "traffic")
     for option in options.children if options else ():
-        source.word(option.children[0], TRAFFIC_OPTIONS[name], "option")
+        source.word(option.children[0], traffics_by_kind[name].options, "option")
     return Send(
         kind=name,
         callers=int(callers),
@@ -261,7 +259,7 @@
 @_builds("some")
 def _build_some(source: _Source, tree: Tree[Token]) -> Some:
     number, kind = tree.children
-    count = ANY_COUNT if number.type == "ONE" else int(number)
+    count = 1 if number.type == "ONE" else int(number)
     singular = str(kind) if count == 1 else str(kind).removesuffix("s")
     source.word(Token.new_borrow_pos("NAME", singular, kind), PART_KINDS, "part")
     return Some(count=count, kind=singular)
@@ -280,8 +278,12 @@
 @_builds("action")
 def _build_action(source: _Source, tree: Tree[Token]) -> Action:
     verb, target, alias, duration, options = tree.children
+    kind = actions_by_verb[source.word(verb, actions_by_verb, "action")]
+    if options is not None and kind.options is not None:
+        for option in options.children:
+            source.word(option.children[0], kind.options, "option")
     return Action(
-        verb=source.word(verb, ACTIONS, "action"),
+        verb=str(verb),
         target=source.build(target),
         alias=str(alias or ""),
         for_s=None if duration is None else _seconds(duration),
@@ -304,7 +306,7 @@
     measure, side, amount = tree.children
     percent = amount.type == "NUMBER_PERCENT"
     return Expectation(
-        measure=source.word(measure, MEASURES, "measure"),
+        measure=source.word(measure, measures_by_name, "measure"),
         at_least=side.type == "AT_LEAST",
         amount=float(amount.rstrip("%")) / 100 if percent else int(amount),
     )
@@ -336,7 +338,7 @@
 
 def _check_names(source: _Source, scenario: Scenario, trees: list[Tree[Token]]) -> None:
     """Check that ``the NAME`` names a stand-in or an alias of an earlier event."""
-    known = {"log", "vm-list"}
+    known = set(STAND_INS)
     for kind, count in scenario.counts_by_kind.items():
         known.update(f"{kind}-{number}" for number in range(1, count + 1))
     for tree in trees:
--- /dev/null
+++ b/tests/scenarios/runner.py
@@ -0,0 +1,243 @@
+"""Runs one scenario: starts its fleet, lets it happen, checks the history."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+
+from tests.fakes.launcher import wait_until
+from tests.fleet import MODEL
+from tests.scenarios.actions import incarnation_of
+from tests.scenarios.balancer import Balancer, NodeAddress
+from tests.scenarios.callers import CompletionCaller, CompletionOrder, Organisation
+from tests.scenarios.checkers import Verdict, check, checkers_by_property
+from tests.scenarios.configuration_watcher import ConfigurationWatcher
+from tests.scenarios.deployment import Deployment, plan_of
+from tests.scenarios.harvest import harvest
+from tests.scenarios.history import Ending, History
+from tests.scenarios.measures import measures_by_name
+from tests.scenarios.recorder import Recorder, now_s
+from tests.scenarios.run_state import LifeBook, RunState
+from tests.scenarios.script import Script
+from tests.scenarios.supervisor import Supervisor
+from tests.scenarios.traffic import traffics_by_kind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tests.scenarios.language import Expectation, Scenario, Send
+
+__all__ = ["Report", "run_scenario"]
+
+TRAFFIC_GRACE_S = 45.0
+EVENT_GRACE_S = 60.0
+WARM_UP_TIMEOUT_S = 20.0
+
+
+@attrs.frozen(kw_only=True)
+class Report:
+    """What a run showed."""
+
+    scenario: str
+    seed: int
+    duration_s: float
+    history: History
+    verdicts: tuple[Verdict, ...]
+    faults: tuple[str, ...]
+    """Everything that did not hold, in words."""
+    measured_by_name: dict[str, float]
+
+    @property
+    def holds(self) -> bool:
+        """Whether everything held."""
+        return not self.faults
+
+
+class _Traffic:
+    """The callers of a run, each on a thread of its own."""
+
+    def __init__(self, *, state: RunState, sends: tuple[Send, ...]):
+        self._sends = sends
+        self._threads = [
+            threading.Thread(target=self._call, args=(state, send, number), daemon=True)
+            for send in sends
+            for number in range(send.callers)
+        ]
+        self.failures: list[str] = []
+
+    def start(self) -> None:
+        """Start the callers."""
+        for thread in self._threads:
+            thread.start()
+
+    def join(self) -> None:
+        """Wait for the callers' last calls."""
+        longest_s = max((send.for_s for send in self._sends), default=0.0)
+        until_s = time.monotonic() + longest_s + TRAFFIC_GRACE_S
+        for thread in self._threads:
+            thread.join(max(0.0, until_s - time.monotonic()))
+            if thread.is_alive():
+                self.failures.append("a caller never came to an end")
+
+    def _call(self, state: RunState, send: Send, number: int) -> None:
+        until_s = time.monotonic() + send.for_s
+        try:
+            traffics_by_kind[send.kind].loop(state, send.options, number, until_s)
+        except Exception as error:  # noqa: BLE001 - reported with the run's result
+            self.failures.append(f"{send.kind} caller {number}: {error!r}")
+
+
+def _new_state(deployment: Deployment, seed: int) -> RunState:
+    lives = LifeBook()
+    recorder = Recorder()
+    nodes = [NodeAddress(node=node.name, url=node.url) for node in deployment.nodes]
+    balancer = Balancer(nodes=nodes, seed=seed, on_ready=lives.ready)
+    return RunState(
+        deployment=deployment,
+        recorder=recorder,
+        balancer=balancer,
+        seed=seed,
+        lives=lives,
+    )
+
+
+def _begin_lives(state: RunState) -> None:
+    for node in state.deployment.parts("node"):
+        state.lives.begin(node, recovered=False)
+    for engine in state.deployment.parts("engine"):
+        incarnation = incarnation_of(state, engine)
+        state.lives.begin(engine, recovered=False, incarnation=incarnation)
+
+
+def _warm_up(state: RunState) -> None:
+    """Wait until every node answers a completion, outside of the history."""
+    for node in state.deployment.nodes:
+        address = NodeAddress(node=node.name, url=node.url)
+        balancer = Balancer(nodes=[address], seed=0, on_ready=lambda *_: None)
+        caller = CompletionCaller(balancer=balancer, recorder=Recorder())
+        wait_until(
+            lambda caller=caller: _answers(caller, state.organisations[0]),
+            timeout_s=WARM_UP_TIMEOUT_S,
+            interval_s=0.1,
+            what=f"{node.name} to answer",
+        )
+
+
+def _answers(caller: CompletionCaller, organisation: Organisation) -> bool:
+    order = CompletionOrder(
+        organisation=organisation, model=MODEL, prompt="warm up", max_tokens=1
+    )
+    return caller.run(order).ending is Ending.DONE
+
+
+def _expectation_fault(expectation: Expectation, history: History) -> str:
+    measured = measures_by_name[expectation.measure](history)
+    if expectation.at_least:
+        holds = measured >= expectation.amount
+    else:
+        holds = measured <= expectation.amount
+    return "" if holds else f"expected {expectation.text}, measured {measured:.3g}"
+
+
+def _verdict_faults(verdict: Verdict, *, must_examine: bool) -> list[str]:
+    faults = [
+        f"{verdict.property_name}: {violation.reason}"
+        for violation in verdict.violations
+    ]
+    if must_examine and not verdict.checked:
+        faults.append(f"{verdict.property_name}: nothing was examined")
+    return faults
+
+
+def _report(
+    scenario: Scenario, state: RunState, failures: list[str], started_s: float
+) -> Report:
+    records = [*state.recorder.records(), *harvest(state)]
+    history = History(records=records)
+    verdicts = tuple(check(name, history) for name in checkers_by_property)
+    must_examine = {scenario.property_name, *scenario.held}
+    faults = list(failures)
+    for verdict in verdicts:
+        faults += _verdict_faults(
+            verdict, must_examine=verdict.property_name in must_examine
+        )
+    faults += filter(
+        None, (_expectation_fault(item, history) for item in scenario.expectations)
+    )
+    return Report(
+        scenario=scenario.name,
+        seed=state.seed,
+        duration_s=time.monotonic() - started_s,
+        history=history,
+        verdicts=verdicts,
+        faults=tuple(faults),
+        measured_by_name={
+            name: measure(history) for name, measure in measures_by_name.items()
+        },
+    )
+
+
+def _let_happen(
+    scenario: Scenario, state: RunState, log: Callable[[str], None]
+) -> list[str]:
+    """Run traffic and events to their end and return what went wrong in them."""
+    traffic = _Traffic(state=state, sends=scenario.sends)
+    script = Script(state=state, events=scenario.events, log=log)
+    log(f"{now_s():.3f} traffic begins")
+    traffic.start()
+    script.start()
+    traffic.join()
+    script.join(timeout_s=EVENT_GRACE_S)
+    state.stopped.set()
+    for take_back in state.undo:
+        take_back()
+    return traffic.failures + script.failures
+
+
+def run_scenario(
+    scenario: Scenario,
+    *,
+    seed: int,
+    log: Callable[[str], None] = lambda line: None,
+) -> Report:
+    """Run a scenario once.
+
+    Args:
+        scenario: The scenario.
+        seed: Decides times, victims and the order of prompts.
+        log: Called with a line about each step.
+
+    Returns:
+        What the run showed.
+    """
+    started_s = time.monotonic()
+    random.seed(seed)
+    plan = plan_of(scenario.counts_by_kind, scenario.start_options)
+    with Deployment(plan=plan) as deployment:
+        state = _new_state(deployment, seed)
+        _begin_lives(state)
+        deployment.configure()
+        deployment.wait_ready()
+        _warm_up(state)
+        watcher = ConfigurationWatcher(
+            ports=deployment.operators_ports(), recorder=state.recorder
+        )
+        supervisor = Supervisor(state=state)
+        state.balancer.start()
+        watcher.start()
+        supervisor.start()
+        wait_until(
+            lambda: len(state.balancer.ready_nodes()) == len(deployment.nodes),
+            what="all nodes to be ready",
+        )
+        try:
+            failures = _let_happen(scenario, state, log)
+        finally:
+            supervisor.stop()
+            watcher.stop()
+            state.balancer.stop()
+        return _report(scenario, state, failures, started_s)
--- a/tests/scenarios/test_checkers.py
+++ b/tests/scenarios/test_checkers.py
@@ -66,6 +66,7 @@
         "ending": Ending.DONE,
         "status": 201,
         "booking": "booking-1",
+        "booked_seat": "s1",
     }
     return Booking(**(fields | changes))
 
@@ -254,6 +255,10 @@
     def test_mixed_answer_ids(self):
         self.assert_breach(self.name, "mixed", completion(answer_ids=("a", "b")))
 
+    def test_booking_of_another_seat(self):
+        self.assert_holds(self.name, booking())
+        self.assert_breach(self.name, "answered s2", booking(booked_seat="s2"))
+
     @given(st.text(alphabet="ab ", max_size=9))
     @settings(max_examples=200, deadline=None, derandomize=True)
     def test_only_the_expected_text_holds(self, text):
