--- a/src/crocuswick/configuration/checks.py
+++ b/src/crocuswick/configuration/checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -14,7 +15,7 @@
 from crocuswick.configuration.objects import KINDS_BY_NAME, ConfigurationObject
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Sequence
 
     from crocuswick.jsonc import JsoncDocument
 
@@ -22,10 +23,13 @@
     "Fault",
     "ObjectSet",
     "check_objects",
+    "check_revision",
     "check_set",
     "parse_set",
 ]
 
+MAX_REFERENCE_HINTS = 20
+
 _SET_FIELDS = frozenset({"base_revision", "objects"})
 
 
@@ -111,12 +115,34 @@
     return Ok(parsed)
 
 
+def check_revision(
+    kept: Sequence[ConfigurationObject], raw_objects: Sequence[Any]
+) -> Result[tuple[ConfigurationObject, ...], list[Fault]]:
+    """Check the objects of a new revision of which most are not changed.
+
+    Args:
+        kept: Objects taken over from a checked revision.
+        raw_objects: Plain JSON objects that are new or replace one.
+
+    Returns:
+        All objects, or every fault, without lines.
+    """
+    parsed, placed = _check_raw_objects(raw_objects, kept=kept)
+    if placed:
+        return Err([_place(fault, line=None) for fault in placed])
+    return Ok((*kept, *parsed))
+
+
 def _check_raw_objects(
-    raw_objects: list[Any],
+    raw_objects: Sequence[Any], *, kept: Sequence[ConfigurationObject] = ()
 ) -> tuple[tuple[ConfigurationObject, ...], list[PlacedFault]]:
     faults: list[PlacedFault] = []
-    entries: list[Entry] = []
     items: list[ConfigurationObject] = []
+    # Kept objects were parsed before, so only what they refer to is checked.
+    entries = [
+        Entry(index=-1, kind=item.kind_name, values_by_field=vars(item))
+        for item in kept
+    ]
     for index, raw in enumerate(raw_objects):
         kind_problem = _kind_problem(raw)
         if kind_problem is not None:
@@ -162,14 +188,28 @@
     ids_by_kind: dict[str, set[str]] = {name: set() for name in KINDS_BY_NAME}
     for entry in entries:
         ids_by_kind[entry.kind].add(entry.get("id") or "")
+    hints_left = MAX_REFERENCE_HINTS
     for entry in entries:
-        for attribute in attrs.fields(KINDS_BY_NAME[entry.kind].object_type):
-            kind = spec_of(attribute).refers_to
-            target = entry.get(attribute.name)
-            if kind and target is not None and target not in ids_by_kind[kind]:
-                hint = nearest_name(target, ids_by_kind[kind])
-                message = f"the set has no {kind} {target!r}{hint}"
-                yield entry.fault((attribute.name,), message)
+        for field, kind in _reference_fields(entry.kind):
+            target = entry.get(field)
+            if target is None or target in ids_by_kind[kind]:
+                continue
+            # A search for the nearest name costs milliseconds in a large set.
+            hint = nearest_name(target, ids_by_kind[kind]) if hints_left else ""
+            hints_left = max(0, hints_left - 1)
+            message = f"the set has no {kind} {target!r}{hint}"
+            yield entry.fault((field,), message)
+
+
+@functools.cache
+def _reference_fields(kind: str) -> tuple[tuple[str, str], ...]:
+    """Return the fields of a kind that refer to objects, and to which kind."""
+    attributes = attrs.fields(KINDS_BY_NAME[kind].object_type)
+    return tuple(
+        (attribute.name, spec_of(attribute).refers_to)
+        for attribute in attributes
+        if spec_of(attribute).refers_to
+    )
 
 
 def _check_envelope(document: JsoncDocument) -> list[Fault]:
--- a/src/crocuswick/configuration/fold.py
+++ b/src/crocuswick/configuration/fold.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from crocuswick.configuration.checks import check_objects
+from crocuswick.configuration.checks import check_revision
 from crocuswick.configuration.model import Configuration
 from crocuswick.configuration.state import (
     VERDICTS_KEPT,
@@ -17,7 +17,7 @@
 )
 from crocuswick.configuration.submission import (
     Submission,
-    apply_change,
+    kept_objects,
     submission_from_record,
 )
 from crocuswick.configuration.verdict import Verdict, VerdictKind
@@ -183,7 +183,7 @@
         return _with_verdict(state, _lost(state, submission))
     if not (submission.put or submission.removed):
         return _with_verdict(state, _verdict(state, submission, VerdictKind.UNCHANGED))
-    checked = check_objects(apply_change(current, submission))
+    checked = check_revision(kept_objects(current, submission), submission.put)
     if checked.is_err():
         verdict = attrs.evolve(
             _verdict(state, submission, VerdictKind.FAULTY),
--- a/src/crocuswick/configuration/submission.py
+++ b/src/crocuswick/configuration/submission.py
@@ -16,8 +16,8 @@
     "Change",
     "ObjectName",
     "Submission",
-    "apply_change",
     "change_between",
+    "kept_objects",
     "submission_from_record",
     "submission_to_record",
 ]
@@ -100,27 +100,19 @@
     )
 
 
-def apply_change(base: Configuration, submission: Submission) -> list[dict[str, Any]]:
-    """Return the plain objects that a submission leads to.
+def kept_objects(
+    base: Configuration, submission: Submission
+) -> list[ConfigurationObject]:
+    """Return the objects of a revision that a submission leaves as they are.
 
     Args:
         base: The revision that the submission is based on.
         submission: The submission.
     """
-    records_by_name = {_name_of(item): to_record(item) for item in base.objects()}
-    for name in submission.removed:
-        records_by_name.pop(name, None)
-    extra = []
-    seen = set()
+    touched = set(submission.removed)
     for record in submission.put:
-        name = ObjectName(kind=str(record.get("kind")), id=str(record.get("id")))
-        if name in seen:
-            # Kept twice on purpose, so that the check reports the duplicate.
-            extra.append(record)
-            continue
-        seen.add(name)
-        records_by_name[name] = record
-    return [*records_by_name.values(), *extra]
+        touched.add(ObjectName(kind=str(record.get("kind")), id=str(record.get("id"))))
+    return [item for item in base.objects() if _name_of(item) not in touched]
 
 
 def submission_to_record(submission: Submission) -> dict[str, Any]:
