--- /dev/null
+++ b/src/crocuswick/callers/problem.py
@@ -0,0 +1,52 @@
+"""Renders refusals as problem+json, with the fields that usual clients read."""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from crocuswick.errors import Refusal
+
+__all__ = ["OUTCOME_HEADER", "problem_body", "problem_headers"]
+
+OUTCOME_HEADER = "X-Crocuswick-Outcome"
+
+
+def problem_document(refusal: Refusal, request_id: str) -> dict[str, Any]:
+    """Return the JSON document of a refusal."""
+    return {
+        "type": f"urn:crocuswick:problem:{refusal.title}",
+        "title": refusal.title,
+        "status": refusal.status,
+        "detail": refusal.detail,
+        "outcome": refusal.outcome.value,
+        "step": refusal.step,
+        "peer": refusal.peer,
+        "field": refusal.field,
+        "retry_after_s": refusal.retry_after_s,
+        "request_id": request_id,
+        "error": {
+            "message": refusal.detail,
+            "type": refusal.title,
+            "param": refusal.field or None,
+            "code": refusal.outcome.value,
+        },
+    }
+
+
+def problem_body(refusal: Refusal, request_id: str) -> bytes:
+    """Return the body of a refusal."""
+    return json.dumps(problem_document(refusal, request_id)).encode()
+
+
+def problem_headers(refusal: Refusal) -> dict[str, str]:
+    """Return the headers of a refusal, ``Retry-After`` in whole seconds."""
+    headers = {
+        "Content-Type": "application/problem+json",
+        OUTCOME_HEADER: refusal.outcome.value,
+    }
+    if refusal.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(refusal.retry_after_s)))
+    return headers
--- /dev/null
+++ b/src/crocuswick/callers/server.py
@@ -0,0 +1,534 @@
+"""The HTTP interface for callers: completions, plain services, health."""
+
+from __future__ import annotations
+
+import json
+import time
+import uuid
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import cherrypy
+from result import Ok, Result
+
+from crocuswick.block_key import count_tokens
+from crocuswick.callers._completion_format import (
+    DONE_EVENT,
+    CompletionFormat,
+    error_event,
+)
+from crocuswick.callers.completion import (
+    CompletionContext,
+    CompletionRun,
+    Delivery,
+    fingerprint,
+)
+from crocuswick.callers.completion_request import (
+    CompletionRequest,
+    Dialect,
+    parse_completion,
+)
+from crocuswick.callers.problem import problem_body, problem_headers
+from crocuswick.callers.service_run import ServiceContext, ServiceRequest, ServiceRun
+from crocuswick.configuration import Configuration
+from crocuswick.dispatcher import Dispatcher
+from crocuswick.endpoints import ServiceCall
+from crocuswick.errors import Refusal
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from crocuswick.limits import Ticket
+
+__all__ = ["CallersInterface", "CallersRoot", "callers_application"]
+
+HOP_HEADERS = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+        "date",
+        "server",
+    }
+)
+EVENT_STREAM = "text/event-stream; charset=utf-8"
+MAX_KEY_CHARACTERS = 255
+STARTING_RETRY_AFTER_S = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class CallersInterface:
+    """What the interface needs of its node."""
+
+    completions: CompletionContext
+    services: ServiceContext
+    configuration: Callable[[], Configuration]
+    """Returns the configuration in force."""
+
+    ready: Callable[[], bool]
+    """Whether the node takes new work."""
+
+    max_body_bytes: int
+    """Largest request body accepted."""
+
+
+class _RefusedError(Exception):
+    def __init__(self, refusal: Refusal):
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+class CallersRoot:
+    """The CherryPy root object of the callers' port."""
+
+    def __init__(self, *, interface: CallersInterface):
+        self._interface = interface
+        self._metrics = interface.completions.metrics
+        self._dispatcher = interface.completions.dispatcher
+
+    @cherrypy.expose
+    def index(self, **_query: str) -> bytes:
+        """Refuse the root path, which has no content."""
+        return self._refuse(_not_found("/"), "")
+
+    @cherrypy.expose
+    def default(self, *path: str, **_query: str) -> Any:
+        """Route every path but the health pages."""
+        request_id = uuid.uuid4().hex
+        cherrypy.response.headers["X-Crocuswick-Request-Id"] = request_id
+        try:
+            return self._route(path, request_id)
+        except _RefusedError as error:
+            return self._refuse(error.refusal, request_id)
+
+    @cherrypy.expose
+    def healthz(self, **_query: str) -> bytes:
+        """Answer while the process lives."""
+        return self._plain(b"ok\n")
+
+    @cherrypy.expose
+    def readyz(self, **_query: str) -> bytes:
+        """Answer 200 only while the node takes new work."""
+        if self._interface.ready():
+            return self._plain(b"ready\n")
+        cherrypy.response.status = 503
+        return self._plain(b"not ready\n")
+
+    @cherrypy.expose
+    def metrics(self, **_query: str) -> bytes:
+        """Answer the metrics in the Prometheus text format."""
+        body, headers = self._metrics.render()
+        cherrypy.response.headers.update(headers)
+        return body
+
+    def _route(self, path: tuple[str, ...], request_id: str) -> Any:
+        method = cherrypy.request.method
+        if path[:1] == ("services",) and len(path) > 1:
+            return self._service(path[1], request_id)
+        routes = {
+            ("POST", ("v1", "completions")): self._text_completion,
+            ("POST", ("v1", "chat", "completions")): self._chat_completion,
+            ("GET", ("v1", "models")): self._models,
+            ("GET", ("v1", "streams")): self._resume,
+        }
+        handler = routes.get((method, path))
+        if handler is not None:
+            return handler(request_id)
+        if any(known == path for _, known in routes):
+            raise _RefusedError(_wrong_method(method))
+        raise _RefusedError(_not_found("/" + "/".join(path)))
+
+    def _text_completion(self, request_id: str) -> Any:
+        return self._completion(Dialect.TEXT, request_id)
+
+    def _chat_completion(self, request_id: str) -> Any:
+        return self._completion(Dialect.CHAT, request_id)
+
+    def _models(self, request_id: str) -> bytes:
+        configuration, _ = self._authenticated()
+        models = sorted(
+            policy.model for policy in configuration.routing_policies_by_id.values()
+        )
+        data = [
+            {"id": model, "object": "model", "created": 0, "owned_by": "crocuswick"}
+            for model in models
+        ]
+        return self._json({"object": "list", "data": data})
+
+    def _completion(self, dialect: str, request_id: str) -> Any:
+        configuration, organisation = self._authenticated()
+        resume_token = cherrypy.request.headers.get("Last-Event-ID")
+        if resume_token:
+            return self._resume_stream(resume_token, organisation, request_id, dialect)
+        request = _value(
+            parse_completion(
+                body=self._body(),
+                dialect=dialect,
+                request_id=request_id,
+                organisation=organisation,
+                priority_name=cherrypy.request.headers.get("X-Priority", "interactive"),
+                configuration=configuration,
+            )
+        )
+        ticket = self._admit(
+            organisation=organisation,
+            tokens=count_tokens(request.prompt) + request.max_tokens,
+            priority=request.priority,
+            fingerprint=fingerprint(request),
+        )
+        return self._answer(request, ticket)
+
+    def _answer(self, request: CompletionRequest, ticket: Ticket) -> Any:
+        run = CompletionRun(context=self._interface.completions, request=request)
+        deliveries = self._timed(run.deliveries())
+        return self._render(
+            deliveries,
+            ticket,
+            CompletionFormat.of(request),
+            request.request_id,
+            stream=request.stream,
+        )
+
+    def _render(
+        self,
+        deliveries: Iterator[Result[Delivery, Refusal]],
+        ticket: Ticket,
+        form: CompletionFormat,
+        request_id: str,
+        *,
+        stream: bool,
+    ) -> Any:
+        """Answer with deliveries once the first one is there.
+
+        The ticket is released when the answer has ended, however it ends.
+        """
+        streaming = False
+        try:
+            first = _value(next(deliveries))
+            headers = cherrypy.response.headers
+            headers["X-Crocuswick-Endpoint"] = first.endpoint_id
+            if not stream:
+                return self._whole(first, deliveries, form)
+            headers["Content-Type"] = EVENT_STREAM
+            headers["Cache-Control"] = "no-store"
+            cherrypy.response.stream = True
+            streaming = True
+            return self._events(first, deliveries, ticket, form, request_id)
+        finally:
+            if not streaming:
+                deliveries.close()
+                self._release(ticket)
+
+    def _whole(
+        self,
+        first: Delivery,
+        deliveries: Iterator[Result[Delivery, Refusal]],
+        form: CompletionFormat,
+    ) -> bytes:
+        delivered = [first]
+        for item in deliveries:
+            delivered.append(_value(item))
+        cherrypy.response.headers["Content-Type"] = "application/json"
+        text = "".join(delivery.text for delivery in delivered)
+        return form.document(text, delivered[-1])
+
+    def _events(
+        self,
+        first: Delivery,
+        deliveries: Iterator[Result[Delivery, Refusal]],
+        ticket: Ticket,
+        form: CompletionFormat,
+        request_id: str,
+    ) -> Iterator[bytes]:
+        try:
+            yield form.event(first)
+            for item in deliveries:
+                if item.is_err():
+                    self._count_refusal(item.err_value)
+                    yield error_event(problem_body(item.err_value, request_id))
+                    return
+                yield form.event(item.ok_value)
+            yield DONE_EVENT
+        finally:
+            deliveries.close()
+            self._release(ticket)
+
+    def _timed(
+        self, deliveries: Iterator[Result[Delivery, Refusal]]
+    ) -> Iterator[Result[Delivery, Refusal]]:
+        began_s = time.monotonic()
+        try:
+            first = next(deliveries)
+            self._metrics.ttft.observe({}, time.monotonic() - began_s)
+            yield first
+            yield from deliveries
+        finally:
+            deliveries.close()
+
+    def _resume(self, request_id: str) -> Any:
+        _, organisation = self._authenticated()
+        token = cherrypy.request.headers.get("Last-Event-ID", "")
+        return self._resume_stream(token, organisation, request_id, Dialect.TEXT)
+
+    def _resume_stream(
+        self, token: str, organisation: str, request_id: str, dialect: str
+    ) -> Any:
+        read = self._interface.completions.tokens.read(token)
+        if read.is_err() or read.ok_value.organisation != organisation:
+            raise _RefusedError(_bad_token())
+        point = read.ok_value
+        ticket = self._admit(organisation=organisation, tokens=0, priority=0)
+        request = CompletionRequest(
+            request_id=request_id,
+            organisation=organisation,
+            dialect=dialect,
+            model=point.model,
+            engine_model="",
+            weights_version="",
+            pool=point.pool,
+            prompt="",
+            max_tokens=0,
+            priority=0,
+            stream=True,
+            deadline_ms=60_000,
+            options={},
+        )
+        run = CompletionRun(context=self._interface.completions, request=request)
+        form = CompletionFormat.of(request)
+        return self._render(run.resume(point), ticket, form, request_id, stream=True)
+
+    def _service(self, prefix: str, request_id: str) -> bytes:
+        configuration, organisation = self._authenticated()
+        service = configuration.service_for_prefix(prefix)
+        if service is None:
+            raise _RefusedError(_not_found(f"/services/{prefix}"))
+        request = ServiceRequest(
+            request_id=request_id,
+            organisation=organisation,
+            service=service,
+            pool=configuration.endpoint_pools_by_id[service.pool],
+            call=self._service_call(prefix, organisation, request_id),
+            idempotency_key=_idempotency_key(),
+        )
+        ticket = self._admit(organisation=organisation, tokens=0, priority=0)
+        try:
+            run = ServiceRun(context=self._interface.services, request=request)
+            answer = _value(run.run())
+        finally:
+            self._release(ticket)
+        cherrypy.response.status = answer.status
+        for name, value in answer.headers.items():
+            if name.lower() not in HOP_HEADERS:
+                cherrypy.response.headers[name] = value
+        self._count_request("services", answer.status)
+        return answer.body
+
+    def _service_call(
+        self, prefix: str, organisation: str, request_id: str
+    ) -> ServiceCall:
+        request = cherrypy.request
+        raw_path = request.wsgi_environ.get("REQUEST_URI", request.path_info)
+        path = raw_path.split("?", 1)[0].removeprefix(f"/services/{prefix}") or "/"
+        if request.query_string:
+            path = f"{path}?{request.query_string}"
+        headers = {
+            name: value
+            for name, value in request.headers.items()
+            if name.lower() not in HOP_HEADERS and name != "Remote-Addr"
+        }
+        headers["X-Organisation"] = organisation
+        headers["X-Request-Id"] = request_id
+        return ServiceCall(
+            method=request.method, path=path, headers=headers, body=self._body()
+        )
+
+    def _authenticated(self) -> tuple[Configuration, str]:
+        configuration = self._interface.configuration()
+        if configuration.revision == 0:
+            raise _RefusedError(_starting())
+        scheme, _, secret = cherrypy.request.headers.get("Authorization", "").partition(
+            " "
+        )
+        organisation = None
+        if scheme.lower() == "bearer" and secret:
+            organisation = configuration.organisation_id_for_key(secret.strip())
+        if organisation is None:
+            raise _RefusedError(_unauthorised())
+        return configuration, organisation
+
+    def _admit(
+        self,
+        *,
+        organisation: str,
+        tokens: int,
+        priority: int,
+        fingerprint: str | None = None,
+    ) -> Ticket:
+        return _value(
+            self._dispatcher.ask(
+                Dispatcher.Admit(
+                    organisation=organisation,
+                    tokens=tokens,
+                    priority=priority,
+                    fingerprint=fingerprint,
+                )
+            )
+        )
+
+    def _release(self, ticket: Ticket) -> None:
+        self._dispatcher.tell(Dispatcher.Release(ticket=ticket))
+
+    def _body(self) -> bytes:
+        limit = self._interface.max_body_bytes
+        declared = cherrypy.request.headers.get("Content-Length")
+        chunked = "Transfer-Encoding" in cherrypy.request.headers
+        if declared is None and not chunked:
+            return b""
+        if declared is not None and int(declared) > limit:
+            raise _RefusedError(_too_large(limit))
+        body = cherrypy.request.rfile.read(limit + 1 if chunked else int(declared))
+        if len(body) > limit:
+            raise _RefusedError(_too_large(limit))
+        return body
+
+    def _refuse(self, refusal: Refusal, request_id: str) -> bytes:
+        cherrypy.response.status = refusal.status
+        cherrypy.response.headers.update(problem_headers(refusal))
+        # What is left of a refused body is not read, so the connection ends.
+        cherrypy.response.headers["Connection"] = "close"
+        self._count_refusal(refusal)
+        return problem_body(refusal, request_id)
+
+    def _count_refusal(self, refusal: Refusal) -> None:
+        self._metrics.refusals.inc(
+            {"title": refusal.title, "outcome": refusal.outcome.value}
+        )
+
+    def _count_request(self, route: str, status: int) -> None:
+        self._metrics.requests.inc({"route": route, "status": str(status)})
+
+    def _plain(self, body: bytes) -> bytes:
+        cherrypy.response.headers["Content-Type"] = "text/plain"
+        return body
+
+    def _json(self, document: Any) -> bytes:
+        cherrypy.response.headers["Content-Type"] = "application/json"
+        return json.dumps(document).encode()
+
+
+def callers_application(interface: CallersInterface) -> cherrypy.Application:
+    """Return the WSGI application of the callers' port."""
+    config = {
+        "/": {
+            "request.process_request_body": False,
+            "request.show_tracebacks": False,
+            "error_page.default": _error_page,
+            "tools.encode.on": False,
+        }
+    }
+    application = cherrypy.Application(
+        CallersRoot(interface=interface), "", config=config
+    )
+    # Requests are counted; a line for each would not be a change of state.
+    application.log.access_log.disabled = True
+    return application
+
+
+def _value(answer: Result[Any, Refusal]) -> Any:
+    if isinstance(answer, Ok):
+        return answer.ok_value
+    raise _RefusedError(answer.err_value)
+
+
+def _error_page(status: str, message: str, traceback: str, version: str) -> bytes:
+    del traceback, version
+    code = int(status.split()[0])
+    refusal = Refusal(
+        status=code,
+        title="bad-request" if code < 500 else "internal-error",
+        detail=message or status,
+        step="http",
+    )
+    cherrypy.response.headers.update(problem_headers(refusal))
+    return problem_body(refusal, "")
+
+
+def _idempotency_key() -> str | None:
+    key = cherrypy.request.headers.get("Idempotency-Key")
+    if key is None:
+        return None
+    if not 1 <= len(key) <= MAX_KEY_CHARACTERS:
+        raise _RefusedError(
+            Refusal(
+                status=400,
+                title="invalid-request",
+                detail=f"the key must have 1 to {MAX_KEY_CHARACTERS} characters",
+                step="validation",
+                field="Idempotency-Key",
+            )
+        )
+    return key
+
+
+def _starting() -> Refusal:
+    return Refusal(
+        status=503,
+        title="starting",
+        detail="This node has no configuration yet.",
+        step="configuration",
+        retry_after_s=STARTING_RETRY_AFTER_S,
+    )
+
+
+def _unauthorised() -> Refusal:
+    return Refusal(
+        status=401,
+        title="unauthorised",
+        detail="The Authorization header holds no known key.",
+        step="authentication",
+        field="Authorization",
+    )
+
+
+def _not_found(path: str) -> Refusal:
+    return Refusal(
+        status=404, title="not-found", detail=f"nothing at {path}", step="routing"
+    )
+
+
+def _wrong_method(method: str) -> Refusal:
+    return Refusal(
+        status=405,
+        title="method-not-allowed",
+        detail=f"{method} is not answered here",
+        step="routing",
+    )
+
+
+def _bad_token() -> Refusal:
+    return Refusal(
+        status=400,
+        title="invalid-request",
+        detail="The token is not one that this organisation can resume from.",
+        step="validation",
+        field="Last-Event-ID",
+    )
+
+
+def _too_large(limit: int) -> Refusal:
+    return Refusal(
+        status=413,
+        title="body-too-large",
+        detail=f"the body exceeds {limit} bytes",
+        step="validation",
+        field="body",
+    )
--- /dev/null
+++ b/src/crocuswick/callers/service_run.py
@@ -0,0 +1,230 @@
+"""Runs one call to a plain service with exact outcomes.
+
+Idempotent calls may be repeated at another endpoint. Any other call is sent at
+most once; with an ``Idempotency-Key`` at most once over all nodes, by a claim in
+the platform's log.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+import pykka
+from result import Err, Ok, Result
+
+from crocuswick.configuration import EndpointPool, Service
+from crocuswick.dispatcher import Dispatcher, FailureKind, no_endpoint_refusal
+from crocuswick.endpoints import ServiceAnswer, ServiceCall, ServiceClient
+from crocuswick.errors import PeerError, Refusal
+from crocuswick.metrics import Metrics
+from crocuswick.outcome import Outcome
+from crocuswick.platform_log import ClaimKeeper, ClaimVerdictKind
+from crocuswick.time_line import TimeLine
+
+if TYPE_CHECKING:
+    from crocuswick.configuration import Endpoint
+    from crocuswick.platform_log import ClaimVerdict
+
+__all__ = ["ServiceContext", "ServiceRequest", "ServiceRun", "call_fingerprint"]
+
+CLAIM_RETRY_AFTER_S = 1.0
+MAX_RECORDED_BODY_BYTES = 16 * 1024
+
+
+@attrs.frozen(kw_only=True)
+class ServiceContext:
+    """What a service call needs of its node."""
+
+    dispatcher: pykka.ActorRef
+    claims: ClaimKeeper
+    metrics: Metrics
+    time_line: TimeLine
+    zone: str
+
+
+@attrs.frozen(kw_only=True)
+class ServiceRequest:
+    """A checked call to a plain service."""
+
+    request_id: str
+    organisation: str
+    service: Service
+    pool: EndpointPool
+    call: ServiceCall
+    idempotency_key: str | None
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether the call may be repeated."""
+        return self.call.method in self.service.idempotent_methods
+
+
+def call_fingerprint(call: ServiceCall) -> str:
+    """Return the digest by which a repeat with another content is recognised."""
+    head = f"{call.method}\0{call.path}\0".encode()
+    return hashlib.blake2b(head + call.body, digest_size=16).hexdigest()
+
+
+class ServiceRun:
+    """One call, run by the thread that serves its caller."""
+
+    def __init__(self, *, context: ServiceContext, request: ServiceRequest):
+        self._context = context
+        self._request = request
+        self._client = ServiceClient()
+        self._excluded: set[str] = set()
+
+    def run(self) -> Result[ServiceAnswer, Refusal]:
+        """Run the call.
+
+        Returns:
+            The service's answer, or a refusal with the exact outcome.
+        """
+        if self._request.idempotent or self._request.idempotency_key is None:
+            return self._send()
+        return self._send_claimed(self._request.idempotency_key)
+
+    def _send_claimed(self, key: str) -> Result[ServiceAnswer, Refusal]:
+        claimed = self._context.claims.claim(
+            organisation=self._request.organisation,
+            service=self._request.service.id,
+            key=key,
+            fingerprint=call_fingerprint(self._request.call),
+        )
+        if claimed.is_err():
+            return Err(_unclaimed(claimed.err_value))
+        verdict = claimed.ok_value
+        if verdict.kind is not ClaimVerdictKind.FIRST:
+            return _answer_of_repeat(verdict)
+        answer = self._send()
+        self._record(verdict, answer)
+        return answer
+
+    def _record(
+        self, verdict: ClaimVerdict, answer: Result[ServiceAnswer, Refusal]
+    ) -> None:
+        """Record how a claimed call ended, for its repeats."""
+        if answer.is_ok():
+            self._record_answer(verdict, answer.ok_value)
+        elif answer.err_value.outcome is Outcome.NOT_RUN:
+            self._context.claims.abandon(verdict.claim_id)
+        else:
+            self._context.claims.complete_unknown(verdict.claim_id)
+
+    def _record_answer(self, verdict: ClaimVerdict, answer: ServiceAnswer) -> None:
+        kept = len(answer.body) <= MAX_RECORDED_BODY_BYTES
+        self._context.claims.complete(
+            verdict.claim_id,
+            status=answer.status,
+            headers=replayable_headers(answer.headers),
+            body=answer.body if kept else b"",
+        )
+
+    def _send(self) -> Result[ServiceAnswer, Refusal]:
+        attempts = 0
+        while True:
+            endpoint = self._choose()
+            if endpoint is None:
+                return Err(no_endpoint_refusal("no endpoint is available", None))
+            attempts += 1
+            sent = self._client.send(
+                endpoint_id=endpoint.id,
+                address=endpoint.address,
+                call=self._request.call,
+                timeout_s=self._request.service.timeout_ms / 1000,
+            )
+            if sent.is_ok():
+                return Ok(sent.ok_value)
+            if not self._may_retry(endpoint, sent.err_value, attempts):
+                return Err(_failed(sent.err_value))
+
+    def _choose(self) -> Endpoint | None:
+        """Choose at random among the usable endpoints, own zone first."""
+        unavailable = self._context.dispatcher.ask(Dispatcher.Unavailable())
+        usable = [
+            endpoint
+            for endpoint in self._request.pool.endpoints
+            if endpoint.id not in unavailable and endpoint.id not in self._excluded
+        ]
+        local = [endpoint for endpoint in usable if endpoint.zone == self._context.zone]
+        candidates = local or usable
+        return random.choice(candidates) if candidates else None
+
+    def _may_retry(self, endpoint: Endpoint, error: PeerError, attempts: int) -> bool:
+        self._excluded.add(endpoint.id)
+        verdict = self._context.dispatcher.ask(
+            Dispatcher.Failed(
+                endpoint_id=endpoint.id,
+                kind=FailureKind.LOST,
+                fingerprint="",
+                attempts=attempts,
+            )
+        )
+        safe = self._request.idempotent or error.outcome is Outcome.NOT_RUN
+        return safe and verdict.retry
+
+
+def replayable_headers(headers: dict[str, str]) -> dict[str, str]:
+    """Return the headers of an answer that a replay repeats."""
+    return {
+        name: value
+        for name, value in headers.items()
+        if name.lower() in ("content-type", "location")
+    }
+
+
+def _answer_of_repeat(verdict: ClaimVerdict) -> Result[ServiceAnswer, Refusal]:
+    if verdict.kind is ClaimVerdictKind.REPLAY:
+        replay = verdict.replay
+        headers = {**replay.headers, "X-Crocuswick-Replayed": "true"}
+        return Ok(
+            ServiceAnswer(status=replay.status, headers=headers, body=replay.body)
+        )
+    if verdict.kind is ClaimVerdictKind.MISMATCH:
+        return Err(
+            Refusal(
+                status=422,
+                title="idempotency-key-reused",
+                detail="The key was used before with another request.",
+                step="claim",
+                field="Idempotency-Key",
+            )
+        )
+    return Err(
+        Refusal(
+            status=409,
+            title="first-call-unsettled",
+            detail="An earlier call with this key runs now or ended unknown.",
+            outcome=Outcome.UNKNOWN,
+            step="claim",
+            retry_after_s=CLAIM_RETRY_AFTER_S,
+        )
+    )
+
+
+def _unclaimed(error: PeerError) -> Refusal:
+    return Refusal(
+        status=503,
+        title="claim-not-recorded",
+        detail=f"The call was not run because its key could not be claimed: {error}",
+        outcome=error.outcome,
+        step=error.step,
+        peer=error.peer,
+        retry_after_s=CLAIM_RETRY_AFTER_S,
+    )
+
+
+def _failed(error: PeerError) -> Refusal:
+    not_run = error.outcome is Outcome.NOT_RUN
+    return Refusal(
+        status=503 if not_run else 502,
+        title="endpoint-unreachable" if not_run else "answer-lost",
+        detail=error.detail,
+        outcome=error.outcome,
+        step=error.step,
+        peer=error.peer,
+        retry_after_s=1.0,
+    )
--- /dev/null
+++ b/src/crocuswick/circuit_breaker.py
@@ -0,0 +1,60 @@
+"""Circuit breakers that keep requests away from failing endpoints."""
+
+from __future__ import annotations
+
+import attrs
+
+__all__ = ["CircuitBreaker", "CircuitBreakers"]
+
+FAILURES_TO_OPEN = 3
+OPEN_S = 1.0
+
+
+@attrs.define(kw_only=True)
+class CircuitBreaker:
+    """Counts the consecutive failures of one endpoint."""
+
+    failures: int = 0
+    """Failures since the last success."""
+
+    opened_at_s: float | None = None
+    """Monotonic time at which the breaker opened, None while closed."""
+
+    def allows(self, now_s: float) -> bool:
+        """Return whether a request may be sent; one probe passes after `OPEN_S`."""
+        if self.opened_at_s is None:
+            return True
+        if now_s - self.opened_at_s < OPEN_S:
+            return False
+        self.opened_at_s = now_s
+        return True
+
+    def record_success(self) -> None:
+        """Close the breaker."""
+        self.failures = 0
+        self.opened_at_s = None
+
+    def record_failure(self, now_s: float) -> None:
+        """Count a failure and open the breaker at the threshold."""
+        self.failures += 1
+        if self.failures >= FAILURES_TO_OPEN:
+            self.opened_at_s = now_s
+
+
+class CircuitBreakers:
+    """One breaker for each endpoint."""
+
+    def __init__(self):
+        self._breakers_by_endpoint_id: dict[str, CircuitBreaker] = {}
+
+    def of(self, endpoint_id: str) -> CircuitBreaker:
+        """Return the endpoint's breaker."""
+        return self._breakers_by_endpoint_id.setdefault(endpoint_id, CircuitBreaker())
+
+    def open_ids(self, now_s: float) -> frozenset[str]:
+        """Return the endpoints that must not be used now."""
+        return frozenset(
+            endpoint_id
+            for endpoint_id, breaker in self._breakers_by_endpoint_id.items()
+            if breaker.opened_at_s is not None and now_s - breaker.opened_at_s < OPEN_S
+        )
--- /dev/null
+++ b/src/crocuswick/endpoints/engine_client.py
@@ -0,0 +1,322 @@
+"""Calls to one model engine over HTTP, each bounded in time."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import attrs
+import sseclient
+import urllib3
+from result import Err, Ok, Result
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ReadTimeoutError,
+)
+
+from crocuswick.cache_index import CacheEvent, CacheEvents, CacheSnapshot
+from crocuswick.errors import PeerError
+from crocuswick.load import LoadReport
+from crocuswick.outcome import Outcome
+from crocuswick.stream_guard import TokenEvent
+
+__all__ = ["CompletionOrder", "EngineClient", "EngineStream", "StreamFault"]
+
+CONNECT_TIMEOUT_S = 0.5
+CONTROL_TIMEOUT_S = 1.0
+READ_CHUNK_BYTES = 65536
+
+
+@attrs.frozen(kw_only=True)
+class CompletionOrder:
+    """A completion as it is sent to an engine."""
+
+    request_id: str
+    model: str
+    weights_version: str
+    prompt: str
+    max_tokens: int
+    priority: int
+    cache_salt: str
+    options: Mapping[str, Any] = attrs.field(factory=dict)
+    """Sampling options that the caller set, passed on as they are."""
+
+    def body(self) -> dict[str, Any]:
+        """Return the JSON body of the call."""
+        fields = attrs.asdict(self)
+        options = fields.pop("options")
+        return {**options, **fields, "stream": True}
+
+
+@attrs.frozen(kw_only=True)
+class StreamFault:
+    """The end of a stream before its last event."""
+
+    step: str
+    """``"silent"``, ``"closed"`` or ``"malformed"``."""
+
+    peer: str
+    """Endpoint id."""
+
+    detail: str
+    """What happened, for people."""
+
+
+class EngineStream:
+    """The events of one answer, read from one connection."""
+
+    def __init__(self, *, response: urllib3.BaseHTTPResponse, endpoint_id: str):
+        self._response = response
+        self._endpoint_id = endpoint_id
+        self.incarnation = response.headers.get("X-Engine-Incarnation", "")
+
+    def events(self) -> Iterator[Result[TokenEvent, StreamFault]]:
+        """Yield token events; an early end yields one `StreamFault` and stops.
+
+        A stream that ends with ``[DONE]`` just stops.
+        """
+        try:
+            for event in sseclient.SSEClient(self._chunks()).events():
+                if event.data == "[DONE]":
+                    return
+                yield Ok(_token_event(json.loads(event.data)))
+        except ReadTimeoutError as error:
+            yield Err(self._fault("silent", error))
+            return
+        except (HTTPError, OSError) as error:
+            yield Err(self._fault("closed", error))
+            return
+        except (ValueError, KeyError, TypeError) as error:
+            yield Err(self._fault("malformed", error))
+            return
+        yield Err(self._fault("closed", EOFError("ended before the last event")))
+
+    def close(self) -> None:
+        """Close the connection; the engine then cancels what is unfinished."""
+        self._response.close()
+
+    def _chunks(self) -> Iterator[bytes]:
+        while chunk := self._response.read1(READ_CHUNK_BYTES):
+            yield chunk
+
+    def _fault(self, step: str, error: Exception) -> StreamFault:
+        return StreamFault(step=step, peer=self._endpoint_id, detail=str(error))
+
+
+class EngineClient:
+    """Calls to one engine.
+
+    Args:
+        endpoint_id: Id used in errors.
+        address: ``host:port``.
+        progress_timeout_s: Seconds without a byte after which a stream is
+            taken for silent.
+    """
+
+    def __init__(
+        self, *, endpoint_id: str, address: str, progress_timeout_s: float = 2.0
+    ):
+        self._endpoint_id = endpoint_id
+        self._address = address
+        self._progress_timeout_s = progress_timeout_s
+        self._control_pool = urllib3.PoolManager(maxsize=2, retries=False)
+
+    @property
+    def endpoint_id(self) -> str:
+        """Id of the endpoint."""
+        return self._endpoint_id
+
+    def open(self, order: CompletionOrder) -> Result[EngineStream, PeerError]:
+        """Start a completion.
+
+        Args:
+            order: The completion.
+
+        Returns:
+            The open stream. An error's outcome is ``not_run`` only if nothing
+            was sent or the engine said that it did not run the request.
+        """
+        return self._open("POST", "/v1/completions", "open", order.body())
+
+    def resume(
+        self, *, request_id: str, from_index: int
+    ) -> Result[EngineStream, PeerError]:
+        """Read a request's events again on a new connection.
+
+        Args:
+            request_id: Id of the request at the engine.
+            from_index: Index of the first event wanted.
+
+        Returns:
+            The open stream, or an error when the engine does not know the
+            request any more or can't be reached.
+        """
+        path = f"/v1/requests/{request_id}/events?from={from_index}"
+        return self._open("GET", path, "resume", None)
+
+    def cancel(self, request_id: str) -> Result[None, PeerError]:
+        """Cancel a request at the engine."""
+        path = f"/v1/requests/{request_id}/cancel"
+        return self._control("POST", path, "cancel", {}).map(lambda _: None)
+
+    def load(self) -> Result[LoadReport, PeerError]:
+        """Read the engine's load report."""
+        return self._control("GET", "/v1/load", "load", None).map(_load_report)
+
+    def cache_events(
+        self, *, after: int, wait_ms: int
+    ) -> Result[CacheEvents, PeerError]:
+        """Read cache events by long poll.
+
+        Args:
+            after: Sequence number of the last event known.
+            wait_ms: Milliseconds to wait when there is none.
+        """
+        path = f"/v1/cache/events?after={after}&wait_ms={wait_ms}"
+        timeout_s = CONTROL_TIMEOUT_S + wait_ms / 1000
+        answer = self._control("GET", path, "cache events", None, timeout_s)
+        return answer.map(_cache_events)
+
+    def cache_snapshot(self) -> Result[CacheSnapshot, PeerError]:
+        """Read the keys of all cached blocks."""
+        return self._control("GET", "/v1/cache", "cache", None).map(_cache_snapshot)
+
+    def import_cache(
+        self, *, source_address: str, keys: list[int]
+    ) -> Result[None, PeerError]:
+        """Ask the engine to fetch blocks from another engine.
+
+        Args:
+            source_address: ``host:port`` of the engine that holds the blocks.
+            keys: Block keys.
+        """
+        body = {
+            "from": f"http://{source_address}",
+            "keys": [f"{key:016x}" for key in keys],
+        }
+        answer = self._control("POST", "/v1/cache/import", "import", body)
+        return answer.map(lambda _: None)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._control_pool.clear()
+
+    def _open(
+        self, method: str, path: str, step: str, body: Any
+    ) -> Result[EngineStream, PeerError]:
+        # A kept connection may have gone silent for good; streams use new ones.
+        pool = urllib3.PoolManager(maxsize=1, retries=False)
+        sent = self._send(pool, method, path, step, body, self._progress_timeout_s)
+        if sent.is_err():
+            return sent
+        response = sent.ok_value
+        if response.status == 200:
+            return Ok(EngineStream(response=response, endpoint_id=self._endpoint_id))
+        return Err(self._refused(response, step))
+
+    def _control(
+        self,
+        method: str,
+        path: str,
+        step: str,
+        body: Any,
+        timeout_s: float = CONTROL_TIMEOUT_S,
+    ) -> Result[Any, PeerError]:
+        sent = self._send(self._control_pool, method, path, step, body, timeout_s)
+        if sent.is_err():
+            return sent
+        response = sent.ok_value
+        if response.status != 200:
+            return Err(self._refused(response, step))
+        try:
+            return Ok(json.loads(response.data))
+        except (HTTPError, ValueError) as error:
+            return Err(self._error(step, error, Outcome.UNKNOWN))
+
+    def _send(
+        self,
+        pool: urllib3.PoolManager,
+        method: str,
+        path: str,
+        step: str,
+        body: Any,
+        read_s: float,
+    ) -> Result[urllib3.BaseHTTPResponse, PeerError]:
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_s)
+        try:
+            response = pool.request(
+                method,
+                f"http://{self._address}{path}",
+                json=body,
+                timeout=timeout,
+                preload_content=False,
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            return Err(self._error(step, error, Outcome.NOT_RUN))
+        except (HTTPError, OSError) as error:
+            return Err(self._error(step, error, Outcome.UNKNOWN))
+        return Ok(response)
+
+    def _refused(self, response: urllib3.BaseHTTPResponse, step: str) -> PeerError:
+        try:
+            detail = response.data.decode(errors="replace")[:200]
+        except (HTTPError, OSError) as error:
+            detail = str(error)
+        refused_unrun = response.status in (404, 409, 503)
+        outcome = Outcome.NOT_RUN if refused_unrun else Outcome.UNKNOWN
+        return PeerError(
+            step=step,
+            peer=self._endpoint_id,
+            detail=f"status {response.status}: {detail}",
+            outcome=outcome,
+        )
+
+    def _error(self, step: str, error: Exception, outcome: Outcome) -> PeerError:
+        return PeerError(
+            step=step, peer=self._endpoint_id, detail=str(error), outcome=outcome
+        )
+
+
+def _token_event(data: dict[str, Any]) -> TokenEvent:
+    return TokenEvent(
+        request_id=data["request_id"],
+        index=data["index"],
+        text=data["text"],
+        finish_reason=data.get("finish_reason"),
+        cached_tokens=data.get("cached_tokens", 0),
+        prompt_tokens=data.get("prompt_tokens", 0),
+    )
+
+
+def _load_report(data: dict[str, Any]) -> LoadReport:
+    names = {field.name for field in attrs.fields(LoadReport)}
+    known = {name: value for name, value in data.items() if name in names}
+    return LoadReport(weights_versions_by_model=data["models"], **known)
+
+
+def _cache_events(data: dict[str, Any]) -> CacheEvents:
+    events = tuple(
+        CacheEvent(seq=event["seq"], kind=event["kind"], keys=_keys(event["keys"]))
+        for event in data["events"]
+    )
+    return CacheEvents(
+        incarnation=data["incarnation"],
+        first_seq=data["first_seq"],
+        next_seq=data["next_seq"],
+        events=events,
+    )
+
+
+def _cache_snapshot(data: dict[str, Any]) -> CacheSnapshot:
+    return CacheSnapshot(
+        incarnation=data["incarnation"],
+        next_seq=data["next_seq"],
+        keys=_keys(data["keys"]),
+    )
+
+
+def _keys(texts: list[str]) -> tuple[int, ...]:
+    return tuple(int(text, 16) for text in texts)
--- /dev/null
+++ b/src/crocuswick/endpoints/service_client.py
@@ -0,0 +1,87 @@
+"""Calls to plain services, each sent at most once by this client."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import attrs
+import urllib3
+from result import Err, Ok, Result
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
+from crocuswick.errors import PeerError
+from crocuswick.outcome import Outcome
+
+__all__ = ["ServiceAnswer", "ServiceCall", "ServiceClient"]
+
+CONNECT_TIMEOUT_S = 0.5
+
+
+@attrs.frozen(kw_only=True)
+class ServiceCall:
+    """A call as it is sent to a plain service."""
+
+    method: str
+    path: str
+    """Path and query below the service's address, beginning with ``/``."""
+
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@attrs.frozen(kw_only=True)
+class ServiceAnswer:
+    """A whole answer of a plain service."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class ServiceClient:
+    """Sends calls on new connections, so that none is lost on a stale one."""
+
+    def send(
+        self, *, endpoint_id: str, address: str, call: ServiceCall, timeout_s: float
+    ) -> Result[ServiceAnswer, PeerError]:
+        """Send a call once and read its whole answer.
+
+        Args:
+            endpoint_id: Id used in errors.
+            address: ``host:port``.
+            call: The call.
+            timeout_s: Seconds without a byte of the answer before giving up.
+
+        Returns:
+            The answer. An error's outcome is ``not_run`` only if no byte of the
+            request was sent.
+        """
+        pool = urllib3.PoolManager(maxsize=1, retries=False)
+        try:
+            response = pool.request(
+                call.method,
+                f"http://{address}{call.path}",
+                headers=dict(call.headers),
+                body=call.body or None,
+                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
+                redirect=False,
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            return Err(_error(endpoint_id, error, Outcome.NOT_RUN))
+        except (HTTPError, OSError) as error:
+            return Err(_error(endpoint_id, error, Outcome.UNKNOWN))
+        finally:
+            pool.clear()
+        return Ok(
+            ServiceAnswer(
+                status=response.status,
+                headers=dict(response.headers),
+                body=response.data,
+            )
+        )
+
+
+def _error(endpoint_id: str, error: Exception, outcome: Outcome) -> PeerError:
+    return PeerError(
+        step="service call", peer=endpoint_id, detail=str(error), outcome=outcome
+    )
--- /dev/null
+++ b/src/crocuswick/fleet_member.py
@@ -0,0 +1,344 @@
+"""A node's part in the fleet: heartbeats, snapshots from peers, the VM list."""
+
+from __future__ import annotations
+
+import random
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import attrs
+import logbook
+import pykka
+
+from crocuswick.actor import Actor, Message
+from crocuswick.dispatcher import Dispatcher
+from crocuswick.nodes import (
+    EndpointSignal,
+    EndpointSignalKind,
+    Membership,
+    MembershipListener,
+    NodePhase,
+    NodeState,
+    PeerAddress,
+    PeerClient,
+    PeerKeys,
+    PeerServer,
+    SnapshotKeeper,
+    SnapshotReply,
+    SnapshotRequest,
+    TimeLineReply,
+    TimeLineRequest,
+    read_key_file,
+)
+from crocuswick.vm_list import (
+    VmKind,
+    VmListClient,
+    VmListPoller,
+    entry_nodes,
+    leaving_signals,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from crocuswick.configuration import ConfigurationKeeper
+    from crocuswick.nodes import NodeStatus
+    from crocuswick.quarantine import CrashReport
+    from crocuswick.settings import Settings
+    from crocuswick.time_line import TimeLine, TimeLineEvent
+    from crocuswick.vm_list import VmChange, VmListing
+
+__all__ = ["FleetMember", "FleetNews", "read_keys"]
+
+logger = logbook.Logger(__name__)
+
+SNAPSHOT_TIMEOUT_S = 1.0
+SEED_TIMEOUT_S = 0.3
+SEED_RETRY_S = 0.2
+TIME_LINE_TIMEOUT_S = 1.0
+STATE_TIMEOUT_S = 0.2
+
+
+class SnapshotFetcher(Actor):
+    """Fetches snapshots from other nodes and hands their parts on."""
+
+    @attrs.frozen(kw_only=True)
+    class AskSeeds(Message):
+        """Ask the seeds until one has a configuration or the log gave one."""
+
+        addresses: tuple[PeerAddress, ...]
+
+    @attrs.frozen(kw_only=True)
+    class Fetch(Message):
+        """Ask a node that has a newer revision."""
+
+        address: PeerAddress
+        revision: int
+
+    def __init__(
+        self,
+        *,
+        client: PeerClient,
+        keeper: ConfigurationKeeper,
+        dispatcher: pykka.ActorRef,
+        hear_fleet_size: Callable[[int], None],
+    ):
+        super().__init__()
+        self._client = client
+        self._keeper = keeper
+        self._dispatcher = dispatcher
+        self._hear_fleet_size = hear_fleet_size
+
+    def on_ask_seeds(self, message: AskSeeds) -> None:
+        """Ask each seed once, and again later while there is no configuration."""
+        if self._keeper.current.revision > 0:
+            return
+        addresses = random.sample(message.addresses, len(message.addresses))
+        if any(self._fetch(address, SEED_TIMEOUT_S) for address in addresses):
+            return
+        time.sleep(random.uniform(0.5, 1.5) * SEED_RETRY_S)
+        self.actor_ref.tell(message)
+
+    def on_fetch(self, message: Fetch) -> None:
+        """Ask the node, unless the revision has arrived by another way."""
+        if self._keeper.current.revision < message.revision:
+            self._fetch(message.address, SNAPSHOT_TIMEOUT_S)
+
+    def _fetch(self, address: PeerAddress, timeout_s: float) -> bool:
+        request = SnapshotRequest(min_revision=self._keeper.current.revision)
+        reply = self._client.ask(address, request, timeout_s=timeout_s)
+        if reply.is_err():
+            return False
+        snapshot = reply.ok_value
+        if snapshot.crash_reports:
+            self._dispatcher.tell(
+                Dispatcher.CrashesReported(reports=snapshot.crash_reports)
+            )
+        if snapshot.fleet_nodes:
+            self._hear_fleet_size(snapshot.fleet_nodes)
+        if snapshot.configuration_revision == 0:
+            return False
+        offered = self._keeper.offer(snapshot.configuration)
+        if offered.is_err():
+            logger.warning("unsound snapshot from {}: {}", address, offered.err_value)
+        return offered.is_ok()
+
+
+class FleetNews(MembershipListener):
+    """Passes the news that heartbeats bring to the actors concerned."""
+
+    def __init__(
+        self,
+        *,
+        dispatcher: pykka.ActorRef,
+        fetcher: pykka.ActorRef,
+        on_leaving: Callable[[], None],
+    ):
+        self._dispatcher = dispatcher
+        self._fetcher = fetcher
+        self._on_leaving = on_leaving
+
+    def on_configuration_revision(
+        self, node_id: str, address: PeerAddress, revision: int
+    ) -> None:
+        """Fetch the newer configuration from the node that has it."""
+        self._fetcher.tell(SnapshotFetcher.Fetch(address=address, revision=revision))
+
+    def on_quarantine(self, reports: Sequence[CrashReport]) -> None:
+        """Take over crashes that other nodes have seen."""
+        self._dispatcher.tell(Dispatcher.CrashesReported(reports=tuple(reports)))
+
+    def on_endpoint_signal(self, node_id: str, signal: EndpointSignal) -> None:
+        """Stop using an endpoint that leaves; losses this node finds by itself."""
+        if signal.kind is EndpointSignalKind.LEAVING:
+            self._dispatcher.tell(_leaving(signal))
+
+    def on_own_node_leaving(self) -> None:
+        """Begin to drain: the platform takes this VM away."""
+        self._on_leaving()
+
+
+class FleetMember:
+    """Component that keeps a node in touch with the other nodes.
+
+    Args:
+        settings: Settings of the node.
+        keys: Keys that all nodes share.
+        keeper: Keeper of the configuration.
+        dispatcher: Receives what concerns endpoints, limits and quarantine.
+        time_line: Record of events.
+        phase: Returns what the node says of itself.
+        on_leaving: Called when the platform is about to take the VM away.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        keys: PeerKeys,
+        keeper: ConfigurationKeeper,
+        dispatcher: pykka.ActorRef,
+        time_line: TimeLine,
+        phase: Callable[[], NodePhase],
+        on_leaving: Callable[[], None],
+    ):
+        self._settings = settings
+        self._keeper = keeper
+        self._dispatcher = dispatcher
+        self._time_line = time_line
+        self._phase = phase
+        self._joined = False
+        self._client = PeerClient(keys=keys)
+        self._fetcher = SnapshotFetcher.start(
+            client=self._client,
+            keeper=keeper,
+            dispatcher=dispatcher,
+            hear_fleet_size=lambda nodes: self.membership.hear_fleet_size(nodes),
+        )
+        self._snapshots = SnapshotKeeper.start(build=self._snapshot)
+        nodes = settings.nodes
+        self.membership = Membership(
+            node_id=settings.node_id,
+            zone=settings.zone,
+            region=settings.region,
+            host=nodes.host,
+            port=settings.callers.port,
+            peer_port=nodes.port,
+            seeds=nodes.seeds,
+            key=keys,
+            time_line=time_line,
+            state_provider=self._state,
+            listener=FleetNews(
+                dispatcher=dispatcher, fetcher=self._fetcher, on_leaving=on_leaving
+            ),
+        )
+        self._server = PeerServer(host=nodes.host, port=nodes.port, keys=keys)
+        self._server.handle(SnapshotRequest, self._snapshots.ask)
+        self._server.handle(TimeLineRequest, self._time_line_reply)
+        self._poller = self._new_poller()
+
+    def start(self) -> None:
+        """Join the fleet."""
+        self._joined = True
+        self._server.start()
+        self.membership.start()
+        self._fetcher.tell(SnapshotFetcher.AskSeeds(addresses=self._other_seeds()))
+        if self._poller is not None:
+            self._poller.start()
+
+    def stop(self) -> None:
+        """Leave the fleet."""
+        if self._poller is not None:
+            self._poller.stop()
+        self.membership.stop()
+        self._server.stop()
+        self._fetcher.stop(block=False)
+        self._snapshots.stop(block=False)
+        self._client.close()
+
+    def nodes(self) -> tuple[NodeStatus, ...]:
+        """Return what is believed of all known nodes."""
+        return self.membership.nodes()
+
+    def share_crash(self, report: CrashReport) -> None:
+        """Tell the other nodes of a request that crashed an endpoint."""
+        self.membership.share_crash_report(report)
+
+    def collect_time_lines(self) -> tuple[TimeLineEvent, ...]:
+        """Return the events of this node and of all that can be reached."""
+        events = list(self._time_line.since())
+        for status in self.nodes():
+            if status.node_id != self._settings.node_id:
+                events += self._events_of(status)
+        return tuple(events)
+
+    def _events_of(self, status: NodeStatus) -> tuple[TimeLineEvent, ...]:
+        address = PeerAddress(host=status.address.host, port=status.address.peer_port)
+        reply = self._client.ask(
+            address, TimeLineRequest(), timeout_s=TIME_LINE_TIMEOUT_S
+        )
+        return reply.ok_value.events if reply.is_ok() else ()
+
+    def _other_seeds(self) -> tuple[PeerAddress, ...]:
+        nodes = self._settings.nodes
+        own = PeerAddress(host=nodes.host, port=nodes.port)
+        seeds = {
+            PeerAddress.parse(seed, default_port=nodes.port) for seed in nodes.seeds
+        }
+        return tuple(seeds - {own})
+
+    def _state(self) -> NodeState:
+        """Return the state to tell; runs on the membership's thread."""
+        if self._joined:
+            share = self.membership.fleet_share()
+            self._dispatcher.tell(Dispatcher.SetFleetShare(share=share))
+        try:
+            demand = self._dispatcher.ask(Dispatcher.Demand(), timeout=STATE_TIMEOUT_S)
+        except (pykka.Timeout, pykka.ActorDeadError):
+            demand = ()
+        return NodeState(
+            phase=self._phase(),
+            configuration_revision=self._keeper.current.revision,
+            demand=demand,
+        )
+
+    def _snapshot(self) -> SnapshotReply:
+        return SnapshotReply(
+            configuration_revision=self._keeper.current.revision,
+            configuration=self._keeper.snapshot(),
+            crash_reports=self._dispatcher.ask(Dispatcher.AllCrashes()),
+            fleet_nodes=self.membership.fleet_share().fleet_nodes,
+        )
+
+    def _time_line_reply(self, request: TimeLineRequest) -> TimeLineReply:
+        return TimeLineReply(
+            node_id=self._settings.node_id,
+            events=self._time_line.since(request.since),
+        )
+
+    def _new_poller(self) -> VmListPoller | None:
+        vm_list = self._settings.vm_list
+        if not vm_list.address:
+            return None
+        zone = self._settings.zone
+        return VmListPoller(
+            node_id=self._settings.node_id,
+            client=VmListClient(address=vm_list.address),
+            interval_s=vm_list.poll_interval_ms / 1000,
+            live_node_ids=lambda: [
+                status.node_id for status in self.membership.live_nodes(zone)
+            ],
+            on_list=self._on_list,
+            time_line=self._time_line,
+        )
+
+    def _on_list(self, listing: VmListing, changes: tuple[VmChange, ...]) -> None:
+        self.membership.hear_platform(entry_nodes(listing.vms))
+        for signal in leaving_signals(changes):
+            self.membership.share_endpoint_signal(signal)
+            self._dispatcher.tell(_leaving(signal))
+        for change in changes:
+            if change.vm.kind is VmKind.ENDPOINT and change.vm.state == "live":
+                self._dispatcher.tell(
+                    Dispatcher.SetLeaving(endpoint_id=change.vm.id, leaving=False)
+                )
+
+
+def read_keys(path: str) -> PeerKeys:
+    """Return the keys in a file that the settings' check has accepted.
+
+    Args:
+        path: The file.
+
+    Raises:
+        ValueError: If the file has become unusable since it was checked.
+    """
+    keys = read_key_file(Path(path))
+    if keys.is_err():
+        raise ValueError(str(keys.err_value))
+    return PeerKeys(keys=keys.ok_value)
+
+
+def _leaving(signal: EndpointSignal) -> Message:
+    return Dispatcher.SetLeaving(endpoint_id=signal.endpoint_id, leaving=True)
--- /dev/null
+++ b/src/crocuswick/http_server.py
@@ -0,0 +1,77 @@
+"""A threaded HTTP server as a component with a life cycle."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from cheroot import wsgi
+from cheroot.ssl.builtin import BuiltinSSLAdapter
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["HttpServer"]
+
+ACCEPT_BACKLOG = 512
+STOP_TIMEOUT_S = 2
+
+
+class HttpServer:
+    """Serves one WSGI application on one port.
+
+    Args:
+        host: IP number to listen at.
+        port: Port to listen at, 0 for any free one.
+        application: WSGI application.
+        threads: Requests served at once.
+        idle_timeout_s: Seconds without a byte after which a connection ends.
+        certificate_file: Certificate chain in PEM, empty for plain HTTP.
+        key_file: Private key in PEM.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        application: Callable,
+        threads: int,
+        idle_timeout_s: float = 10.0,
+        certificate_file: str = "",
+        key_file: str = "",
+    ):
+        self._server = wsgi.Server(
+            (host, port),
+            application,
+            numthreads=threads,
+            max=threads,
+            request_queue_size=ACCEPT_BACKLOG,
+            timeout=idle_timeout_s,
+            shutdown_timeout=STOP_TIMEOUT_S,
+            server_name="crocuswick",
+        )
+        if certificate_file:
+            self._server.ssl_adapter = BuiltinSSLAdapter(certificate_file, key_file)
+        self._thread = threading.Thread(
+            target=self._server.serve, name=f"http-{host}:{port}", daemon=True
+        )
+
+    @property
+    def address(self) -> str:
+        """``host:port`` that the server listens at."""
+        host, port = self._server.bind_addr[:2]
+        return f"{host}:{port}"
+
+    def start(self) -> None:
+        """Bind the port and start serving."""
+        self._server.prepare()
+        self._thread.start()
+        while not self._server.ready:
+            time.sleep(0.001)
+
+    def stop(self) -> None:
+        """Close the port and end the serving threads."""
+        self._server.stop()
+        self._thread.join(timeout=STOP_TIMEOUT_S)
--- /dev/null
+++ b/src/crocuswick/metrics.py
@@ -0,0 +1,78 @@
+"""Counters of a node, exposed in the Prometheus text format."""
+
+from __future__ import annotations
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+__all__ = ["Metrics"]
+
+TTFT_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0, 30.0)
+
+
+class Metrics:
+    """All metrics of one node, registered in a registry of its own.
+
+    Args:
+        node_id: Value of the ``node`` label.
+    """
+
+    def __init__(self, *, node_id: str):
+        self._registry = Registry()
+        labels = {"node": node_id}
+        self.requests = self._counter(
+            "crocuswick_requests_total", "Requests by route and status.", labels
+        )
+        self.refusals = self._counter(
+            "crocuswick_refusals_total", "Refusals by title and outcome.", labels
+        )
+        self.retries = self._counter(
+            "crocuswick_retries_total", "Further attempts by cause.", labels
+        )
+        self.stream_faults = self._counter(
+            "crocuswick_stream_faults_total", "Faults seen in answer streams.", labels
+        )
+        self.prompt_tokens = self._counter(
+            "crocuswick_prompt_tokens_total", "Prompt tokens sent to engines.", labels
+        )
+        self.cached_tokens = self._counter(
+            "crocuswick_cached_prompt_tokens_total",
+            "Prompt tokens that engines found in their cache.",
+            labels,
+        )
+        self.streams = self._gauge(
+            "crocuswick_streams_in_flight", "Requests in flight.", labels
+        )
+        self.revision = self._gauge(
+            "crocuswick_configuration_revision", "Revision in force.", labels
+        )
+        self.ttft = Histogram(
+            "crocuswick_time_to_first_token_seconds",
+            "Time to first token.",
+            const_labels=labels,
+            buckets=list(TTFT_BUCKETS_S),
+            registry=self._registry,
+        )
+
+    def note_prefill(self, *, prompt_tokens: int, cached_tokens: int) -> None:
+        """Count the prompt tokens of one attempt.
+
+        Args:
+            prompt_tokens: Tokens of the prompt.
+            cached_tokens: Those of them that were cached.
+        """
+        self.prompt_tokens.add({}, prompt_tokens)
+        self.cached_tokens.add({}, cached_tokens)
+
+    def render(self, accept: str = "") -> tuple[bytes, dict[str, str]]:
+        """Return the exposition and its HTTP headers.
+
+        Args:
+            accept: Value of the ``Accept`` header.
+        """
+        return render(self._registry, [accept] if accept else [])
+
+    def _counter(self, name: str, doc: str, labels: dict[str, str]) -> Counter:
+        return Counter(name, doc, const_labels=labels, registry=self._registry)
+
+    def _gauge(self, name: str, doc: str, labels: dict[str, str]) -> Gauge:
+        return Gauge(name, doc, const_labels=labels, registry=self._registry)
--- /dev/null
+++ b/src/crocuswick/node.py
@@ -0,0 +1,251 @@
+"""One node: builds the components of ``crocuswickd`` and wires them together."""
+
+from __future__ import annotations
+
+import random
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import logbook
+
+from crocuswick.application import Application
+from crocuswick.callers import (
+    CallersInterface,
+    CompletionContext,
+    ServiceContext,
+    callers_application,
+)
+from crocuswick.configuration import ConfigurationKeeper
+from crocuswick.dispatcher import Dispatcher
+from crocuswick.endpoints import EngineClients, EngineWatchers
+from crocuswick.fleet_member import FleetMember, read_keys
+from crocuswick.http_server import HttpServer
+from crocuswick.limits import Admission
+from crocuswick.metrics import Metrics
+from crocuswick.nodes import NodePhase
+from crocuswick.operators import AdminProviders, admin_application
+from crocuswick.placement import Placer
+from crocuswick.platform_log import ClaimKeeper
+from crocuswick.quarantine import Quarantine
+from crocuswick.resume_token import ResumeTokens
+from crocuswick.time_line import TimeLine
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from crocuswick.configuration import Configuration, ObjectSet, Verdict
+    from crocuswick.errors import PeerError
+    from crocuswick.settings import Settings
+    from crocuswick.time_line import TimeLineEvent
+
+__all__ = ["Node"]
+
+logger = logbook.Logger(__name__)
+
+OPERATOR_THREADS = 8
+DRAIN_POLL_S = 0.05
+DRAIN_QUIET_S = 0.3
+"""Time without a request in flight after which a draining node ends."""
+
+
+class Node:
+    """All components of one daemon.
+
+    Args:
+        settings: Checked settings, with resolved file names.
+    """
+
+    def __init__(self, *, settings: Settings):
+        self._settings = settings
+        self._draining = False
+        self.application = Application()
+        self._secret = Path(settings.nodes.key_file).read_bytes().strip()
+        self._time_line = TimeLine(
+            node_id=settings.node_id,
+            capacity=settings.time_line.capacity,
+            clock_error_ms=settings.time_line.clock_error_ms,
+        )
+        self._metrics = Metrics(node_id=settings.node_id)
+        self._build_request_path()
+        self._build_fleet_member()
+        self._build_callers_server()
+        self._build_operators_server()
+        self._register_hooks()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the node takes new work."""
+        return not self._draining and self._keeper.current.revision > 0
+
+    def run(self) -> None:
+        """Run until shutdown."""
+        self.application.run()
+
+    def _build_request_path(self) -> None:
+        settings = self._settings
+        self._dispatcher = Dispatcher.start(
+            placer=Placer(
+                zone=settings.zone,
+                policy=settings.endpoints.placement,
+                seed=random.SystemRandom().getrandbits(32),
+            ),
+            admission=Admission(capacity=settings.callers.max_in_flight),
+            quarantine=Quarantine(),
+            time_line=self._time_line,
+            share_crash=lambda report: self._fleet_member.share_crash(report),
+        )
+        self._clients = EngineClients(
+            progress_timeout_s=settings.endpoints.progress_timeout_ms / 1000
+        )
+        self._watchers = EngineWatchers.start(
+            clients=self._clients,
+            dispatcher=self._dispatcher,
+            time_line=self._time_line,
+        )
+        log = settings.platform_log
+        self._keeper = ConfigurationKeeper(
+            log_address=log.address,
+            on_change=self._on_configuration,
+            append_timeout_ms=log.timeout_ms,
+        )
+        self._claims = ClaimKeeper(log_address=log.address, node_id=settings.node_id)
+        self.application.add(self._keeper)
+        self.application.add(self._claims)
+
+    def _build_fleet_member(self) -> None:
+        self._fleet_member = FleetMember(
+            settings=self._settings,
+            keys=read_keys(self._settings.nodes.key_file),
+            keeper=self._keeper,
+            dispatcher=self._dispatcher,
+            time_line=self._time_line,
+            phase=self._phase,
+            on_leaving=self.application.shut_down_once,
+        )
+        self.application.add(self._fleet_member)
+
+    def _phase(self) -> NodePhase:
+        if self._draining:
+            return NodePhase.DRAINING
+        return NodePhase.READY if self.is_ready else NodePhase.STARTING
+
+    def _build_callers_server(self) -> None:
+        callers = self._settings.callers
+        interface = CallersInterface(
+            completions=CompletionContext(
+                dispatcher=self._dispatcher,
+                clients=self._clients,
+                tokens=ResumeTokens(key=self._secret),
+                time_line=self._time_line,
+                metrics=self._metrics,
+            ),
+            services=ServiceContext(
+                dispatcher=self._dispatcher,
+                claims=self._claims,
+                metrics=self._metrics,
+                time_line=self._time_line,
+                zone=self._settings.zone,
+            ),
+            configuration=lambda: self._keeper.current,
+            ready=lambda: self.is_ready,
+            max_body_bytes=callers.max_body_bytes,
+        )
+        self._callers_server = HttpServer(
+            host=callers.host,
+            port=callers.port,
+            application=callers_application(interface),
+            threads=callers.max_in_flight + callers.refusal_threads,
+            idle_timeout_s=callers.idle_timeout_ms / 1000,
+            certificate_file=callers.tls_certificate_file,
+            key_file=callers.tls_key_file,
+        )
+        self.application.add(self._callers_server)
+
+    def _build_operators_server(self) -> None:
+        operators = self._settings.operators
+        providers = AdminProviders(
+            configuration=lambda: self._keeper.current,
+            submit=self._submit,
+            nodes=self._fleet_member.nodes,
+            endpoints=lambda: self._dispatcher.ask(Dispatcher.Describe()),
+            explain=self._explain,
+            time_line=self._fleet_member.collect_time_lines,
+            drain=self.application.shut_down_once,
+            secret=lambda: Path(operators.key_file).read_bytes().strip(),
+        )
+        self.application.add(
+            HttpServer(
+                host=operators.host,
+                port=operators.port,
+                application=admin_application(providers),
+                threads=OPERATOR_THREADS,
+            )
+        )
+
+    def _submit(
+        self, wanted: ObjectSet, submission_id: str, author: str
+    ) -> Result[Verdict, PeerError]:
+        return self._keeper.submit(wanted, submission_id=submission_id, author=author)
+
+    def _explain(self, request_id: str) -> tuple[TimeLineEvent, ...]:
+        return tuple(
+            event
+            for event in self._fleet_member.collect_time_lines()
+            if event.subject.startswith(request_id)
+        )
+
+    def _register_hooks(self) -> None:
+        self.application.on_start(self._announce)
+        self.application.on_drain(self._drain)
+
+    def _announce(self) -> None:
+        self._time_line.record(kind="node_started", subject=self._settings.node_id)
+        logger.info("{} serves at {}", self._settings.node_id, self.address)
+        print(f"ready {self.address}", flush=True)
+
+    @property
+    def address(self) -> str:
+        """``host:port`` of the callers' port."""
+        return self._callers_server.address
+
+    def _on_configuration(self, configuration: Configuration) -> None:
+        self._metrics.revision.set({}, configuration.revision)
+        self._time_line.record(
+            kind="configuration_in_force", subject=f"revision {configuration.revision}"
+        )
+        logger.info("configuration revision {} in force", configuration.revision)
+        self._watchers.tell(
+            EngineWatchers.ConfigurationChanged(configuration=configuration)
+        )
+        self._dispatcher.tell(Dispatcher.SetLimits(configuration=configuration))
+
+    def _drain(self) -> None:
+        """Refuse new work and wait for what is in flight."""
+        self._draining = True
+        self._fleet_member.membership.announce()
+        self._dispatcher.ask(Dispatcher.Drain())
+        in_flight = self._in_flight()
+        self._time_line.record(kind="drain_began", detail=f"{in_flight} in flight")
+        logger.info("draining, {} requests in flight", in_flight)
+        cut = self._wait_until_idle()
+        self._time_line.record(kind="drain_ended", detail=f"{cut} cut")
+        logger.info("drained, {} requests cut", cut)
+
+    def _wait_until_idle(self) -> int:
+        """Wait for the requests in flight and return how many are cut."""
+        deadline_s = time.monotonic() + self._settings.shutdown.hard_deadline_ms / 1000
+        idle_since_s = time.monotonic()
+        while True:
+            now_s = time.monotonic()
+            in_flight = self._in_flight()
+            if in_flight:
+                idle_since_s = now_s
+            if now_s - idle_since_s >= DRAIN_QUIET_S:
+                return 0
+            if now_s >= deadline_s or self.application.forced.is_set():
+                return in_flight
+            time.sleep(DRAIN_POLL_S)
+
+    def _in_flight(self) -> int:
+        return self._dispatcher.ask(Dispatcher.CountInFlight())
--- a/src/crocuswick/nodes/contact_plan.py
+++ b/src/crocuswick/nodes/contact_plan.py
@@ -98,7 +98,8 @@
             contacts: Addresses with their zones.
         """
         for contact in contacts:
-            self._learned.append(contact)
+            if contact not in self._learned:
+                self._learned.append(contact)
 
     def contacts(
         self, statuses: Sequence[NodeStatus], *, zone: str
--- a/src/crocuswick/nodes/membership.py
+++ b/src/crocuswick/nodes/membership.py
@@ -12,10 +12,8 @@
 
 import attrs
 import logbook
-from result import Err, Ok
 
 from crocuswick.actor import Message, handler_name
-from crocuswick.errors import PeerError
 from crocuswick.fleet_share import FleetShare
 from crocuswick.nodes.membership_protocol import MembershipCounters, MembershipProtocol
 from crocuswick.nodes.message_builder import NodeIdentity
@@ -27,14 +25,11 @@
     PeerAddress,
 )
 from crocuswick.nodes.platform_node import PlatformNode
-from crocuswick.outcome import Outcome
 from crocuswick.quarantine import CrashReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
 
-    from result import Result
-
     from crocuswick.nodes.membership_listener import MembershipListener
     from crocuswick.nodes.membership_protocol import Outgoing
     from crocuswick.nodes.node_state import NodeState
@@ -182,27 +177,16 @@
         )
         self._published = self._publishable()
 
-    def start(self) -> Result[None, PeerError]:
+    def start(self) -> None:
         """Bind the socket and start the thread.
 
-        Returns:
-            Nothing, or why the port cannot be had.
+        Raises:
+            OSError: If the port cannot be had.
         """
         address = self._identity.address
-        try:
-            self._socket.bind((address.host, address.peer_port))
-        except OSError as error:
-            return Err(
-                PeerError(
-                    step="bind",
-                    peer=f"{address.host}:{address.peer_port}",
-                    detail=str(error),
-                    outcome=Outcome.NOT_RUN,
-                )
-            )
+        self._socket.bind((address.host, address.peer_port))
         self._is_running = True
         self._thread.start()
-        return Ok(None)
 
     def stop(self) -> None:
         """Tell the others that the node is leaving and end the thread."""
--- a/src/crocuswick/nodes/membership_protocol.py
+++ b/src/crocuswick/nodes/membership_protocol.py
@@ -23,6 +23,7 @@
 from crocuswick.nodes.news_board import NewsBoard
 from crocuswick.nodes.node_state import (
     EndpointSignal,
+    EndpointSignalKind,
     NodeAddress,
     NodeLiveness,
     NodePhase,
@@ -222,10 +223,7 @@
         self._plan.hear_platform(
             node for node in nodes if node.node_id != self._identity.node_id
         )
-        if self._table.is_leaving() and not self._is_leaving:
-            self._record(kind="own_node_leaving", subject=self._identity.node_id)
-            self._listener.on_own_node_leaving()
-            self.leave()
+        self._check_own_leaving()
 
     def hear_fleet_size(self, fleet_nodes: int, *, now_s: float) -> None:
         """Take in how many nodes another node knows.
@@ -344,13 +342,26 @@
             self._reported_revision_s = now_s
             self._listener.on_configuration_revision(node_id, address, revision)
 
+    def _check_own_leaving(self) -> None:
+        if self._table.is_leaving() and not self._is_leaving:
+            self._record(kind="own_node_leaving", subject=self._identity.node_id)
+            self._listener.on_own_node_leaving()
+            self.leave()
+
+    def _hear_signal(self, node_id: str, signal: EndpointSignal) -> None:
+        if signal.kind is EndpointSignalKind.LEAVING:
+            # Entry VMs of the platform's list are passed on as endpoints are.
+            self._table.hear_leaving(signal.endpoint_id)
+            self._check_own_leaving()
+        self._listener.on_endpoint_signal(node_id, signal)
+
     def _hear_news(self, message: Heartbeat | ZoneDigest, *, now_s: float) -> bool:
         reports = self._crash_reports.add(message.crash_reports, now_s=now_s)
         signals = self._endpoint_signals.add(message.endpoint_signals, now_s=now_s)
         if reports:
             self._listener.on_quarantine(reports)
         for signal in signals:
-            self._listener.on_endpoint_signal(message.node_id, signal)
+            self._hear_signal(message.node_id, signal)
         has_news = bool(reports or signals)
         if has_news:
             self._refresh_news(now_s=now_s)
--- a/src/crocuswick/nodes/membership_table.py
+++ b/src/crocuswick/nodes/membership_table.py
@@ -115,6 +115,7 @@
         self._far = far or LivenessLimits(suspect_s=FAR_SUSPECT_S, gone_s=FAR_GONE_S)
         self._entries_by_id: dict[str, _Entry] = {}
         self._platform_states_by_id: dict[str, PlatformState] = {}
+        self._is_told_leaving = False
         self.zones = ZoneTable(zone=zone)
 
     def hear_heartbeat(self, heartbeat: Heartbeat, *, now_s: float) -> bool:
@@ -178,9 +179,23 @@
         self._platform_states_by_id = {node.node_id: node.state for node in listed}
         self.zones.hear_platform(listed)
 
+    def hear_leaving(self, node_id: str) -> None:
+        """Take in that some node has learned that a node is leaving.
+
+        Args:
+            node_id: The leaving node, possibly the own one; unknown ids are
+                ignored.
+        """
+        entry = self._entries_by_id.get(node_id)
+        if entry is not None:
+            entry.phase = NodePhase.DRAINING
+        if node_id == self._node_id:
+            self._is_told_leaving = True
+
     def is_leaving(self) -> bool:
-        """Return whether the platform says that the own node is leaving."""
-        return self._platform_state(self._node_id) == PlatformState.LEAVING
+        """Return whether the platform takes the own node away."""
+        is_listed = self._platform_state(self._node_id) == PlatformState.LEAVING
+        return is_listed or self._is_told_leaving
 
     def fleet_share(self, *, now_s: float) -> FleetShare:
         """Return the size of the fleet and the other nodes' demand.
--- a/src/crocuswick/nodes/peer_server.py
+++ b/src/crocuswick/nodes/peer_server.py
@@ -10,7 +10,6 @@
 import logbook
 from result import Err, Ok
 
-from crocuswick.errors import PeerError
 from crocuswick.nodes._framing import accept_connection
 from crocuswick.nodes.peer_messages import (
     PeerReply,
@@ -18,13 +17,11 @@
     RequestFailed,
     peer_registry,
 )
-from crocuswick.outcome import Outcome
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from result import Result
-
+    from crocuswick.errors import PeerError
     from crocuswick.nodes._framing import FramedConnection
     from crocuswick.nodes.peer_keys import PeerKeys
 
@@ -98,28 +95,17 @@
         """
         self._handlers_by_type[request_type] = handler
 
-    def start(self) -> Result[None, PeerError]:
+    def start(self) -> None:
         """Listen and start the accepting thread.
 
-        Returns:
-            Nothing, or why the port cannot be had.
+        Raises:
+            OSError: If the port cannot be had.
         """
-        try:
-            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self._socket.bind((self._host, self._port))
-            self._socket.listen(_BACKLOG)
-        except OSError as error:
-            return Err(
-                PeerError(
-                    step="bind",
-                    peer=f"{self._host}:{self._port}",
-                    detail=str(error),
-                    outcome=Outcome.NOT_RUN,
-                )
-            )
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind((self._host, self._port))
+        self._socket.listen(_BACKLOG)
         self._socket.settimeout(ACCEPT_TIMEOUT_S)
         self._thread.start()
-        return Ok(None)
 
     def stop(self) -> None:
         """Stop accepting; connections end at the latest with their next request."""
--- /dev/null
+++ b/tests/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the callers' interface."""
--- /dev/null
+++ b/tests/callers/test_completion.py
@@ -0,0 +1,224 @@
+"""Tests of a completion's attempts against scripted engines."""
+
+from __future__ import annotations
+
+import unittest
+from collections import deque
+from typing import Any
+
+from result import Err, Ok
+
+from crocuswick.callers.completion import CompletionContext, CompletionRun
+from crocuswick.callers.completion_request import CompletionRequest, Dialect
+from crocuswick.dispatcher import Dispatcher, FailureVerdict
+from crocuswick.endpoints import StreamFault
+from crocuswick.errors import PeerError
+from crocuswick.metrics import Metrics
+from crocuswick.outcome import Outcome
+from crocuswick.placement import Placement
+from crocuswick.resume_token import ResumeTokens
+from crocuswick.stream_guard import TokenEvent
+from crocuswick.time_line import TimeLine
+
+REFUSED = PeerError(
+    step="open", peer="e", detail="connection refused", outcome=Outcome.NOT_RUN
+)
+NO_ANSWER = PeerError(
+    step="open", peer="e", detail="timed out", outcome=Outcome.UNKNOWN
+)
+CLOSED = StreamFault(step="closed", peer="e", detail="ended early")
+
+
+class ScriptedStream:
+    """A stream that yields prepared items."""
+
+    incarnation = "i1"
+
+    def __init__(self, items: list[Any]):
+        self._items = items
+
+    def events(self):
+        yield from self._items
+
+    def close(self) -> None:
+        pass
+
+
+class ScriptedEngine:
+    """Answers ``open`` and ``resume`` from prepared queues."""
+
+    def __init__(self, *, opened: list[Any], resumed: list[Any] | None = None):
+        self._opened = deque(opened)
+        self._resumed = deque(resumed or [])
+        self.orders = []
+        self.resumes = []
+
+    def open(self, order):
+        self.orders.append(order)
+        return self._next(self._opened, order.request_id)
+
+    def resume(self, *, request_id: str, from_index: int):
+        self.resumes.append(from_index)
+        return self._next(self._resumed, request_id)
+
+    def load(self):
+        return Err(REFUSED)
+
+    def _next(self, queue: deque, request_id: str):
+        step = queue.popleft()
+        if isinstance(step, PeerError):
+            return Err(step)
+        items = [
+            Ok(token(request_id, *item)) if isinstance(item, tuple) else Err(item)
+            for item in step
+        ]
+        return Ok(ScriptedStream(items))
+
+
+def token(request_id: str, index: int, last: bool = False, owner: str = ""):
+    return TokenEvent(
+        request_id=owner or request_id,
+        index=index,
+        text=f" t{index}",
+        finish_reason="length" if last else None,
+    )
+
+
+class ScriptedClients:
+    """The engines by id, and what was cancelled."""
+
+    def __init__(self, engines_by_id: dict[str, ScriptedEngine]):
+        self._engines_by_id = engines_by_id
+        self.cancelled = []
+
+    def get(self, endpoint_id: str):
+        return self._engines_by_id.get(endpoint_id)
+
+    def address_of(self, endpoint_id: str):
+        return None
+
+    def cancel_later(self, endpoint_id: str, request_id: str) -> None:
+        self.cancelled.append((endpoint_id, request_id))
+
+
+class ScriptedDispatcher:
+    """Places at prepared endpoints and lets every attempt be repeated."""
+
+    def __init__(self, endpoint_ids: list[str]):
+        self._endpoint_ids = deque(endpoint_ids)
+        self.failures = []
+        self.finished = 0
+
+    def ask(self, message):
+        if isinstance(message, Dispatcher.Place):
+            return Ok(
+                Placement(
+                    endpoint_id=self._endpoint_ids.popleft(),
+                    predicted_cached_blocks=0,
+                    expected_ttft_ms=1,
+                    reason="test",
+                )
+            )
+        self.failures.append(message)
+        return FailureVerdict(retry=bool(self._endpoint_ids))
+
+    def tell(self, message):
+        self.finished += isinstance(message, Dispatcher.Finished)
+
+
+class CompletionRunTests(unittest.TestCase):
+    def run_completion(
+        self, engines_by_id: dict[str, ScriptedEngine], max_tokens: int = 3
+    ):
+        self.clients = ScriptedClients(engines_by_id)
+        self.dispatcher = ScriptedDispatcher(list(engines_by_id))
+        context = CompletionContext(
+            dispatcher=self.dispatcher,
+            clients=self.clients,
+            tokens=ResumeTokens(key=b"k"),
+            time_line=TimeLine(node_id="n"),
+            metrics=Metrics(node_id="n"),
+        )
+        request = CompletionRequest(
+            request_id="r",
+            organisation="o",
+            dialect=Dialect.TEXT,
+            model="survey",
+            engine_model="m",
+            weights_version="v1",
+            pool="p",
+            prompt="P",
+            max_tokens=max_tokens,
+            priority=0,
+            stream=True,
+            deadline_ms=10_000,
+            options={},
+        )
+        self.run_ = CompletionRun(context=context, request=request)
+        return list(self.run_.deliveries())
+
+    def assert_whole(self, items: list[Any], tokens: int = 3):
+        self.assertTrue(all(item.is_ok() for item in items), items)
+        reasons = [item.ok_value.finish_reason for item in items]
+        self.assertEqual(reasons.count("length"), 1)
+        self.assertEqual(reasons[-1], "length")
+        counts = [item.ok_value.completion_tokens for item in items]
+        self.assertEqual(counts[-1], tokens)
+
+    def test_gap_is_resumed_at_the_missing_index(self):
+        engine = ScriptedEngine(opened=[[(0,), (2, True)]], resumed=[[(1,), (2, True)]])
+        items = self.run_completion({"a": engine})
+        self.assert_whole(items)
+        self.assertEqual(engine.resumes, [1])
+
+    def test_repeated_and_foreign_events_are_dropped(self):
+        steps = [(0,), (0,), (1, True, "other"), (1,), (0,), (2, True)]
+        items = self.run_completion({"a": ScriptedEngine(opened=[steps])})
+        self.assert_whole(items)
+        self.assertEqual(len(items), 3)
+
+    def test_dead_engine_is_continued_elsewhere_from_prompt_and_text(self):
+        dying = ScriptedEngine(opened=[[(0,), CLOSED]], resumed=[REFUSED])
+        other = ScriptedEngine(opened=[[(0,), (1, True)]])
+        items = self.run_completion({"a": dying, "b": other})
+        self.assert_whole(items)
+        self.assertEqual(other.orders[0].prompt, "P t0")
+        self.assertEqual(other.orders[0].max_tokens, 2)
+        self.assertEqual(self.dispatcher.failures[0].kind, "crashed")
+
+    def test_end_without_mark_after_the_last_token_is_whole(self):
+        dying = ScriptedEngine(opened=[[(0,), (1,), (2,), CLOSED]], resumed=[REFUSED])
+        self.assert_whole(self.run_completion({"a": dying}))
+
+    def test_short_answer_ends_with_a_refusal(self):
+        dying = ScriptedEngine(opened=[[(0,), CLOSED]], resumed=[REFUSED])
+        items = self.run_completion({"a": dying})
+        self.assertTrue(items[-1].is_err())
+        self.assertIs(items[-1].err_value.outcome, Outcome.UNKNOWN)
+
+    def test_refusal_says_not_run_only_when_nothing_was_sent(self):
+        never = self.run_completion({"a": ScriptedEngine(opened=[REFUSED])})
+        self.assertIs(never[0].err_value.outcome, Outcome.NOT_RUN)
+        engine = ScriptedEngine(opened=[NO_ANSWER], resumed=[NO_ANSWER])
+        maybe = self.run_completion({"a": engine})
+        self.assertIs(maybe[0].err_value.outcome, Outcome.UNKNOWN)
+
+    def test_silent_engine_is_given_up_and_cancelled(self):
+        silent = StreamFault(step="silent", peer="a", detail="no byte")
+        frozen = ScriptedEngine(
+            opened=[[(0,), silent]], resumed=[[silent], [silent], [silent]]
+        )
+        other = ScriptedEngine(opened=[[(0,), (1, True)]])
+        self.assert_whole(self.run_completion({"a": frozen, "b": other}))
+        self.assertIn(("a", "r-0"), self.clients.cancelled)
+
+    def test_caller_that_goes_away_cancels_at_the_engine(self):
+        self.run_completion({"a": ScriptedEngine(opened=[[(0, True)]])}, max_tokens=1)
+        engine = ScriptedEngine(opened=[[(0,), (1,), (2, True)]])
+        self.clients._engines_by_id["a"] = engine
+        self.dispatcher._endpoint_ids.append("a")
+        deliveries = self.run_.deliveries()
+        self.run_._text.clear()
+        next(deliveries)
+        deliveries.close()
+        self.assertEqual([entry[0] for entry in self.clients.cancelled], ["a"])
--- /dev/null
+++ b/tests/demo.py
@@ -0,0 +1,289 @@
+"""The whole path in one run: ``make demo``.
+
+Starts stand-ins and three nodes, applies a configuration, streams completions
+with a shared prefix, makes one keyed booking twice, kills an engine and a node,
+and prints answers, hit rate and the merged time line. Exits 0 only if every check
+held. With ``KEEP=1`` in the environment the deployment stays up.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+import threading
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+import sseclient
+import urllib3
+
+from tests.fakes.engine_text import expected_answer
+from tests.fakes.launcher import wait_until
+from tests.fleet import MODEL, SERVICE_PREFIX, Fleet, caller_key
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tests.fakes.launcher import Process
+
+ORGANISATION = "swanfold"
+SHARED_PREFIX = "Roster of the sunset tents, seat by seat. " * 500
+ANSWER_TOKENS = 40
+STREAMS = 6
+CAUSE_AFTER_TOKENS = 8
+
+_http = urllib3.PoolManager(maxsize=16, retries=False)
+
+
+@attrs.define(kw_only=True)
+class Answer:
+    """What a caller has received."""
+
+    text: str = ""
+    endpoints: str = ""
+    cached_tokens: int = 0
+    prompt_tokens: int = 0
+    last_event_id: str = ""
+    finished: bool = False
+    error: str = ""
+
+
+class Checks:
+    """Collects what held and what did not."""
+
+    def __init__(self):
+        self.failed: list[str] = []
+
+    def check(self, name: str, held: bool, detail: object = "") -> None:
+        """Print a check's result and note a failure."""
+        print(f"  [{'ok' if held else 'FAILED'}] {name} {detail}")
+        if not held:
+            self.failed.append(name)
+
+
+def headers() -> dict[str, str]:
+    """Return the caller's headers."""
+    return {"Authorization": f"Bearer {caller_key(ORGANISATION)}"}
+
+
+def stream(
+    node: Process,
+    prompt: str,
+    answer: Answer,
+    on_token: Callable[[Answer, int], None] | None = None,
+) -> Answer:
+    """Stream a completion into an answer; a lost connection leaves it unfinished."""
+    body = {
+        "model": MODEL,
+        "prompt": prompt,
+        "max_tokens": ANSWER_TOKENS,
+        "stream": True,
+    }
+    url = f"{node.url}/v1/completions"
+    _read(_post(url, body, headers()), answer, on_token)
+    return answer
+
+
+def resume(node: Process, answer: Answer) -> Answer:
+    """Resume an answer at another node from its last event."""
+    head = {**headers(), "Last-Event-ID": answer.last_event_id}
+    url = f"{node.url}/v1/streams"
+    _read(_http.request("GET", url, headers=head, preload_content=False), answer, None)
+    return answer
+
+
+def _post(url: str, body: dict, head: dict[str, str]) -> urllib3.BaseHTTPResponse:
+    return _http.request("POST", url, json=body, headers=head, preload_content=False)
+
+
+def _read(
+    response: urllib3.BaseHTTPResponse,
+    answer: Answer,
+    on_token: Callable[[Answer, int], None] | None,
+) -> None:
+    answer.endpoints = response.headers.get("X-Crocuswick-Endpoint", "")
+    if response.status != 200:
+        answer.error = response.data.decode()
+        return
+    chunks = iter(lambda: response.read1(65536), b"")
+    tokens = 0
+    try:
+        for event in sseclient.SSEClient(chunks).events():
+            if event.event == "error":
+                answer.error = event.data
+                return
+            if event.data == "[DONE]":
+                answer.finished = True
+                return
+            _take(answer, event)
+            tokens += 1
+            if on_token is not None:
+                on_token(answer, tokens)
+    except (urllib3.exceptions.HTTPError, OSError) as error:
+        answer.error = f"connection lost: {error}"
+
+
+def _take(answer: Answer, event: sseclient.Event) -> None:
+    chunk = json.loads(event.data)
+    answer.last_event_id = event.id
+    answer.text += chunk["choices"][0]["text"]
+    if "usage" in chunk:
+        answer.prompt_tokens = chunk["usage"]["prompt_tokens"]
+        details = chunk["usage"]["prompt_tokens_details"]
+        answer.cached_tokens = details["cached_tokens"]
+
+
+def show_shared_prefix(fleet: Fleet, checks: Checks) -> None:
+    """Stream answers that share a prefix through every node."""
+    print("Completions with a shared prefix:")
+    cached = prompted = 0
+    for number in range(STREAMS):
+        node = fleet.nodes[number % len(fleet.nodes)]
+        prompt = f"{SHARED_PREFIX} Question {number}?"
+        answer = stream(node, prompt, Answer())
+        whole = answer.text == expected_answer(prompt, ANSWER_TOKENS)
+        checks.check(
+            f"answer {number} by {node.name} and {answer.endpoints} is whole",
+            whole and answer.finished,
+            f"{answer.cached_tokens} of {answer.prompt_tokens} tokens cached"
+            + answer.error,
+        )
+        cached += answer.cached_tokens
+        prompted += answer.prompt_tokens
+    hit_rate = cached / max(1, prompted)
+    checks.check("prefix hit rate above 0.6", hit_rate > 0.6, f"{hit_rate:.2f}")
+
+
+def show_booking(fleet: Fleet, checks: Checks) -> None:
+    """Send one keyed booking twice, to two nodes."""
+    print("One booking, sent twice with the same key:")
+    head = {**headers(), "Idempotency-Key": "family-17"}
+    answers = [
+        _http.request(
+            "POST",
+            f"{node.url}/services/{SERVICE_PREFIX}/bookings",
+            json={"seat": "A-12"},
+            headers=head,
+        )
+        for node in fleet.nodes[:2]
+    ]
+    for answer in answers:
+        print(f"    {answer.status} {answer.data.decode()[:120]}")
+    runs = fleet.services[0].call("GET", "/control/runs")
+    checks.check("the booking ran once", _run_count(runs) == 1, runs)
+    checks.check("both got the same answer", answers[0].data == answers[1].data)
+
+
+def _run_count(runs: object) -> int:
+    listed = runs["runs"] if isinstance(runs, dict) else runs
+    return len(listed)
+
+
+def show_engine_loss(fleet: Fleet, checks: Checks) -> None:
+    """Kill the engine that produces an answer."""
+    print("An engine is killed while it answers:")
+    prompt = f"{SHARED_PREFIX} Which tents are full?"
+
+    def kill_engine(answer: Answer, tokens: int) -> None:
+        if tokens == CAUSE_AFTER_TOKENS:
+            fleet.launcher.processes_by_name[answer.endpoints].kill()
+
+    answer = stream(fleet.nodes[0], prompt, Answer(), kill_engine)
+    whole = answer.text == expected_answer(prompt, ANSWER_TOKENS)
+    checks.check("the answer is whole", whole and answer.finished, answer.error)
+
+
+def show_node_loss(fleet: Fleet, checks: Checks) -> None:
+    """Kill the node that passes an answer on, and resume at another."""
+    print("A node is killed while it answers:")
+    prompt = f"{SHARED_PREFIX} Which tents are empty?"
+    node, other = fleet.nodes[2], fleet.nodes[1]
+
+    def kill_node(_: Answer, tokens: int) -> None:
+        if tokens == CAUSE_AFTER_TOKENS:
+            node.kill()
+
+    answer = stream(node, prompt, Answer(), kill_node)
+    checks.check("the caller saw the loss", not answer.finished)
+    resume(other, answer)
+    whole = answer.text == expected_answer(prompt, ANSWER_TOKENS)
+    checks.check("resumed elsewhere, whole", whole and answer.finished, answer.error)
+
+
+def show_drain(fleet: Fleet, checks: Checks) -> None:
+    """Shut a node down while it answers."""
+    print("A node shuts down while it answers:")
+    prompt = f"{SHARED_PREFIX} Who comes tonight?"
+    node = fleet.nodes[1]
+    answer = Answer()
+    began = threading.Event()
+
+    def note_begin(_: Answer, tokens: int) -> None:
+        if tokens == 1:
+            began.set()
+
+    thread = threading.Thread(target=stream, args=(node, prompt, answer, note_begin))
+    thread.start()
+    began.wait(10)
+    node.terminate()
+    thread.join()
+    code = node.wait_end()
+    whole = answer.text == expected_answer(prompt, ANSWER_TOKENS)
+    checks.check("nothing was cut", whole and answer.finished and code == 0)
+
+
+def main() -> int:
+    """Run the demonstration.
+
+    Returns:
+        0 if every check held.
+    """
+    began_s = time.monotonic()
+    checks = Checks()
+    with Fleet() as fleet:
+        print(f"Stand-ins and {len(fleet.nodes)} nodes run.")
+        applied = fleet.apply()
+        print(applied.stdout + applied.stderr)
+        checks.check("the configuration was accepted", applied.returncode == 0)
+        fleet.wait_ready()
+        wait_until(lambda: _all_engines_ready(fleet), what="engines")
+        show_shared_prefix(fleet, checks)
+        show_booking(fleet, checks)
+        if os.environ.get("KEEP"):
+            _keep(fleet)
+        show_engine_loss(fleet, checks)
+        show_node_loss(fleet, checks)
+        print(fleet.ctl("nodes").stdout)
+        print(fleet.ctl("endpoints").stdout)
+        show_drain(fleet, checks)
+        print(fleet.ctl("timeline").stdout)
+    print(f"{time.monotonic() - began_s:.1f} s, {len(checks.failed)} checks failed")
+    return 1 if checks.failed else 0
+
+
+def _all_engines_ready(fleet: Fleet) -> bool:
+    listed = fleet.ctl("endpoints", "--json")
+    return listed.returncode == 0 and listed.stdout.count('"ready"') >= len(
+        fleet.engines
+    )
+
+
+def _keep(fleet: Fleet) -> None:
+    node = fleet.nodes[0]
+    print("The deployment stays up until you press Ctrl-C. Try:\n")
+    print(
+        f"curl -N {node.url}/v1/completions "
+        f"-H 'Authorization: Bearer {caller_key(ORGANISATION)}' "
+        f'-d \'{{"model": "{MODEL}", "prompt": "Hello", "max_tokens": 8, '
+        '"stream": true}\''
+    )
+    try:
+        threading.Event().wait()
+    except KeyboardInterrupt:
+        sys.exit(0)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the exchanges with endpoints."""
--- /dev/null
+++ b/tests/node_cost.py
@@ -0,0 +1,137 @@
+"""Measures a node's CPU time per request and per relayed token event.
+
+Run as ``python -m tests.node_cost``; prints one JSON line. Callers run in this
+process, so only the node's own CPU time is counted.
+"""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+
+import attrs
+import psutil
+import urllib3
+
+from tests.fleet import MODEL, Fleet, FleetPlan, caller_key
+
+__all__ = ["NodeCost", "measure"]
+
+STREAMS = 66
+LONG_TOKENS = 200
+SHORT_TOKENS = 1
+ROUNDS = 4
+SETTLE_S = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class NodeCost:
+    """CPU cost of a node under concurrent streams."""
+
+    streams: int
+    """Concurrent streams."""
+
+    us_per_token: float
+    """CPU microseconds for each relayed token event."""
+
+    us_per_request: float
+    """CPU microseconds for each request beyond its tokens."""
+
+    idle_percent: float
+    """Share of a core used without any request."""
+
+    rss_mb: float
+    """Resident memory after the run, in MB."""
+
+
+def measure(*, streams: int = STREAMS) -> NodeCost:
+    """Measure one node of a small deployment.
+
+    Args:
+        streams: Concurrent streams.
+    """
+    plan = FleetPlan(
+        nodes=1,
+        engines=4,
+        engine_flags={"decode_ms": 32, "max_running": 32, "prefill_us_per_token": 1},
+    )
+    with Fleet(plan=plan) as fleet:
+        applied = fleet.apply()
+        assert applied.returncode == 0, applied.stderr
+        fleet.wait_ready()
+        node = fleet.nodes[0]
+        process = psutil.Process(node.pid)
+        time.sleep(SETTLE_S)
+        idle = _cpu_share(process, 3.0)
+        _run(node.url, streams, SHORT_TOKENS)
+        short_s, count = _cost(process, node.url, streams, SHORT_TOKENS, ROUNDS)
+        long_s, _ = _cost(process, node.url, streams, LONG_TOKENS, 1)
+        short_each_us = short_s / count * 1e6
+        long_each_us = long_s / streams * 1e6
+        per_token_us = (long_each_us - short_each_us) / (LONG_TOKENS - SHORT_TOKENS)
+        return NodeCost(
+            streams=streams,
+            us_per_token=round(per_token_us, 1),
+            us_per_request=round(short_each_us - SHORT_TOKENS * per_token_us, 1),
+            idle_percent=round(idle * 100, 2),
+            rss_mb=round(process.memory_info().rss / 1e6, 1),
+        )
+
+
+def _cost(
+    process: psutil.Process, url: str, streams: int, tokens: int, rounds: int
+) -> tuple[float, int]:
+    before_s = _cpu_s(process)
+    for _ in range(rounds):
+        _run(url, streams, tokens)
+    return _cpu_s(process) - before_s, streams * rounds
+
+
+def _run(url: str, streams: int, tokens: int) -> None:
+    threads = [
+        threading.Thread(target=_stream, args=(url, tokens, number))
+        for number in range(streams)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def _stream(url: str, tokens: int, number: int) -> None:
+    body = {
+        "model": MODEL,
+        "prompt": f"Short question {number} {time.monotonic_ns()}",
+        "max_tokens": tokens,
+        "stream": True,
+    }
+    pool = urllib3.PoolManager(retries=False)
+    response = pool.request(
+        "POST",
+        f"{url}/v1/completions",
+        json=body,
+        headers={"Authorization": f"Bearer {caller_key('swanfold')}"},
+        timeout=60,
+    )
+    assert response.data.endswith(b"[DONE]\n\n"), response.data[-300:]
+
+
+def _cpu_s(process: psutil.Process) -> float:
+    times = process.cpu_times()
+    return times.user + times.system
+
+
+def _cpu_share(process: psutil.Process, seconds: float) -> float:
+    before_s = _cpu_s(process)
+    time.sleep(seconds)
+    return (_cpu_s(process) - before_s) / seconds
+
+
+def main() -> None:
+    """Print the measurement as one JSON line."""
+    print(json.dumps(attrs.asdict(measure())))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_resume_token.py
@@ -0,0 +1,45 @@
+"""Tests of authenticated resume tokens."""
+
+from __future__ import annotations
+
+import base64
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crocuswick.resume_token import ResumePoint, ResumeTokens
+
+POINT = ResumePoint(
+    organisation="swanfold",
+    pool="engines",
+    endpoint_id="engine-1",
+    incarnation="i1",
+    engine_request_id="abc-0",
+    index=4,
+    delivered=9,
+    model="survey",
+)
+
+
+class ResumeTokenTests(unittest.TestCase):
+    def test_any_node_with_the_key_reads_the_token(self):
+        token = ResumeTokens(key=b"shared").issue(POINT)
+        self.assertEqual(ResumeTokens(key=b"shared").read(token).ok_value, POINT)
+
+    def test_another_key_does_not_verify(self):
+        token = ResumeTokens(key=b"shared").issue(POINT)
+        self.assertTrue(ResumeTokens(key=b"other").read(token).is_err())
+
+    def test_every_changed_bit_is_noticed(self):
+        tokens = ResumeTokens(key=b"shared")
+        raw = base64.urlsafe_b64decode(tokens.issue(POINT))
+        for position in range(len(raw)):
+            changed = bytearray(raw)
+            changed[position] ^= 1
+            token = base64.urlsafe_b64encode(bytes(changed)).decode()
+            self.assertTrue(tokens.read(token).is_err(), position)
+
+    @given(st.text(max_size=80))
+    def test_any_text_is_refused_without_an_exception(self, text):
+        self.assertTrue(ResumeTokens(key=b"shared").read(text).is_err())
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,58 @@
+"""Tests of settings: every fault is found, with its path and line."""
+
+from __future__ import annotations
+
+import unittest
+
+from crocuswick.settings import parse_settings
+
+GOOD = """{
+  // A node of Swanfold.
+  "node_id": "perth-a-1",
+  "zone": "perth-a",
+  "region": "wa-south",
+  "callers": {"host": "127.0.0.1", "port": 8080},
+  "operators": {"host": "127.0.0.1", "port": 8081, "key_file": "operator.key"},
+  "nodes": {"host": "127.0.0.1", "port": 8082, "key_file": "node.key"},
+  "platform_log": {"address": "127.0.0.1:9000"}
+}
+"""
+
+
+class SettingsTests(unittest.TestCase):
+    def faults(self, text: str) -> list[str]:
+        return [str(fault) for fault in parse_settings(text).err_value]
+
+    def test_defaults_fill_what_is_left_out(self):
+        settings = parse_settings(GOOD).ok_value
+        self.assertEqual(settings.callers.max_in_flight, 96)
+        self.assertEqual(settings.vm_list.address, "")
+
+    def test_all_faults_are_reported_at_once(self):
+        text = (
+            GOOD.replace('"port": 8080', '"prot": 8080')
+            .replace('"zone": "perth-a",', '"zone": 7,')
+            .replace('"port": 8082', '"port": 70000')
+        )
+        self.assertEqual(
+            self.faults(text),
+            [
+                "line 4: zone: must be a text",
+                "line 6: callers.port: is missing",
+                "line 6: callers.prot: unknown setting; did you mean 'port'?",
+                "line 8: nodes.port: must be from 0 to 65535 port",
+            ],
+        )
+
+    def test_ports_must_differ(self):
+        faults = self.faults(GOOD.replace("8081", "8080"))
+        self.assertEqual(faults, ["line 7: operators.port: is also callers.port"])
+
+    def test_a_text_that_is_not_json_names_its_line(self):
+        self.assertTrue(self.faults('{\n  "node_id": \n}')[0].startswith("line 3"))
+
+    def test_tls_needs_both_files(self):
+        text = GOOD.replace(
+            '"port": 8080', '"port": 8080, "tls_certificate_file": "a.pem"'
+        )
+        self.assertIn("must be set together", self.faults(text)[0])
