Record an answer in the log before the caller has it

Cause: a repeat that followed the first answer at once reached another node before the completion record was in the log, and got 409 unknown. Ruled out: letting the repeat wait for the completion, which would hold a refusal back when the first call really is unsettled. Before: make demo, 'both got the same answer' failed. After: it holds; the first caller waits for one batched append, at most 400 ms when the log is slow.

--- a/src/crocuswick/platform_log/_claim_appender.py
+++ b/src/crocuswick/platform_log/_claim_appender.py
@@ -38,6 +38,14 @@
     """Ends the thread."""
 
 
+@attrs.frozen(kw_only=True, eq=False)
+class _Queued:
+    """A record with the event that is set once the log has confirmed it."""
+
+    record: ClaimRecord
+    appended: threading.Event = attrs.field(factory=threading.Event)
+
+
 class ClaimAppender:
     """Batches records; what must reach the log is kept until it did.
 
@@ -57,8 +65,8 @@
         self._client = client
         self._stream = stream
         self._on_claims_failed = on_claims_failed
-        self._queue: queue.SimpleQueue[ClaimRecord | _Stop] = queue.SimpleQueue()
-        self._owed: list[ClaimRecord] = []
+        self._queue: queue.SimpleQueue[_Queued | _Stop] = queue.SimpleQueue()
+        self._owed: list[_Queued] = []
         self._down_until_s = 0.0
         self._last_error: PeerError | None = None
         self._thread = threading.Thread(
@@ -81,9 +89,15 @@
         if self._thread.is_alive():
             self._thread.join(timeout=PAUSE_AFTER_FAILURE_MS / 1000 + 1.0)
 
-    def put(self, record: ClaimRecord) -> None:
-        """Queue a record."""
-        self._queue.put(record)
+    def put(self, record: ClaimRecord) -> threading.Event:
+        """Queue a record.
+
+        Returns:
+            An event that is set once the log has confirmed the record.
+        """
+        queued = _Queued(record=record)
+        self._queue.put(queued)
+        return queued.appended
 
     def _run(self) -> None:
         is_stopping = False
@@ -93,7 +107,7 @@
                 self._append(batch)
                 time.sleep(APPEND_INTERVAL_MS / 1000)
 
-    def _next_batch(self) -> tuple[list[ClaimRecord], bool]:
+    def _next_batch(self) -> tuple[list[_Queued], bool]:
         """Return what is owed, then what is queued; waits for the first of it."""
         batch, self._owed = self._owed, []
         wait_s = PAUSE_AFTER_FAILURE_MS / 1000 if batch else None
@@ -108,13 +122,15 @@
             return batch, False
         return batch, True
 
-    def _append(self, batch: list[ClaimRecord]) -> None:
-        values = [encode_claim_record(record) for record in batch]
+    def _append(self, batch: list[_Queued]) -> None:
+        values = [encode_claim_record(queued.record) for queued in batch]
         began_s = time.monotonic()
         answer = self._client.append(self._stream, values)
         took_ms = (time.monotonic() - began_s) * 1000
         if answer.is_ok():
             self._down_until_s = 0.0
+            for queued in batch:
+                queued.appended.set()
             return
         error = answer.unwrap_err()
         self._last_error = error
@@ -123,16 +139,23 @@
             self._down_until_s = time.monotonic() + PAUSE_AFTER_FAILURE_MS / 1000
         self._owed = _still_owed(batch)
         if error.outcome is Outcome.NOT_RUN:
-            claim_ids = [each.claim_id for each in batch if isinstance(each, ClaimMade)]
+            records = [queued.record for queued in batch]
+            claim_ids = [each.claim_id for each in records if _is_claim(each)]
             self._on_claims_failed(claim_ids, error)
 
 
-def _still_owed(batch: list[ClaimRecord]) -> list[ClaimRecord]:
+def _is_claim(record: ClaimRecord) -> bool:
+    return isinstance(record, ClaimMade)
+
+
+def _still_owed(batch: list[_Queued]) -> list[_Queued]:
     """Return what to append again; an outage drops answers before abandonments."""
     owed = [
-        record for record in batch if not isinstance(record, ClaimMade | StreamMark)
+        queued
+        for queued in batch
+        if not isinstance(queued.record, ClaimMade | StreamMark)
     ]
     if len(owed) <= MAX_OWED_RECORDS:
         return owed
-    owed.sort(key=lambda record: not isinstance(record, ClaimAbandoned))
+    owed.sort(key=lambda queued: not isinstance(queued.record, ClaimAbandoned))
     return owed[:MAX_OWED_RECORDS]
--- a/src/crocuswick/platform_log/claims.py
+++ b/src/crocuswick/platform_log/claims.py
@@ -53,6 +53,7 @@
 
 APPEND_TIMEOUT_MS = 700
 CLAIM_TIMEOUT_MS = 1_500
+COMPLETION_WAIT_MS = 400
 MARKS_IN_WINDOW = 4
 
 
@@ -162,13 +163,17 @@
     ) -> None:
         """Record the answer of a claimed call, for its repeats.
 
+        Waits a short while until the log has it, so that a repeat which follows
+        the answer at once, on whichever node, gets the same answer. When the log
+        is slow or down the record is appended later.
+
         Args:
             claim_id: Id of the claim.
             status: HTTP status of the answer.
             headers: Headers of the answer that a replay repeats.
             body: Body of the answer.
         """
-        self._appender.put(
+        appended = self._appender.put(
             ClaimCompleted(
                 claim_id=claim_id,
                 status=status,
@@ -176,6 +181,7 @@
                 body_base64=base64.b64encode(body).decode(),
             )
         )
+        appended.wait(COMPLETION_WAIT_MS / 1000)
 
     def complete_unknown(self, claim_id: str) -> None:
         """Record that a claimed call was sent and its answer was lost."""
--- /dev/null
+++ b/src/crocuswick/vm_list/client.py
@@ -0,0 +1,66 @@
+"""Calls of the platform's VM list."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import cattrs
+import urllib3
+from result import Err, Ok
+
+from crocuswick.errors import PeerError
+from crocuswick.outcome import Outcome
+from crocuswick.vm_list.listing import VmListing
+
+if TYPE_CHECKING:
+    from result import Result
+
+__all__ = ["VmListClient"]
+
+TIMEOUT_S = 2.0
+"""Time in which the list must have been read."""
+
+_HTTP_OK = 200
+
+
+class VmListClient:
+    """Reads the list; owned by one thread."""
+
+    def __init__(self, *, address: str, timeout_s: float = TIMEOUT_S):
+        """Create a client.
+
+        Args:
+            address: ``host:port`` of the list.
+            timeout_s: Time in which the list must have been read.
+        """
+        self._address = address
+        self._timeout_s = timeout_s
+        self._pool = urllib3.connection_from_url(f"http://{address}", retries=False)
+
+    def fetch(self) -> Result[VmListing, PeerError]:
+        """Return the list, or why it could not be read."""
+        timeout = urllib3.Timeout(total=self._timeout_s)
+        try:
+            response = self._pool.request("GET", "/v1/vms", timeout=timeout)
+        except urllib3.exceptions.HTTPError as error:
+            return self._error("read", f"{type(error).__name__}: {error}")
+        if response.status != _HTTP_OK:
+            return self._error("read", f"status {response.status}")
+        try:
+            return Ok(cattrs.structure(response.json(), VmListing))
+        except (ValueError, TypeError, KeyError, cattrs.BaseValidationError) as error:
+            return self._error("decode", f"{type(error).__name__}: {error}")
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._pool.close()
+
+    def _error(self, step: str, detail: str) -> Err[PeerError]:
+        return Err(
+            PeerError(
+                step=step,
+                peer=f"VM list {self._address}",
+                detail=detail,
+                outcome=Outcome.NOT_RUN,
+            )
+        )
