--- a/tests/platform_log/test_claims.py
+++ b/tests/platform_log/test_claims.py
@@ -60,6 +60,17 @@
         late_verdict = self.await_kind(late, ClaimVerdictKind.REPLAY)
         self.assertEqual(late_verdict.replay, replay)
 
+    def test_repeat_right_after_the_answer_replays_it(self):
+        first, second = self.keeper("node-1"), self.keeper("node-2")
+        for number in range(8):
+            key = f"seat-{number}"
+            verdict = self.claim(first, key=key).unwrap()
+            # The other node has seen the claim, but not yet its completion.
+            self.claim(second, key=key)
+            first.complete(verdict.claim_id, status=201, headers={}, body=b"ok")
+            repeat = self.claim(second, key=key).unwrap()
+            self.assertIs(repeat.kind, ClaimVerdictKind.REPLAY)
+
     def test_concurrent_claims_have_one_first(self):
         keepers = [self.keeper(f"node-{number}") for number in range(3)]
         kinds = []
