--- a/src/crocuswick/platform_log/follower.py
+++ b/src/crocuswick/platform_log/follower.py
@@ -73,8 +73,6 @@
         self._offset = from_offset
         self._post = post
         self._poll_wait_ms = poll_wait_ms
-        # The first page is wanted at once, also when the stream is empty.
-        self._next_wait_ms = 0
         self._is_at_end = False
         self._stopped = threading.Event()
         self._thread = threading.Thread(
@@ -108,7 +106,6 @@
         if answer.is_err():
             self._post(LogUnavailable(error=answer.unwrap_err()))
             return False
-        self._next_wait_ms = self._poll_wait_ms
         found = answer.unwrap()
         if isinstance(found, RetentionGap):
             self._offset = found.first_retained
