Say not_run only if no attempt may have run; retry suspects apart

Cause: a refusal took its outcome from the last attempt alone. Completions and plain services were both wrong. Before: test_refusal_after_an_uncertain_attempt_never_says_not_run failed in both suites. After: both pass. A truncated answer now says ran: its tokens prove it (the older test said unknown; the new bound is as strict).

Also: requests that saw the same crash are retried at different endpoints, so that a second crash tells which one is to blame, and a request that has begun waits up to 5 s for an endpoint rather than ending short.

--- a/src/crocuswick/callers/completion.py
+++ b/src/crocuswick/callers/completion.py
@@ -38,6 +38,8 @@
 __all__ = ["CompletionContext", "CompletionRun", "Delivery", "fingerprint"]
 
 MAX_IDLE_RESUMES = 2
+PLACEMENT_PATIENCE_S = 5.0
+PLACEMENT_RETRY_S = 0.1
 
 
 @attrs.frozen(kw_only=True)
@@ -126,6 +128,7 @@
         self._attempts = 0
         self._text: list[str] = []
         self._attempt: Attempt | None = None
+        self._outcome_so_far = Outcome.NOT_RUN
         self._prompt_tokens = 0
         self._cached_tokens = 0
         self._salt = cache_salt(
@@ -217,10 +220,30 @@
         )
 
     def _place(self) -> Result[Placement, Refusal]:
+        """Choose an endpoint; a request that has begun waits a while for one."""
+        wanted = self._wanted()
+        patience_s = PLACEMENT_PATIENCE_S if self._attempts else 0.0
+        until_s = min(time.monotonic() + patience_s, self._deadline_s)
+        while True:
+            placed = self._context.dispatcher.ask(
+                Dispatcher.Place(request=wanted, fingerprint=self._fingerprint)
+            )
+            if placed.is_ok():
+                return placed
+            if time.monotonic() >= until_s:
+                return placed.map_err(self._with_outcome)
+            time.sleep(PLACEMENT_RETRY_S)
+            # Endpoints that failed before may have come back.
+            wanted = attrs.evolve(wanted, excluded=frozenset())
+
+    def _with_outcome(self, refusal: Refusal) -> Refusal:
+        return attrs.evolve(refusal, outcome=self._outcome_so_far)
+
+    def _wanted(self) -> PlacementRequest:
         prompt = self._prompt()
         keys = block_keys(prompt, salt=self._salt)
         self._prompt_tokens = self._prompt_tokens or count_tokens(prompt)
-        wanted = PlacementRequest(
+        return PlacementRequest(
             request_id=self._engine_request_id(),
             model=self._request.engine_model,
             weights_version=self._request.weights_version,
@@ -231,10 +254,6 @@
             excluded=frozenset(self._excluded),
             pool=self._request.pool,
         )
-        placed = self._context.dispatcher.ask(Dispatcher.Place(request=wanted))
-        if placed.is_err() and self._text:
-            return Err(attrs.evolve(placed.err_value, outcome=Outcome.RAN))
-        return placed
 
     def _import_cache(self, placement: Placement) -> None:
         if placement.import_from is None:
@@ -409,6 +428,8 @@
         """Return the refusal that ends the run, or None to try again."""
         endpoint_id = self._attempt.endpoint_id
         self._excluded.add(endpoint_id)
+        if lost.kind != FailureKind.REFUSED:
+            self._outcome_so_far = Outcome.RAN if self._text else Outcome.UNKNOWN
         self._context.time_line.record(
             kind=f"attempt_{lost.kind}",
             subject=self._request.request_id,
@@ -423,14 +444,13 @@
             )
         )
         if verdict.refusal is not None:
-            return attrs.evolve(verdict.refusal, outcome=Outcome.RAN)
+            return self._with_outcome(verdict.refusal)
         if verdict.retry and time.monotonic() <= self._deadline_s:
             self._context.metrics.retries.inc({"kind": lost.kind})
             return None
-        refused = lost.kind == FailureKind.REFUSED and not self._text
         return attrs.evolve(
             no_endpoint_refusal(lost.detail, None),
-            outcome=Outcome.NOT_RUN if refused else Outcome.UNKNOWN,
+            outcome=self._outcome_so_far,
             step=lost.step,
             peer=endpoint_id,
         )
--- a/src/crocuswick/callers/service_run.py
+++ b/src/crocuswick/callers/service_run.py
@@ -71,11 +71,18 @@
 class ServiceRun:
     """One call, run by the thread that serves its caller."""
 
-    def __init__(self, *, context: ServiceContext, request: ServiceRequest):
+    def __init__(
+        self,
+        *,
+        context: ServiceContext,
+        request: ServiceRequest,
+        client: ServiceClient | None = None,
+    ):
         self._context = context
         self._request = request
-        self._client = ServiceClient()
+        self._client = client or ServiceClient()
         self._excluded: set[str] = set()
+        self._outcome_so_far = Outcome.NOT_RUN
 
     def run(self) -> Result[ServiceAnswer, Refusal]:
         """Run the call.
@@ -128,7 +135,8 @@
         while True:
             endpoint = self._choose()
             if endpoint is None:
-                return Err(no_endpoint_refusal("no endpoint is available", None))
+                refusal = no_endpoint_refusal("no endpoint is available", None)
+                return Err(attrs.evolve(refusal, outcome=self._outcome_so_far))
             attempts += 1
             sent = self._client.send(
                 endpoint_id=endpoint.id,
@@ -138,8 +146,11 @@
             )
             if sent.is_ok():
                 return Ok(sent.ok_value)
-            if not self._may_retry(endpoint, sent.err_value, attempts):
-                return Err(_failed(sent.err_value))
+            error = sent.err_value
+            if error.outcome is not Outcome.NOT_RUN:
+                self._outcome_so_far = error.outcome
+            if not self._may_retry(endpoint, error, attempts):
+                return Err(_failed(error, self._outcome_so_far))
 
     def _choose(self) -> Endpoint | None:
         """Choose at random among the usable endpoints, own zone first."""
@@ -217,13 +228,13 @@
     )
 
 
-def _failed(error: PeerError) -> Refusal:
-    not_run = error.outcome is Outcome.NOT_RUN
+def _failed(error: PeerError, outcome: Outcome) -> Refusal:
+    not_run = outcome is Outcome.NOT_RUN
     return Refusal(
         status=503 if not_run else 502,
         title="endpoint-unreachable" if not_run else "answer-lost",
         detail=error.detail,
-        outcome=error.outcome,
+        outcome=outcome,
         step=error.step,
         peer=error.peer,
         retry_after_s=1.0,
--- a/src/crocuswick/dispatcher.py
+++ b/src/crocuswick/dispatcher.py
@@ -136,10 +136,13 @@
     class Place(Message):
         """Choose an endpoint and count the request as sent there.
 
-        Replies ``Result[Placement, Refusal]``.
+        A request that was running when an endpoint crashed never shares an
+        endpoint with another such request, so that a second crash tells which of
+        them is to blame. Replies ``Result[Placement, Refusal]``.
         """
 
         request: PlacementRequest
+        fingerprint: str = ""
 
     @attrs.frozen(kw_only=True)
     class FirstToken(Message):
@@ -225,6 +228,7 @@
         self._breakers = CircuitBreakers()
         self._retries = RetryBudget()
         self._leaving_ids: set[str] = set()
+        self._suspects_by_attempt: dict[tuple[str, str], str] = {}
         self._draining = False
 
     def on_set_endpoints(self, message: SetEndpoints) -> None:
@@ -294,11 +298,17 @@
         now_s = time.monotonic()
         request = message.request
         excluded = request.excluded | self._breakers.open_ids(now_s)
+        suspect = self._quarantine.is_suspect(message.fingerprint, now_s=now_s)
+        if suspect:
+            excluded |= self._endpoints_of_other_suspects(message.fingerprint)
         placed = self._placer.place(attrs.evolve(request, excluded=excluded), now_s)
         if placed.is_err():
             reason = placed.err_value
             return Err(no_endpoint_refusal(reason.reason, reason.retry_after_s))
         placement = placed.ok_value
+        if suspect:
+            attempt = (placement.endpoint_id, request.request_id)
+            self._suspects_by_attempt[attempt] = message.fingerprint
         self._placer.record_sent(
             placement.endpoint_id, request.request_id, placement, request, now_s
         )
@@ -316,6 +326,8 @@
 
     def on_finished(self, message: Finished) -> None:
         """Stop counting an attempt as load."""
+        attempt = (message.endpoint_id, message.request_id)
+        self._suspects_by_attempt.pop(attempt, None)
         self._placer.record_finished(
             message.endpoint_id, message.request_id, time.monotonic()
         )
@@ -374,6 +386,13 @@
             limits, weights_by_organisation=weights, now_s=time.monotonic()
         )
 
+    def _endpoints_of_other_suspects(self, fingerprint: str) -> frozenset[str]:
+        return frozenset(
+            endpoint_id
+            for (endpoint_id, _), suspect in self._suspects_by_attempt.items()
+            if suspect != fingerprint
+        )
+
     def _record_crash(self, message: Failed, now_s: float) -> None:
         self._placer.record_lost(message.endpoint_id, now_s)
         report = CrashReport(
--- a/src/crocuswick/quarantine.py
+++ b/src/crocuswick/quarantine.py
@@ -120,6 +120,18 @@
             return Ok(None)
         return Err(_refusal(crash_times, retry_after_s=expires_s - now_s))
 
+    def is_suspect(self, fingerprint: str, *, now_s: float) -> bool:
+        """Return whether an endpoint crashed while it ran a request.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            now_s: Monotonic time.
+        """
+        crash_times = self._crash_times_by_fingerprint.get(fingerprint, {})
+        return any(
+            now_s - crashed_s < REPORT_LIFETIME_S for crashed_s in crash_times.values()
+        )
+
     def recent(self, *, now_s: float) -> tuple[CrashReport, ...]:
         """Return the latest reports, to be passed on to other nodes.
 
--- a/tests/callers/test_completion.py
+++ b/tests/callers/test_completion.py
@@ -194,6 +194,12 @@
         dying = ScriptedEngine(opened=[[(0,), CLOSED]], resumed=[REFUSED])
         items = self.run_completion({"a": dying})
         self.assertTrue(items[-1].is_err())
+        self.assertIs(items[-1].err_value.outcome, Outcome.RAN)
+
+    def test_refusal_after_an_uncertain_attempt_never_says_not_run(self):
+        uncertain = ScriptedEngine(opened=[NO_ANSWER], resumed=[NO_ANSWER])
+        refusing = ScriptedEngine(opened=[REFUSED])
+        items = self.run_completion({"a": uncertain, "b": refusing})
         self.assertIs(items[-1].err_value.outcome, Outcome.UNKNOWN)
 
     def test_refusal_says_not_run_only_when_nothing_was_sent(self):
--- /dev/null
+++ b/tests/callers/test_service_run.py
@@ -0,0 +1,133 @@
+"""Tests of the outcomes of calls to plain services."""
+
+from __future__ import annotations
+
+import unittest
+from collections import deque
+
+from result import Err, Ok
+
+from crocuswick.callers.service_run import ServiceContext, ServiceRequest, ServiceRun
+from crocuswick.configuration import Endpoint, EndpointPool, Service
+from crocuswick.dispatcher import Dispatcher, FailureVerdict
+from crocuswick.endpoints import ServiceAnswer, ServiceCall
+from crocuswick.errors import PeerError
+from crocuswick.metrics import Metrics
+from crocuswick.outcome import Outcome
+from crocuswick.platform_log import ClaimVerdict, ClaimVerdictKind
+from crocuswick.time_line import TimeLine
+
+OK_ANSWER = ServiceAnswer(status=201, headers={"Content-Type": "x"}, body=b"done")
+
+
+def failure(outcome: Outcome) -> PeerError:
+    return PeerError(step="service call", peer="e", detail="d", outcome=outcome)
+
+
+REFUSED = failure(Outcome.NOT_RUN)
+LOST = failure(Outcome.UNKNOWN)
+
+
+class ScriptedClient:
+    """Answers calls from a prepared queue and counts them."""
+
+    def __init__(self, steps):
+        self._steps = deque(steps)
+        self.sent = 0
+
+    def send(self, **_call):
+        self.sent += 1
+        step = self._steps.popleft()
+        return Err(step) if isinstance(step, PeerError) else Ok(step)
+
+
+class ScriptedDispatcher:
+    """Lets every attempt be repeated."""
+
+    def ask(self, message):
+        if isinstance(message, Dispatcher.Unavailable):
+            return frozenset()
+        return FailureVerdict(retry=True)
+
+
+class ScriptedClaims:
+    """Gives a prepared verdict and notes what is recorded."""
+
+    def __init__(self, verdict):
+        self._verdict = verdict
+        self.recorded = []
+
+    def claim(self, **_scope):
+        return self._verdict
+
+    def complete(self, claim_id, **_answer):
+        self.recorded.append(("complete", claim_id))
+
+    def complete_unknown(self, claim_id):
+        self.recorded.append(("unknown", claim_id))
+
+    def abandon(self, claim_id):
+        self.recorded.append(("abandon", claim_id))
+
+
+FIRST = Ok(ClaimVerdict(kind=ClaimVerdictKind.FIRST, claim_id="c"))
+
+
+class ServiceRunTests(unittest.TestCase):
+    def run_call(self, steps, *, method="POST", key=None, claimed=FIRST):
+        self.client = ScriptedClient(steps)
+        self.claims = ScriptedClaims(claimed)
+        endpoints = tuple(
+            Endpoint(id=name, address="127.0.0.1:1", zone="z") for name in "abc"
+        )
+        context = ServiceContext(
+            dispatcher=ScriptedDispatcher(),
+            claims=self.claims,
+            metrics=Metrics(node_id="n"),
+            time_line=TimeLine(node_id="n"),
+            zone="z",
+        )
+        request = ServiceRequest(
+            request_id="r",
+            organisation="o",
+            service=Service(id="s", prefix="s", pool="p"),
+            pool=EndpointPool(id="p", kind="plain", endpoints=endpoints),
+            call=ServiceCall(method=method, path="/bookings", headers={}, body=b""),
+            idempotency_key=key,
+        )
+        return ServiceRun(context=context, request=request, client=self.client).run()
+
+    def test_call_without_key_is_not_repeated_after_it_was_sent(self):
+        answer = self.run_call([LOST, OK_ANSWER])
+        self.assertIs(answer.err_value.outcome, Outcome.UNKNOWN)
+        self.assertEqual(self.client.sent, 1)
+
+    def test_call_that_was_never_sent_goes_to_another_endpoint(self):
+        self.assertEqual(self.run_call([REFUSED, OK_ANSWER]).ok_value, OK_ANSWER)
+
+    def test_refusal_after_an_uncertain_attempt_never_says_not_run(self):
+        for steps in ([LOST, REFUSED, REFUSED], [REFUSED, LOST, REFUSED]):
+            answer = self.run_call(steps, method="GET")
+            self.assertIs(answer.err_value.outcome, Outcome.UNKNOWN)
+
+    def test_claim_ends_as_the_call_did(self):
+        cases = {
+            "complete": [OK_ANSWER],
+            "unknown": [LOST],
+            "abandon": [REFUSED, REFUSED, REFUSED],
+        }
+        for kind, steps in cases.items():
+            with self.subTest(kind):
+                self.run_call(steps, key="k")
+                self.assertEqual(self.claims.recorded, [(kind, "c")])
+
+    def test_repeat_of_an_unsettled_call_is_not_sent(self):
+        kind = ClaimVerdictKind.IN_PROGRESS_OR_UNKNOWN
+        answer = self.run_call([], key="k", claimed=Ok(ClaimVerdict(kind=kind)))
+        self.assertIs(answer.err_value.outcome, Outcome.UNKNOWN)
+        self.assertEqual(self.client.sent, 0)
+
+    def test_unrecorded_claim_refuses_with_not_run(self):
+        answer = self.run_call([], key="k", claimed=Err(REFUSED))
+        self.assertIs(answer.err_value.outcome, Outcome.NOT_RUN)
+        self.assertEqual(self.client.sent, 0)
--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,133 @@
+"""Tests of the decisions that combine placement, quarantine and retries."""
+
+from __future__ import annotations
+
+import unittest
+
+from crocuswick.dispatcher import MAX_ATTEMPTS, Dispatcher, FailureKind
+from crocuswick.limits import Admission
+from crocuswick.load import LoadReport
+from crocuswick.placement import EndpointDescription, PlacementRequest, Placer
+from crocuswick.quarantine import Quarantine
+from crocuswick.time_line import TimeLine
+
+ENGINES = ("a", "b", "c")
+
+
+def load_report() -> LoadReport:
+    return LoadReport(
+        incarnation="i",
+        weights_versions_by_model={"m": "v1"},
+        state="ready",
+        running=0,
+        queued=0,
+        queued_tokens=0,
+        prefill_tokens_per_s=1000,
+        decode_tokens_per_s=30,
+        capacity_blocks=10,
+        cached_blocks=0,
+        age_ms=0,
+    )
+
+
+class DispatcherTests(unittest.TestCase):
+    def setUp(self):
+        self.shared = []
+        self.dispatcher = Dispatcher(
+            placer=Placer(zone="z", seed=1),
+            admission=Admission(capacity=8),
+            quarantine=Quarantine(),
+            time_line=TimeLine(node_id="n"),
+            share_crash=self.shared.append,
+        )
+        self.handle(
+            Dispatcher.SetEndpoints(
+                descriptions=tuple(
+                    EndpointDescription(id=each, address="x", zone="z", pool="p")
+                    for each in ENGINES
+                )
+            )
+        )
+        for each in ENGINES:
+            self.handle(Dispatcher.LoadSeen(endpoint_id=each, report=load_report()))
+
+    def handle(self, message):
+        return self.dispatcher.on_receive(message)
+
+    def place(self, request_id: str, fingerprint: str, excluded: str = ""):
+        request = PlacementRequest(
+            request_id=request_id,
+            model="m",
+            weights_version="v1",
+            keys=[],
+            prompt_tokens=10,
+            max_tokens=10,
+            priority=0,
+            excluded=frozenset(excluded),
+            pool="p",
+        )
+        return self.handle(Dispatcher.Place(request=request, fingerprint=fingerprint))
+
+    def crash(self, endpoint_id: str, fingerprint: str):
+        return self.handle(
+            Dispatcher.Failed(
+                endpoint_id=endpoint_id,
+                kind=FailureKind.CRASHED,
+                fingerprint=fingerprint,
+                attempts=1,
+            )
+        )
+
+    def admit(self, fingerprint: str):
+        return self.handle(
+            Dispatcher.Admit(
+                organisation="o", tokens=1, priority=0, fingerprint=fingerprint
+            )
+        )
+
+    def test_second_crash_refuses_the_request_and_no_other(self):
+        self.assertTrue(self.crash("a", "poison").retry)
+        verdict = self.crash("b", "poison")
+        self.assertFalse(verdict.retry)
+        self.assertIsNotNone(verdict.refusal)
+        self.assertEqual(self.admit("poison").err_value.outcome, "not_run")
+        self.assertTrue(self.admit("innocent").is_ok())
+        self.assertEqual(len(self.shared), 2)
+
+    def test_requests_that_saw_the_same_crash_are_retried_apart(self):
+        for fingerprint in ("poison", "innocent"):
+            self.crash("a", fingerprint)
+        for round_ in range(20):
+            first = self.place(f"p{round_}", "poison", "a").ok_value.endpoint_id
+            second = self.place(f"i{round_}", "innocent", "a").ok_value.endpoint_id
+            self.assertNotEqual(first, second)
+            for endpoint_id, name in ((first, "p"), (second, "i")):
+                self.handle(
+                    Dispatcher.Finished(
+                        endpoint_id=endpoint_id, request_id=f"{name}{round_}"
+                    )
+                )
+
+    def test_leaving_endpoint_gets_no_new_work(self):
+        self.handle(Dispatcher.SetLeaving(endpoint_id="a", leaving=True))
+        placed = {self.place(f"r{n}", "f").ok_value.endpoint_id for n in range(50)}
+        self.assertEqual(placed, {"b", "c"})
+
+    def test_draining_node_admits_nothing(self):
+        ticket = self.admit("f").ok_value
+        self.handle(Dispatcher.Drain())
+        self.assertEqual(self.admit("f").err_value.title, "draining")
+        self.assertEqual(self.handle(Dispatcher.CountInFlight()), 1)
+        self.handle(Dispatcher.Release(ticket=ticket))
+        self.assertEqual(self.handle(Dispatcher.CountInFlight()), 0)
+
+    def test_attempts_end(self):
+        verdict = self.handle(
+            Dispatcher.Failed(
+                endpoint_id="a",
+                kind=FailureKind.LOST,
+                fingerprint="f",
+                attempts=MAX_ATTEMPTS,
+            )
+        )
+        self.assertFalse(verdict.retry)
