Never replay part of a recorded answer

Before: the new test saw ('complete', 'c') recorded. After: the claim ends unknown and a repeat is told so.

--- a/src/crocuswick/callers/service_run.py
+++ b/src/crocuswick/callers/service_run.py
@@ -122,12 +122,15 @@
             self._context.claims.complete_unknown(verdict.claim_id)
 
     def _record_answer(self, verdict: ClaimVerdict, answer: ServiceAnswer) -> None:
-        kept = len(answer.body) <= MAX_RECORDED_BODY_BYTES
+        if len(answer.body) > MAX_RECORDED_BODY_BYTES:
+            # A replay must be whole; a repeat is told that the outcome is unknown.
+            self._context.claims.complete_unknown(verdict.claim_id)
+            return
         self._context.claims.complete(
             verdict.claim_id,
             status=answer.status,
             headers=replayable_headers(answer.headers),
-            body=answer.body if kept else b"",
+            body=answer.body,
         )
 
     def _send(self) -> Result[ServiceAnswer, Refusal]:
--- a/tests/callers/test_service_run.py
+++ b/tests/callers/test_service_run.py
@@ -7,7 +7,12 @@
 
 from result import Err, Ok
 
-from crocuswick.callers.service_run import ServiceContext, ServiceRequest, ServiceRun
+from crocuswick.callers.service_run import (
+    MAX_RECORDED_BODY_BYTES,
+    ServiceContext,
+    ServiceRequest,
+    ServiceRun,
+)
 from crocuswick.configuration import Endpoint, EndpointPool, Service
 from crocuswick.dispatcher import Dispatcher, FailureVerdict
 from crocuswick.endpoints import ServiceAnswer, ServiceCall
@@ -121,6 +126,14 @@
                 self.run_call(steps, key="k")
                 self.assertEqual(self.claims.recorded, [(kind, "c")])
 
+    def test_answer_too_large_to_record_is_not_replayed_in_part(self):
+        large = ServiceAnswer(
+            status=201, headers={}, body=b"x" * (MAX_RECORDED_BODY_BYTES + 1)
+        )
+        answer = self.run_call([large], key="k")
+        self.assertEqual(answer.ok_value, large)
+        self.assertEqual(self.claims.recorded, [("unknown", "c")])
+
     def test_repeat_of_an_unsettled_call_is_not_sent(self):
         kind = ClaimVerdictKind.IN_PROGRESS_OR_UNKNOWN
         answer = self.run_call([], key="k", claimed=Ok(ClaimVerdict(kind=kind)))
