Subtract a node's idle work from its cost per token

Cause: the long run lasts longer than the short one, so the node's polling of engines during it was counted as cost of the tokens. Ruled out: timing the CPU of single threads, which psutil reads as coarsely.

--- a/tests/node_cost.py
+++ b/tests/node_cost.py
@@ -1,7 +1,8 @@
 """Measures a node's CPU time per request and per relayed token event.
 
 Run as ``python -m tests.node_cost``; prints one JSON line. Callers run in this
-process, so only the node's own CPU time is counted.
+process, so only the node's own CPU time is counted; what the node spends without
+any request is subtracted.
 """
 
 from __future__ import annotations
@@ -33,10 +34,10 @@
     """Concurrent streams."""
 
     us_per_token: float
-    """CPU microseconds for each relayed token event."""
+    """CPU microseconds for each relayed token event, without the idle work."""
 
     us_per_request: float
-    """CPU microseconds for each request beyond its tokens."""
+    """CPU microseconds for each request beyond its tokens and the idle work."""
 
     idle_percent: float
     """Share of a core used without any request."""
@@ -65,10 +66,9 @@
         time.sleep(SETTLE_S)
         idle = _cpu_share(process, 3.0)
         _run(node.url, streams, SHORT_TOKENS)
-        short_s, count = _cost(process, node.url, streams, SHORT_TOKENS, ROUNDS)
-        long_s, _ = _cost(process, node.url, streams, LONG_TOKENS, 1)
-        short_each_us = short_s / count * 1e6
-        long_each_us = long_s / streams * 1e6
+        load = _Load(process=process, url=node.url, streams=streams, idle=idle)
+        short_each_us = load.us_per_request(tokens=SHORT_TOKENS, rounds=ROUNDS)
+        long_each_us = load.us_per_request(tokens=LONG_TOKENS, rounds=1)
         per_token_us = (long_each_us - short_each_us) / (LONG_TOKENS - SHORT_TOKENS)
         return NodeCost(
             streams=streams,
@@ -79,13 +79,29 @@
         )
 
 
-def _cost(
-    process: psutil.Process, url: str, streams: int, tokens: int, rounds: int
-) -> tuple[float, int]:
-    before_s = _cpu_s(process)
-    for _ in range(rounds):
-        _run(url, streams, tokens)
-    return _cpu_s(process) - before_s, streams * rounds
+@attrs.frozen(kw_only=True)
+class _Load:
+    """Requests to one node and what they cost beyond its idle work."""
+
+    process: psutil.Process
+    url: str
+    streams: int
+    idle: float
+    """Share of a core that the node uses without any request."""
+
+    def us_per_request(self, *, tokens: int, rounds: int) -> float:
+        """Return the CPU microseconds of a request with this many tokens.
+
+        Args:
+            tokens: Tokens of each answer.
+            rounds: How often all streams are run.
+        """
+        began_s, before_s = time.monotonic(), _cpu_s(self.process)
+        for _ in range(rounds):
+            _run(self.url, self.streams, tokens)
+        spent_s = _cpu_s(self.process) - before_s
+        idle_s = self.idle * (time.monotonic() - began_s)
+        return (spent_s - idle_s) / (self.streams * rounds) * 1e6
 
 
 def _run(url: str, streams: int, tokens: int) -> None:
