--- a/src/crocuswick/lease.py
+++ b/src/crocuswick/lease.py
@@ -12,6 +12,7 @@
 __all__ = [
     "LEASE_DURATION_MS",
     "ORDER_FLIGHT_MS",
+    "UNKNOWN_TOKEN",
     "HeldLease",
     "LeaseGrant",
     "LeaseRequest",
@@ -24,6 +25,9 @@
 ORDER_FLIGHT_MS = 3_000
 """Longest time for which an order that was sent can still take effect."""
 
+UNKNOWN_TOKEN = -1
+"""Stands for the last grant in a request of a node that knows of none."""
+
 
 @attrs.frozen(kw_only=True)
 class LeaseRequest:
@@ -38,8 +42,8 @@
     node_id: str
     """The node."""
 
-    attempt: int
-    """Number of the node's request, to tell its own records apart."""
+    previous_token: int
+    """Token of the last grant that the node knows, or `UNKNOWN_TOKEN`."""
 
     duration_ms: int
     """Time for which the lease is wanted."""
@@ -56,7 +60,7 @@
     """The holder."""
 
     fencing_token: int
-    """Offset of the record that the lease was granted by."""
+    """Offset of the record that the lease was granted or last renewed by."""
 
     ends_ms: int
     """Log time at which the lease ends."""
@@ -91,10 +95,12 @@
     if not isinstance(value, dict) or value.get("type") != "lease":
         return None
     texts = [value.get(name) for name in ("resource", "lease_id", "node_id")]
-    numbers = [value.get(name) for name in ("attempt", "duration_ms")]
+    numbers = [value.get(name) for name in ("previous_token", "duration_ms")]
     if not all(isinstance(text, str) for text in texts):
         return None
-    if not all(type(number) is int and number >= 0 for number in numbers):
+    if not all(type(number) is int for number in numbers):
+        return None
+    if not 0 < value["duration_ms"] <= LEASE_DURATION_MS:
         return None
     fields = attrs.fields_dict(LeaseRequest)
     return LeaseRequest(**{name: value[name] for name in fields})
@@ -105,16 +111,22 @@
 
     A lease that has ended is granted to another node only after a further
     `ORDER_FLIGHT_MS`, so that no order of the former holder is still on its way.
+
+    A request names the last grant that its node knows. A node that starts after
+    records were dropped learns from this which of the requests it has read were
+    granted, and grants nothing itself before.
     """
 
     def __init__(self) -> None:
         self._grants_by_resource: dict[str, LeaseGrant] = {}
+        self._unjudged_by_resource: dict[str, list[_PlacedRequest]] = {}
         self._has_gap = False
         self._covers_from_ms: int | None = None
 
     def restart(self) -> None:
         """Forget everything, since records were dropped before they were read."""
         self._grants_by_resource.clear()
+        self._unjudged_by_resource.clear()
         self._has_gap = True
         self._covers_from_ms = None
 
@@ -122,6 +134,16 @@
         """Return the last grant of a resource, which may have ended."""
         return self._grants_by_resource.get(resource)
 
+    def holder_at(self, resource: str, time_ms: int) -> str:
+        """Return the id of the lease in force, or an empty string.
+
+        Args:
+            resource: What is leased.
+            time_ms: Log time.
+        """
+        grant = self.grant(resource)
+        return grant.lease_id if grant and time_ms < grant.ends_ms else ""
+
     def fold(self, record: LogRecord) -> LeaseGrant | None:
         """Fold the next record.
 
@@ -136,33 +158,67 @@
         request = decode_lease_request(record.value)
         if request is None:
             return None
-        current = self._grants_by_resource.get(request.resource)
-        if not self._is_free(current, request, record.time_ms):
-            return None
-        ends_ms = record.time_ms + request.duration_ms
-        grant = LeaseGrant(
-            lease_id=request.lease_id,
-            node_id=request.node_id,
-            fencing_token=record.offset,
-            ends_ms=ends_ms,
+        placed = _PlacedRequest(
+            request=request, offset=record.offset, time_ms=record.time_ms
         )
-        if current is not None and self._renews(current, request, record.time_ms):
-            grant = attrs.evolve(current, ends_ms=max(current.ends_ms, ends_ms))
-        self._grants_by_resource[request.resource] = grant
+        if self._has_gap and request.resource not in self._grants_by_resource:
+            return self._fold_after_gap(placed)
+        return self._judge(placed)
+
+    def _judge(self, placed: _PlacedRequest) -> LeaseGrant | None:
+        resource = placed.request.resource
+        current = self._grants_by_resource.get(resource)
+        if current is not None and not _may_follow(placed, current):
+            return None
+        grant = placed.grant()
+        self._grants_by_resource[resource] = grant
         return grant
 
-    def _is_free(
-        self, current: LeaseGrant | None, request: LeaseRequest, time_ms: int
-    ) -> bool:
-        if current is not None:
-            return (
-                self._renews(current, request, time_ms)
-                or time_ms >= current.ends_ms + ORDER_FLIGHT_MS
-            )
-        # A lease that was granted before the records read may still be held.
-        unread_ends_ms = self._covers_from_ms + request.duration_ms + ORDER_FLIGHT_MS
-        return not self._has_gap or time_ms >= unread_ends_ms
-
-    @staticmethod
-    def _renews(current: LeaseGrant, request: LeaseRequest, time_ms: int) -> bool:
-        return current.lease_id == request.lease_id and time_ms < current.ends_ms
+    def _fold_after_gap(self, placed: _PlacedRequest) -> LeaseGrant | None:
+        request = placed.request
+        unjudged = self._unjudged_by_resource.setdefault(request.resource, [])
+        last_ms = unjudged[-1].time_ms if unjudged else self._covers_from_ms
+        named = [each for each in unjudged if each.offset == request.previous_token]
+        unjudged.append(placed)
+        if named:
+            # Its node saw this grant, so it is one; judge what came after it.
+            self._grants_by_resource[request.resource] = named[0].grant()
+            later = unjudged[unjudged.index(named[0]) + 1 :]
+            del self._unjudged_by_resource[request.resource]
+            return [self._judge(each) for each in later][-1]
+        silent_ms = placed.time_ms - last_ms
+        if (
+            request.previous_token == UNKNOWN_TOKEN
+            and silent_ms >= LEASE_DURATION_MS + ORDER_FLIGHT_MS
+        ):
+            # Whatever was granted before has ended without a renewal.
+            del self._unjudged_by_resource[request.resource]
+            return self._judge(placed)
+        return None
+
+
+@attrs.frozen(kw_only=True)
+class _PlacedRequest:
+    """A request with its place in the log."""
+
+    request: LeaseRequest
+    offset: int
+    time_ms: int
+
+    def grant(self) -> LeaseGrant:
+        """Return the grant that the request leads to if it is granted."""
+        return LeaseGrant(
+            lease_id=self.request.lease_id,
+            node_id=self.request.node_id,
+            fencing_token=self.offset,
+            ends_ms=self.time_ms + self.request.duration_ms,
+        )
+
+
+def _may_follow(placed: _PlacedRequest, current: LeaseGrant) -> bool:
+    request = placed.request
+    names_current = request.previous_token == current.fencing_token
+    if request.lease_id == current.lease_id and placed.time_ms < current.ends_ms:
+        return names_current
+    is_over = placed.time_ms >= current.ends_ms + ORDER_FLIGHT_MS
+    return is_over and (names_current or request.previous_token == UNKNOWN_TOKEN)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -4,27 +4,31 @@
 
 import unittest
 
+import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 
 from crocuswick.lease import (
+    LEASE_DURATION_MS,
     ORDER_FLIGHT_MS,
+    UNKNOWN_TOKEN,
     HeldLease,
     LeaseRequest,
     LeaseTable,
     encode_lease_request,
 )
+from crocuswick.lease_holder import LeaseHolder
 from crocuswick.platform_log import LogRecord
 
 DURATION_MS = 5_000
 
 
-def request(offset, time_ms, node_id, lease_id=None):
+def request(offset, time_ms, node_id, previous_token=UNKNOWN_TOKEN):
     value = LeaseRequest(
         resource="orders",
-        lease_id=lease_id or node_id,
+        lease_id=node_id,
         node_id=node_id,
-        attempt=offset,
+        previous_token=previous_token,
         duration_ms=DURATION_MS,
     )
     return LogRecord(offset=offset, time_ms=time_ms, value=encode_lease_request(value))
@@ -32,12 +36,17 @@
 
 @st.composite
 def histories(draw):
+    """Draw requests of nodes that have each read the log up to some point."""
     time_ms = 0
     records = []
+    tokens = [UNKNOWN_TOKEN]
+    table = LeaseTable()
     for offset in range(draw(st.integers(1, 30))):
-        time_ms += draw(st.integers(0, 6_000))
-        node = draw(st.sampled_from("abc"))
-        records.append(request(offset, time_ms, node))
+        time_ms += draw(st.integers(0, 9_000))
+        known = draw(st.sampled_from((UNKNOWN_TOKEN, *tokens[-3:])))
+        records.append(request(offset, time_ms, draw(st.sampled_from("abc")), known))
+        if table.fold(records[-1]) is not None:
+            tokens.append(offset)
     return records
 
 
@@ -49,40 +58,50 @@
         self.assertIsNone(table.fold(request(4, free_ms - 1, "b")))
         self.assertEqual(table.fold(request(5, free_ms, "b")).fencing_token, 5)
 
-    def test_renewal_keeps_the_token(self):
+    def test_renewal_gives_a_new_token(self):
         table = LeaseTable()
         table.fold(request(0, 0, "a"))
-        grant = table.fold(request(1, 4_000, "a"))
-        self.assertEqual((grant.fencing_token, grant.ends_ms), (0, 9_000))
+        grant = table.fold(request(1, 4_000, "a", 0))
+        self.assertEqual((grant.fencing_token, grant.ends_ms), (1, 9_000))
+        self.assertIsNone(table.fold(request(2, 4_500, "a", 0)))
+        self.assertEqual(table.holder_at("orders", 8_999), "a")
+        self.assertEqual(table.holder_at("orders", 9_000), "")
 
-    def test_former_holder_gets_a_new_token_after_its_end(self):
+    def test_former_holder_is_not_renewed_after_the_end(self):
         table = LeaseTable()
         table.fold(request(0, 0, "a"))
-        late_ms = DURATION_MS + ORDER_FLIGHT_MS
-        self.assertEqual(table.fold(request(1, late_ms, "a")).fencing_token, 1)
+        self.assertIsNone(table.fold(request(1, DURATION_MS, "a", 0)))
 
     def test_after_a_gap_unread_leases_are_waited_out(self):
         table = LeaseTable()
         table.restart()
         self.assertIsNone(table.fold(request(9, 100, "a")))
-        free_ms = 100 + DURATION_MS + ORDER_FLIGHT_MS
+        free_ms = 100 + LEASE_DURATION_MS + ORDER_FLIGHT_MS
         self.assertIsNotNone(table.fold(request(10, free_ms, "a")))
 
+    def test_after_a_gap_a_renewal_shows_the_holder(self):
+        table = LeaseTable()
+        table.restart()
+        table.fold(request(9, 100, "a", 4))
+        table.fold(request(10, 200, "b"))
+        grant = table.fold(request(11, 300, "a", 9))
+        self.assertEqual((grant.lease_id, grant.fencing_token), ("a", 11))
+
     @given(histories())
     def test_holders_never_overlap_and_tokens_rise(self, records):
         table = LeaseTable()
-        grants = []
+        last = None
         for record in records:
             grant = table.fold(record)
             if grant is None:
                 continue
-            if grants and grants[-1][1].fencing_token == grant.fencing_token:
-                self.assertEqual(grants[-1][1].node_id, grant.node_id)
-            elif grants:
-                last_end_ms = grants[-1][1].ends_ms
-                self.assertGreaterEqual(record.time_ms, last_end_ms + ORDER_FLIGHT_MS)
-                self.assertGreater(grant.fencing_token, grants[-1][1].fencing_token)
-            grants.append((record.time_ms, grant))
+            if last is not None:
+                self.assertGreater(grant.fencing_token, last.fencing_token)
+                is_renewal = grant.lease_id == last.lease_id
+                if not (is_renewal and record.time_ms < last.ends_ms):
+                    free_ms = last.ends_ms + ORDER_FLIGHT_MS
+                    self.assertGreaterEqual(record.time_ms, free_ms)
+            last = grant
 
     @given(histories(), st.data())
     def test_a_later_node_grants_no_lease_that_others_do_not(self, records, data):
@@ -93,7 +112,7 @@
         for expected, record in zip(whole_grants[start:], records[start:], strict=True):
             got = late.fold(record)
             if got is not None:
-                self.assertIsNotNone(expected)
+                self.assertEqual(got, expected)
 
     def test_holder_stops_sending_before_the_end(self):
         lease = HeldLease(fencing_token=1, ends_s=100.0)
@@ -102,5 +121,49 @@
         self.assertFalse(lease.may_send(100.01 - flight_s))
 
 
+class LeaseHolderTests(unittest.TestCase):
+    def setUp(self):
+        self.holder = LeaseHolder(resource="orders", node_id="a", now_s=0.0)
+        self.table = LeaseTable()
+        self.offset = 0
+
+    def append(self, now_s, *, is_answered=True):
+        """Append the due request and read it back a second later."""
+        wanted = self.holder.due_request(now_s)
+        value = encode_lease_request(wanted)
+        record = LogRecord(
+            offset=self.offset, time_ms=int(now_s * 1000) + 500, value=value
+        )
+        if is_answered:
+            self.holder.note_sent(self.offset, now_s)
+        self.offset += 1
+        grant = self.table.fold(record)
+        if grant is not None:
+            self.holder.note_grant(grant, now_s + 1)
+
+    def test_lease_is_counted_from_before_the_request(self):
+        self.append(10.0)
+        end_s = 10.0 + LEASE_DURATION_MS / 1000
+        self.assertEqual(self.holder.held(11.0).ends_s, end_s)
+        # A holder that was paused past the end finds that it holds nothing.
+        self.assertIsNone(self.holder.held(end_s))
+
+    def test_lost_answer_does_not_prolong_the_lease(self):
+        self.append(10.0)
+        before = self.holder.held(15.0)
+        self.append(15.0, is_answered=False)
+        self.assertEqual(self.holder.held(16.0), before)
+        self.append(20.0)
+        self.assertEqual(self.holder.held(21.0).ends_s, 20.0 + LEASE_DURATION_MS / 1000)
+
+    def test_another_holder_is_waited_for(self):
+        self.append(10.0)
+        other = attrs.evolve(self.table.grant("orders"), lease_id="b", node_id="b")
+        self.holder.note_grant(other, 30.0)
+        self.assertIsNone(self.holder.held(30.0))
+        free_s = 30.0 + (LEASE_DURATION_MS + ORDER_FLIGHT_MS) / 1000
+        self.assertIsNone(self.holder.due_request(free_s - 0.1))
+
+
 if __name__ == "__main__":
     unittest.main()
