Reload keys and certificates on SIGHUP; be ready once an endpoint has reported

A node said ready before it had read any engine's load, and refused the first requests after a restart. It is now ready when an engine has reported, or one second after its configuration came. Resume tokens accept every key listed.

--- a/src/crocuswick/application.py
+++ b/src/crocuswick/application.py
@@ -14,6 +14,8 @@
 
 logger = logbook.Logger(__name__)
 
+POLL_INTERVAL_S = 0.2
+
 
 class Component(Protocol):
     """What an application starts and stops."""
@@ -29,7 +31,8 @@
     """Starts components in order and stops them in reverse order.
 
     Life-cycle hooks, each in the order of registration: ``on_start`` after all
-    components have started, ``on_drain`` once when shutdown is asked for, and
+    components have started, ``on_reload`` whenever files are to be read again,
+    ``on_drain`` once when shutdown is asked for, and
     ``on_stop`` before the components stop.
     """
 
@@ -37,10 +40,12 @@
         self._components: list[Component] = []
         self._started: list[Component] = []
         self._start_hooks: list[Callable[[], None]] = []
+        self._reload_hooks: list[Callable[[], None]] = []
         self._drain_hooks: list[Callable[[], None]] = []
         self._stop_hooks: list[Callable[[], None]] = []
         self._shutdown = threading.Event()
         self._forced = threading.Event()
+        self._reload = threading.Event()
 
     @property
     def forced(self) -> threading.Event:
@@ -56,6 +61,11 @@
         self._start_hooks.append(hook)
         return hook
 
+    def on_reload(self, hook: Callable[[], None]) -> Callable[[], None]:
+        """Register a hook that reads key and certificate files again."""
+        self._reload_hooks.append(hook)
+        return hook
+
     def on_drain(self, hook: Callable[[], None]) -> Callable[[], None]:
         """Register a hook that runs when shutdown begins."""
         self._drain_hooks.append(hook)
@@ -66,6 +76,10 @@
         self._stop_hooks.append(hook)
         return hook
 
+    def reload(self) -> None:
+        """Ask for the reload hooks to be run."""
+        self._reload.set()
+
     def shut_down(self) -> None:
         """Ask for shutdown; a second call forces it at once."""
         if self._shutdown.is_set():
@@ -80,8 +94,8 @@
         """Run until shutdown has been asked for and has finished."""
         try:
             self._start()
-            while not self._shutdown.wait(0.5):
-                pass
+            while not self._shutdown.wait(POLL_INTERVAL_S):
+                self._reload_if_asked()
             _call(self._drain_hooks)
             _call(self._stop_hooks)
         finally:
@@ -93,6 +107,15 @@
             self._started.append(component)
         _call(self._start_hooks)
 
+    def _reload_if_asked(self) -> None:
+        if not self._reload.is_set():
+            return
+        self._reload.clear()
+        try:
+            _call(self._reload_hooks)
+        except (OSError, ValueError) as error:
+            logger.error("reload failed, what was in force stays: {}", error)
+
     def _stop(self) -> None:
         for component in reversed(self._started):
             try:
--- a/src/crocuswick/daemon.py
+++ b/src/crocuswick/daemon.py
@@ -52,6 +52,7 @@
     node = Node(settings=settings)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: node.application.shut_down())
+    signal.signal(signal.SIGHUP, lambda *_: node.application.reload())
     node.run()
     return 0
 
--- a/src/crocuswick/fleet_member.py
+++ b/src/crocuswick/fleet_member.py
@@ -4,7 +4,6 @@
 
 import random
 import time
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 import attrs
@@ -22,14 +21,12 @@
     NodeState,
     PeerAddress,
     PeerClient,
-    PeerKeys,
     PeerServer,
     SnapshotKeeper,
     SnapshotReply,
     SnapshotRequest,
     TimeLineReply,
     TimeLineRequest,
-    read_key_file,
 )
 from crocuswick.vm_list import (
     VmKind,
@@ -43,13 +40,13 @@
     from collections.abc import Callable, Sequence
 
     from crocuswick.configuration import ConfigurationKeeper
-    from crocuswick.nodes import NodeStatus
+    from crocuswick.nodes import NodeStatus, PeerKeys
     from crocuswick.quarantine import CrashReport
     from crocuswick.settings import Settings
     from crocuswick.time_line import TimeLine, TimeLineEvent
     from crocuswick.vm_list import VmChange, VmListing
 
-__all__ = ["FleetMember", "FleetNews", "read_keys"]
+__all__ = ["FleetMember", "FleetNews"]
 
 logger = logbook.Logger(__name__)
 
@@ -325,20 +322,5 @@
                 )
 
 
-def read_keys(path: str) -> PeerKeys:
-    """Return the keys in a file that the settings' check has accepted.
-
-    Args:
-        path: The file.
-
-    Raises:
-        ValueError: If the file has become unusable since it was checked.
-    """
-    keys = read_key_file(Path(path))
-    if keys.is_err():
-        raise ValueError(str(keys.err_value))
-    return PeerKeys(keys=keys.ok_value)
-
-
 def _leaving(signal: EndpointSignal) -> Message:
     return Dispatcher.SetLeaving(endpoint_id=signal.endpoint_id, leaving=True)
--- a/src/crocuswick/http_server.py
+++ b/src/crocuswick/http_server.py
@@ -71,6 +71,16 @@
         while not self._server.ready:
             time.sleep(0.001)
 
+    def reload_certificate(self) -> None:
+        """Read the certificate and its key again, for new connections.
+
+        Raises:
+            OSError: The files can't be read or don't fit together.
+        """
+        adapter = self._server.ssl_adapter
+        if adapter is not None:
+            adapter.context.load_cert_chain(adapter.certificate, adapter.private_key)
+
     def stop(self) -> None:
         """Close the port and end the serving threads."""
         self._server.stop()
--- a/src/crocuswick/node.py
+++ b/src/crocuswick/node.py
@@ -19,11 +19,11 @@
 from crocuswick.configuration import ConfigurationKeeper
 from crocuswick.dispatcher import Dispatcher
 from crocuswick.endpoints import EngineClients, EngineWatchers
-from crocuswick.fleet_member import FleetMember, read_keys
+from crocuswick.fleet_member import FleetMember
 from crocuswick.http_server import HttpServer
 from crocuswick.limits import Admission
 from crocuswick.metrics import Metrics
-from crocuswick.nodes import NodePhase
+from crocuswick.nodes import NodePhase, PeerKeys, read_key_file
 from crocuswick.operators import AdminProviders, admin_application
 from crocuswick.placement import Placer
 from crocuswick.platform_log import ClaimKeeper
@@ -43,7 +43,9 @@
 
 logger = logbook.Logger(__name__)
 
+FIRST_REPORT_TIMEOUT_S = 1.0
 OPERATOR_THREADS = 8
+UNKNOWN_STATE = "unknown"
 DRAIN_POLL_S = 0.05
 DRAIN_QUIET_S = 0.3
 """Time without a request in flight after which a draining node ends."""
@@ -59,8 +61,12 @@
     def __init__(self, *, settings: Settings):
         self._settings = settings
         self._draining = False
+        self._endpoints_known = False
+        self._configured_at_s = 0.0
         self.application = Application()
-        self._secret = Path(settings.nodes.key_file).read_bytes().strip()
+        keys = self._read_keys()
+        self._peer_keys = PeerKeys(keys=keys)
+        self._tokens = ResumeTokens(keys=keys)
         self._time_line = TimeLine(
             node_id=settings.node_id,
             capacity=settings.time_line.capacity,
@@ -76,7 +82,33 @@
     @property
     def is_ready(self) -> bool:
         """Whether the node takes new work."""
-        return not self._draining and self._keeper.current.revision > 0
+        if self._draining or self._keeper.current.revision == 0:
+            return False
+        self._endpoints_known = self._endpoints_known or self._knows_endpoints()
+        return self._endpoints_known
+
+    def _knows_endpoints(self) -> bool:
+        """Whether an endpoint has reported, or none does so in time."""
+        waited_s = time.monotonic() - self._configured_at_s
+        if self._configured_at_s and waited_s > FIRST_REPORT_TIMEOUT_S:
+            return True
+        statuses = self._dispatcher.ask(Dispatcher.Describe())
+        return any(status.state != UNKNOWN_STATE for status in statuses)
+
+    def _read_keys(self) -> list[bytes]:
+        keys = read_key_file(Path(self._settings.nodes.key_file))
+        if keys.is_err():
+            raise ValueError(str(keys.err_value))
+        return keys.ok_value
+
+    def _reload(self) -> None:
+        """Read key and certificate files again."""
+        keys = self._read_keys()
+        self._peer_keys.replace(keys)
+        self._tokens.replace(keys)
+        self._callers_server.reload_certificate()
+        self._time_line.record(kind="keys_reloaded")
+        logger.info("keys and certificates reloaded")
 
     def run(self) -> None:
         """Run until shutdown."""
@@ -116,7 +148,7 @@
     def _build_fleet_member(self) -> None:
         self._fleet_member = FleetMember(
             settings=self._settings,
-            keys=read_keys(self._settings.nodes.key_file),
+            keys=self._peer_keys,
             keeper=self._keeper,
             dispatcher=self._dispatcher,
             time_line=self._time_line,
@@ -136,7 +168,7 @@
             completions=CompletionContext(
                 dispatcher=self._dispatcher,
                 clients=self._clients,
-                tokens=ResumeTokens(key=self._secret),
+                tokens=self._tokens,
                 time_line=self._time_line,
                 metrics=self._metrics,
             ),
@@ -197,6 +229,7 @@
 
     def _register_hooks(self) -> None:
         self.application.on_start(self._announce)
+        self.application.on_reload(self._reload)
         self.application.on_drain(self._drain)
 
     def _announce(self) -> None:
@@ -210,6 +243,7 @@
         return self._callers_server.address
 
     def _on_configuration(self, configuration: Configuration) -> None:
+        self._configured_at_s = self._configured_at_s or time.monotonic()
         self._metrics.revision.set({}, configuration.revision)
         self._time_line.record(
             kind="configuration_in_force", subject=f"revision {configuration.revision}"
--- a/src/crocuswick/nodes/contact_plan.py
+++ b/src/crocuswick/nodes/contact_plan.py
@@ -21,7 +21,7 @@
 """Nodes of a zone that send its digest to another zone."""
 
 DIGEST_RECEIVERS = 2
-"""Nodes of the other zone that each of them sends it to."""
+"""Nodes of the other zone that get it, each from another sender."""
 
 SEEDS_PER_INTERVAL = 4
 """Unanswered addresses that are tried in one interval."""
@@ -126,11 +126,6 @@
         """Move on to the next turn."""
         self._interval += 1
 
-    @property
-    def is_starting(self) -> bool:
-        """Whether the node has just started and asks others for digests."""
-        return self._interval <= FIRST_INTERVALS
-
     def near(self, statuses: Sequence[NodeStatus]) -> list[PeerAddress]:
         """Return the addresses of the own zone's nodes that get each heartbeat.
 
@@ -163,7 +158,7 @@
             if (address.host, address.port) not in heard
             and self._is_wanted(address, live_zones)
         ]
-        count = MAX_FIRST_SEEDS if self.is_starting else SEEDS_PER_INTERVAL
+        count = MAX_FIRST_SEEDS if self._interval <= FIRST_INTERVALS else SEEDS_PER_INTERVAL
         return self._in_turn(wanted, count=count)
 
     def digest_receivers(
--- a/src/crocuswick/nodes/membership_protocol.py
+++ b/src/crocuswick/nodes/membership_protocol.py
@@ -44,12 +44,15 @@
 
 __all__ = ["MembershipCounters", "MembershipProtocol", "Outgoing"]
 
-RELAY_INTERVAL_S = 4.0
+RELAY_INTERVAL_S = 5.0
 """Interval at which an unchanged digest of another zone is passed on."""
 
 EARLY_GAP_S = 0.1
 """Shortest time between messages that are sent ahead of their turn."""
 
+REPLIERS = 3
+"""Unanswered addresses that are asked for digests in one interval."""
+
 REVISION_REPEAT_S = 1.0
 """Interval at which a missing configuration revision is reported again."""
 
@@ -97,7 +100,7 @@
 
     configuration_revision: int
     live_nodes: int
-    phases: frozenset[tuple[str, NodePhase]]
+    draining: frozenset[str]
 
 
 @attrs.define(kw_only=True)
@@ -373,8 +376,14 @@
         near = self._plan.near(statuses)
         outgoing = self._heartbeat(near, near_nodes=len(near), wall_ms=wall_ms)
         unanswered = self._plan.unanswered(statuses)
+        outgoing += self._heartbeat(
+            unanswered[:REPLIERS],
+            near_nodes=len(near),
+            wall_ms=wall_ms,
+            wants_reply=True,
+        )
         return outgoing + self._heartbeat(
-            unanswered, near_nodes=len(near), wall_ms=wall_ms, wants_reply=True
+            unanswered[REPLIERS:], near_nodes=len(near), wall_ms=wall_ms
         )
 
     def _heartbeat(
@@ -391,7 +400,7 @@
             near_nodes=near_nodes,
             news=self._news,
             wall_ms=wall_ms,
-            wants_reply=wants_reply or self._plan.is_starting,
+            wants_reply=wants_reply,
         )
         return self._sealed(heartbeat, receivers)
 
@@ -407,7 +416,12 @@
                 continue
             receivers = self._plan.digest_receivers(statuses, zone=zone)
             if receivers:
-                digest = self._digest(statuses, zone=zone, now_s=now_s, wall_ms=wall_ms)
+                digest = self._digest(
+            statuses,
+            contacts=self._plan.contacts(statuses, zone=zone),
+            now_s=now_s,
+            wall_ms=wall_ms,
+        )
                 outgoing += self._sealed(digest, receivers)
         return outgoing
 
@@ -443,7 +457,11 @@
         key = _DigestKey(
             configuration_revision=digest.configuration_revision,
             live_nodes=digest.live_nodes,
-            phases=frozenset((node.node_id, node.phase) for node in digest.nodes),
+            draining=frozenset(
+                node.node_id
+                for node in digest.nodes
+                if node.phase is NodePhase.DRAINING
+            ),
         )
         relay = self._relays_by_zone.get(digest.zone)
         if relay and relay.key == key and now_s - relay.sent_s < RELAY_INTERVAL_S:
@@ -452,11 +470,16 @@
         return True
 
     def _digest(
-        self, statuses: Sequence[NodeStatus], *, zone: str, now_s: float, wall_ms: int
+        self,
+        statuses: Sequence[NodeStatus],
+        *,
+        contacts: Sequence[PeerAddress],
+        now_s: float,
+        wall_ms: int,
     ) -> ZoneDigest:
         return self._builder.digest(
             statuses,
-            contacts=self._plan.contacts(statuses, zone=zone),
+            contacts=contacts,
             news=self._news,
             now_s=now_s,
             wall_ms=wall_ms,
--- a/src/crocuswick/nodes/message_builder.py
+++ b/src/crocuswick/nodes/message_builder.py
@@ -26,7 +26,7 @@
 
 __all__ = ["MessageBuilder", "NodeIdentity", "RecentNews"]
 
-MAX_DIGEST_NODES = 8
+MAX_DIGEST_NODES = 6
 """Nodes listed in the digest for another zone."""
 
 MAX_REPLY_NODES = 16
@@ -35,10 +35,10 @@
 MAX_HEARTBEAT_DEMANDS = 6
 """Organisations whose demand a heartbeat carries in a small zone."""
 
-ZONE_DEMANDS = 100
+ZONE_DEMANDS = 60
 """Organisations' demand carried by all heartbeats of a large zone together."""
 
-MAX_DIGEST_DEMANDS = 16
+MAX_DIGEST_DEMANDS = 12
 """Organisations whose demand a digest carries."""
 
 
--- a/src/crocuswick/nodes/zone_table.py
+++ b/src/crocuswick/nodes/zone_table.py
@@ -18,7 +18,7 @@
 
 __all__ = ["ZoneTable"]
 
-DEMAND_LIFETIME_S = 20.0
+DEMAND_LIFETIME_S = 30.0
 """Time after which a demand that was not told again counts as none."""
 
 ZONE_REACHABLE_S = 12.0
--- a/src/crocuswick/resume_token.py
+++ b/src/crocuswick/resume_token.py
@@ -6,11 +6,15 @@
 import binascii
 import hashlib
 import hmac
+from typing import TYPE_CHECKING
 
 import attrs
 import msgpack
 from result import Err, Ok, Result
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 __all__ = ["ResumePoint", "ResumeTokens", "TokenFault"]
 
 MAC_BYTES = 12
@@ -55,19 +59,29 @@
 
 
 class ResumeTokens:
-    """Issues and reads tokens with a key that all nodes share.
+    """Issues and reads tokens with keys that all nodes share.
 
     Args:
-        key: Secret of any length; all nodes of a deployment hold the same.
+        keys: Keys in force, each of at most 64 bytes; the first one signs.
     """
 
-    def __init__(self, *, key: bytes):
-        self._key = hashlib.blake2b(key, person=b"resume-token").digest()
+    def __init__(self, *, keys: Iterable[bytes]):
+        self._keys: tuple[bytes, ...] = ()
+        self.replace(keys)
+
+    def replace(self, keys: Iterable[bytes]) -> None:
+        """Put other keys in force.
+
+        Args:
+            keys: Keys in force from now on; the first one signs.
+        """
+        self._keys = tuple(_derived(key) for key in keys)
 
     def issue(self, point: ResumePoint) -> str:
         """Return the token for a resume point, in URL-safe characters."""
         payload = msgpack.packb(attrs.astuple(point))
-        return base64.urlsafe_b64encode(self._mac(payload) + payload).decode()
+        mac = _mac(self._keys[0], payload)
+        return base64.urlsafe_b64encode(mac + payload).decode()
 
     def read(self, token: str) -> Result[ResumePoint, TokenFault]:
         """Verify and decode a token.
@@ -84,11 +98,16 @@
         except (binascii.Error, UnicodeEncodeError, ValueError):
             return Err(TokenFault(detail="not a resume token"))
         mac, payload = raw[:MAC_BYTES], raw[MAC_BYTES:]
-        if not hmac.compare_digest(mac, self._mac(payload)):
+        if not any(hmac.compare_digest(mac, _mac(key, payload)) for key in self._keys):
             return Err(TokenFault(detail="not issued by this deployment"))
         names = [field.name for field in attrs.fields(ResumePoint)]
         values = msgpack.unpackb(payload)
         return Ok(ResumePoint(**dict(zip(names, values, strict=True))))
 
-    def _mac(self, payload: bytes) -> bytes:
-        return hashlib.blake2b(payload, key=self._key, digest_size=MAC_BYTES).digest()
+
+def _derived(key: bytes) -> bytes:
+    return hashlib.blake2b(key, person=b"resume-token").digest()
+
+
+def _mac(key: bytes, payload: bytes) -> bytes:
+    return hashlib.blake2b(payload, key=key, digest_size=MAC_BYTES).digest()
--- a/tests/callers/test_completion.py
+++ b/tests/callers/test_completion.py
@@ -135,7 +135,7 @@
         context = CompletionContext(
             dispatcher=self.dispatcher,
             clients=self.clients,
-            tokens=ResumeTokens(key=b"k"),
+            tokens=ResumeTokens(keys=[b"k"]),
             time_line=TimeLine(node_id="n"),
             metrics=Metrics(node_id="n"),
         )
--- a/tests/test_resume_token.py
+++ b/tests/test_resume_token.py
@@ -24,15 +24,23 @@
 
 class ResumeTokenTests(unittest.TestCase):
     def test_any_node_with_the_key_reads_the_token(self):
-        token = ResumeTokens(key=b"shared").issue(POINT)
-        self.assertEqual(ResumeTokens(key=b"shared").read(token).ok_value, POINT)
+        token = ResumeTokens(keys=[b"shared"]).issue(POINT)
+        self.assertEqual(ResumeTokens(keys=[b"shared"]).read(token).ok_value, POINT)
 
     def test_another_key_does_not_verify(self):
-        token = ResumeTokens(key=b"shared").issue(POINT)
-        self.assertTrue(ResumeTokens(key=b"other").read(token).is_err())
+        token = ResumeTokens(keys=[b"shared"]).issue(POINT)
+        self.assertTrue(ResumeTokens(keys=[b"other"]).read(token).is_err())
+
+    def test_a_replaced_key_is_still_read_while_it_is_listed(self):
+        token = ResumeTokens(keys=[b"old"]).issue(POINT)
+        tokens = ResumeTokens(keys=[b"old"])
+        tokens.replace([b"new", b"old"])
+        self.assertEqual(tokens.read(token).ok_value, POINT)
+        tokens.replace([b"new"])
+        self.assertTrue(tokens.read(token).is_err())
 
     def test_every_changed_bit_is_noticed(self):
-        tokens = ResumeTokens(key=b"shared")
+        tokens = ResumeTokens(keys=[b"shared"])
         raw = base64.urlsafe_b64decode(tokens.issue(POINT))
         for position in range(len(raw)):
             changed = bytearray(raw)
@@ -42,4 +50,4 @@
 
     @given(st.text(max_size=80))
     def test_any_text_is_refused_without_an_exception(self, text):
-        self.assertTrue(ResumeTokens(key=b"shared").read(text).is_err())
+        self.assertTrue(ResumeTokens(keys=[b"shared"]).read(text).is_err())
