--- a/tests/scenarios/history.py
+++ b/tests/scenarios/history.py
@@ -53,6 +53,10 @@
         """Return whether the two intervals share a moment."""
         return self.start_s <= other.end_s and other.start_s <= self.end_s
 
+    def lasts_past(self, moment_s: float) -> bool:
+        """Return whether a moment lies inside and is not the end."""
+        return self.start_s <= moment_s < self.end_s
+
     def contains(self, moment_s: float) -> bool:
         """Return whether a moment lies inside."""
         return self.start_s <= moment_s <= self.end_s
--- a/tests/scenarios/test_checkers.py
+++ b/tests/scenarios/test_checkers.py
@@ -226,6 +226,16 @@
         self.assert_breach(self.name, "given up", bad)
         self.assert_holds(self.name, attrs.evolve(bad, poison=True))
 
+    def test_error_event_is_right_once_no_engine_lives(self):
+        lives = [
+            EngineLife(interval=span(0, 1.4), engine="engine-1", incarnation="i1"),
+            EngineLife(interval=span(0, 1.5), engine="engine-2", incarnation="i2"),
+        ]
+        bad = completion(ending=Ending.ERROR)
+        self.assert_holds(self.name, *lives, bad)
+        third = EngineLife(interval=span(1.45, 9), engine="engine-3", incarnation="i3")
+        self.assert_breach(self.name, "given up", *lives, third, bad)
+
     def test_refusal_is_no_stream(self):
         verdict = check(self.name, History(records=[completion(ending=Ending.REFUSED)]))
         self.assertEqual((verdict.checked, verdict.violations), (0, ()))
