End at once on a second signal, and test the daemon as a process

Cause: after a second SIGTERM the process waited for the threads of the requests that it had just cut.

--- a/src/crocuswick/node.py
+++ b/src/crocuswick/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import random
 import time
 from pathlib import Path
@@ -44,6 +45,7 @@
 logger = logbook.Logger(__name__)
 
 FIRST_REPORT_TIMEOUT_S = 1.0
+EXIT_REQUESTS_CUT = 3
 OPERATOR_THREADS = 8
 UNKNOWN_STATE = "unknown"
 DRAIN_POLL_S = 0.05
@@ -265,6 +267,10 @@
         cut = self._wait_until_idle()
         self._time_line.record(kind="drain_ended", detail=f"{cut} cut")
         logger.info("drained, {} requests cut", cut)
+        if cut:
+            self._fleet_member.stop()
+            # Threads that serve the cut requests would hold the process up.
+            os._exit(EXIT_REQUESTS_CUT)
 
     def _wait_until_idle(self) -> int:
         """Wait for the requests in flight and return how many are cut."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -85,12 +85,12 @@
         self.engines: list[Process] = []
         self.services: list[Process] = []
         self.nodes: list[Process] = []
-        self._ports = free_ports(3 * self.plan.nodes)
+        self._ports: list[int] = []
 
     def __enter__(self) -> Fleet:
         try:
             self._start_fakes()
-            self._start_nodes()
+            self.start_nodes()
         except BaseException:
             self.launcher.close()
             raise
@@ -253,8 +253,10 @@
         ]
         launcher.wait_ready()
 
-    def _start_nodes(self) -> None:
+    def start_nodes(self) -> None:
+        """Start the nodes of the plan and wait until they serve."""
         directory = self.launcher.directory
+        self._ports = free_ports(3 * self.plan.nodes)
         (directory / "node.key").write_text(NODE_SECRET)
         (directory / "operator.key").write_text(OPERATOR_SECRET)
         self.nodes = [
