Merge time lines by causes and clock intervals

Each pair of events is before, after or uncertain; intervals are narrowed along causes, and clocks that contradict causes are named. Membership computes statuses once for unchanged nodes, and publishes them when something has changed instead of after each datagram.

--- a/src/crocuswick/nodes/membership.py
+++ b/src/crocuswick/nodes/membership.py
@@ -101,6 +101,7 @@
 class _Published:
     """What other threads may read; replaced as a whole."""
 
+    version: int
     statuses: tuple[NodeStatus, ...]
     fleet_share: FleetShare
 
@@ -337,7 +338,8 @@
                 break
             now_s = time.monotonic()
             self._send(self._protocol.receive(data, now_s=now_s, wall_ms=_wall_ms()))
-        self._published = self._publishable()
+        if self._protocol.version != self._published.version:
+            self._published = self._publishable()
 
     def _read_mailbox(self) -> None:
         self._wake_receiver.recv(RECEIVE_BUFFER_BYTES)
@@ -357,6 +359,7 @@
     def _publishable(self) -> _Published:
         now_s = time.monotonic()
         return _Published(
+            version=self._protocol.version,
             statuses=self._protocol.statuses(now_s=now_s),
             fleet_share=self._protocol.fleet_share(now_s=now_s),
         )
--- a/src/crocuswick/nodes/membership_protocol.py
+++ b/src/crocuswick/nodes/membership_protocol.py
@@ -53,6 +53,9 @@
 REPLIERS = 3
 """Unanswered addresses that are asked for digests in one interval."""
 
+STATUSES_LIFETIME_S = 0.25
+"""Time for which the statuses of unchanged nodes are used again."""
+
 REVISION_REPEAT_S = 1.0
 """Interval at which a missing configuration revision is reported again."""
 
@@ -151,6 +154,9 @@
         self._liveness_by_id: dict[str, NodeLiveness] = {}
         self._builder = MessageBuilder(identity=identity, table=self._table)
         self._news = RecentNews()
+        self._statuses: tuple[NodeStatus, ...] = ()
+        self._statuses_s = float("-inf")
+        self._statuses_version = -1
         self._heartbeat_s = float("-inf")
         self._digests_s = float("-inf")
         self._reported_revision = 0
@@ -268,7 +274,7 @@
         Args:
             now_s: Monotonic time.
         """
-        statuses = (self._own_status(), *self._table.statuses(now_s=now_s))
+        statuses = (self._own_status(), *self._other_statuses(now_s=now_s))
         return tuple(sorted(statuses, key=lambda status: status.node_id))
 
     def fleet_share(self, *, now_s: float) -> FleetShare:
@@ -279,6 +285,20 @@
         """
         return self._table.fleet_share(now_s=now_s)
 
+    @property
+    def version(self) -> int:
+        """Number that rises when something about another node has changed."""
+        return self._table.version
+
+    def _other_statuses(self, *, now_s: float) -> tuple[NodeStatus, ...]:
+        """Return the other nodes' statuses, at most `STATUSES_LIFETIME_S` old."""
+        is_old = now_s - self._statuses_s >= STATUSES_LIFETIME_S
+        if is_old or self._statuses_version != self._table.version:
+            self._statuses = self._table.statuses(now_s=now_s)
+            self._statuses_s = now_s
+            self._statuses_version = self._table.version
+        return self._statuses
+
     def _is_fresh(
         self, message: Heartbeat | ZoneDigest, *, now_s: float, wall_ms: int
     ) -> bool:
@@ -372,7 +392,7 @@
 
     def _heartbeats(self, *, now_s: float, wall_ms: int) -> list[Outgoing]:
         self._heartbeat_s = now_s
-        statuses = self._table.statuses(now_s=now_s)
+        statuses = self._other_statuses(now_s=now_s)
         near = self._plan.near(statuses)
         outgoing = self._heartbeat(near, near_nodes=len(near), wall_ms=wall_ms)
         unanswered = self._plan.unanswered(statuses)
@@ -406,7 +426,7 @@
 
     def _digests(self, *, now_s: float, wall_ms: int) -> list[Outgoing]:
         self._digests_s = now_s
-        statuses = self._table.statuses(now_s=now_s)
+        statuses = self._other_statuses(now_s=now_s)
         senders = [self._identity.node_id]
         senders += [s.node_id for s in statuses if self._builder.is_near_and_live(s)]
         outgoing = []
@@ -432,7 +452,7 @@
         self, to: PeerAddress, *, zone: str, now_s: float, wall_ms: int
     ) -> list[Outgoing]:
         """Return digests that tell a newcomer whom to send heartbeats to."""
-        statuses = self._table.statuses(now_s=now_s)
+        statuses = self._other_statuses(now_s=now_s)
         digest = self._digest(
             statuses,
             contacts=self._plan.contacts(statuses, zone=zone),
@@ -454,7 +474,7 @@
         if not is_direct or not self._relay_is_due(digest, now_s=now_s):
             return []
         relayed = self._builder.relayed(digest, wall_ms=wall_ms)
-        return self._sealed(relayed, self._plan.near(self._table.statuses(now_s=now_s)))
+        return self._sealed(relayed, self._plan.near(self._other_statuses(now_s=now_s)))
 
     def _relay_is_due(self, digest: ZoneDigest, *, now_s: float) -> bool:
         key = _DigestKey(
@@ -495,7 +515,7 @@
         )
 
     def _report_changes(self, *, now_s: float) -> None:
-        statuses = self._table.statuses(now_s=now_s)
+        statuses = self._other_statuses(now_s=now_s)
         for status in statuses:
             before = self._liveness_by_id.get(status.node_id)
             if before is not status.liveness:
--- a/src/crocuswick/nodes/membership_table.py
+++ b/src/crocuswick/nodes/membership_table.py
@@ -116,6 +116,7 @@
         self._entries_by_id: dict[str, _Entry] = {}
         self._platform_states_by_id: dict[str, PlatformState] = {}
         self._is_told_leaving = False
+        self.version = 0
         self.zones = ZoneTable(zone=zone)
 
     def hear_heartbeat(self, heartbeat: Heartbeat, *, now_s: float) -> bool:
@@ -177,6 +178,7 @@
         """
         listed = tuple(nodes)
         self._platform_states_by_id = {node.node_id: node.state for node in listed}
+        self.version += 1
         self.zones.hear_platform(listed)
 
     def hear_leaving(self, node_id: str) -> None:
@@ -188,7 +190,7 @@
         """
         entry = self._entries_by_id.get(node_id)
         if entry is not None:
-            entry.phase = NodePhase.DRAINING
+            self._set_phase(entry, NodePhase.DRAINING)
         if node_id == self._node_id:
             self._is_told_leaving = True
 
@@ -244,6 +246,7 @@
             if now_s - entry.heard_s > FORGET_S
             and self._platform_state(entry.node_id) != PlatformState.LIVE
         ]
+        self.version += len(forgotten)
         for node_id in forgotten:
             del self._entries_by_id[node_id]
             self.zones.forget_node(node_id)
@@ -287,7 +290,7 @@
         if sign.incarnation < entry.incarnation:
             return False
         if sign.phase is NodePhase.DRAINING:
-            entry.phase = NodePhase.DRAINING
+            self._set_phase(entry, NodePhase.DRAINING)
         if sign.sequence <= entry.sequence:
             return False
         self._update(entry, sign)
@@ -304,26 +307,33 @@
             heard_s=sign.heard_s,
         )
         self._entries_by_id[sign.node_id] = entry
+        self.version += 1
         return entry
 
-    @staticmethod
-    def _start_incarnation(entry: _Entry, sign: _Sign) -> None:
+    def _set_phase(self, entry: _Entry, phase: NodePhase) -> None:
+        if entry.phase is not phase:
+            entry.phase = phase
+            self.version += 1
+
+    def _start_incarnation(self, entry: _Entry, sign: _Sign) -> None:
         entry.damper.note_flap(now_s=sign.heard_s)
         entry.incarnation = sign.incarnation
         entry.sequence = -1
-        entry.phase = sign.phase
+        self._set_phase(entry, sign.phase)
         entry.heard_s = max(entry.heard_s, sign.heard_s)
 
-    @staticmethod
-    def _update(entry: _Entry, sign: _Sign) -> None:
+    def _update(self, entry: _Entry, sign: _Sign) -> None:
         if sign.heard_s - entry.heard_s >= entry.limits.suspect_s:
+            self.version += 1
             entry.damper.note_flap(now_s=sign.heard_s)
         entry.sequence = sign.sequence
         entry.heard_s = max(entry.heard_s, sign.heard_s)
         entry.address = sign.address
-        entry.configuration_revision = sign.configuration_revision
+        if entry.configuration_revision != sign.configuration_revision:
+            entry.configuration_revision = sign.configuration_revision
+            self.version += 1
         if entry.phase is not NodePhase.DRAINING:
-            entry.phase = sign.phase
+            self._set_phase(entry, sign.phase)
 
     def _liveness(self, entry: _Entry, *, now_s: float) -> NodeLiveness:
         silence_s = now_s - entry.heard_s
--- /dev/null
+++ b/src/crocuswick/time_line_merge.py
@@ -0,0 +1,284 @@
+"""Merge of the time lines of all nodes, with certain and uncertain order.
+
+The order of two events is certain if one led to the other, directly or through
+others, if the same process recorded both, or if their clock intervals do not
+overlap. Intervals are narrowed along causes first: an effect is not earlier than
+its cause. Everything else is uncertain and is said to be so.
+
+Ordering by intervals follows C. Liebig, M. Cilia and A. Buchmann, "Event
+Composition in Time-dependent Distributed Systems", section III.
+"""
+
+from __future__ import annotations
+
+import heapq
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from crocuswick.time_line import EventId, TimeLineEvent
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+__all__ = [
+    "BrokenClock",
+    "MergedEvent",
+    "MergedTimeLine",
+    "Order",
+    "follow",
+    "merge_events",
+]
+
+
+class Order(StrEnum):
+    """What is known of the order of two events."""
+
+    BEFORE = "before"
+    """The first happened before the second."""
+
+    AFTER = "after"
+    """The first happened after the second."""
+
+    UNCERTAIN = "uncertain"
+    """It is not known which happened first."""
+
+
+@attrs.frozen(kw_only=True)
+class _Process:
+    """One incarnation of a node."""
+
+    node_id: str
+    incarnation: int
+
+
+@attrs.define(kw_only=True)
+class MergedEvent:
+    """An event with what the merge has found out."""
+
+    event: TimeLineEvent
+    """The recorded event."""
+
+    earliest_us: int
+    """Earliest time, narrowed by the event's causes."""
+
+    latest_us: int
+    """Latest time, narrowed by the event's effects."""
+
+    is_after_previous: bool = True
+    """Whether it certainly happened after the event before it in the merge."""
+
+    known_before: dict[_Process, int] = attrs.Factory(dict)
+    """Highest sequence number of each process that led to the event."""
+
+    @property
+    def id(self) -> EventId:
+        """Identity of the event."""
+        return self.event.id
+
+
+@attrs.frozen(kw_only=True)
+class BrokenClock:
+    """A cause whose interval lies after that of its effect."""
+
+    cause: EventId
+    """The cause."""
+
+    effect: EventId
+    """The effect."""
+
+    excess_us: int
+    """Amount by which the bounds of the two clocks are too small, in µs."""
+
+
+@attrs.frozen(kw_only=True)
+class MergedTimeLine:
+    """Events of all nodes in an order that contradicts no certain order."""
+
+    events: tuple[MergedEvent, ...]
+    """The events."""
+
+    broken_clocks: tuple[BrokenClock, ...]
+    """Contradictions between causes and clocks; intervals of these nodes are not
+    to be trusted."""
+
+    def order(self, first: MergedEvent, second: MergedEvent) -> Order:
+        """Return what is known of the order of two of the events.
+
+        Args:
+            first: An event of this merge.
+            second: Another one.
+        """
+        if _led_to(first, second):
+            return Order.BEFORE
+        if _led_to(second, first):
+            return Order.AFTER
+        if first.latest_us < second.earliest_us:
+            return Order.BEFORE
+        if second.latest_us < first.earliest_us:
+            return Order.AFTER
+        return Order.UNCERTAIN
+
+
+def merge_events(events: Iterable[TimeLineEvent]) -> MergedTimeLine:
+    """Merge events of any number of nodes.
+
+    Args:
+        events: Events in any order; repeats are ignored. Causes that are missing,
+            because a node has dropped them, are ignored.
+    """
+    merged_by_id = {
+        event.id: MergedEvent(
+            event=event, earliest_us=event.earliest_us, latest_us=event.latest_us
+        )
+        for event in events
+    }
+    predecessors_by_id = _predecessors(merged_by_id)
+    causal_order = _sorted_by_causes(merged_by_id, predecessors_by_id)
+    for merged in causal_order:
+        _note_known_before(merged, predecessors_by_id[merged.id])
+    broken_clocks = _broken_clocks(causal_order, merged_by_id)
+    _narrow(causal_order, predecessors_by_id)
+    ordered = _sorted_by_causes(merged_by_id, predecessors_by_id)
+    time_line = MergedTimeLine(events=tuple(ordered), broken_clocks=broken_clocks)
+    for previous, merged in zip(ordered, ordered[1:], strict=False):
+        order = time_line.order(previous, merged)
+        merged.is_after_previous = order is Order.BEFORE
+    return time_line
+
+
+def follow(events: Iterable[TimeLineEvent], subject: str) -> list[TimeLineEvent]:
+    """Return the events about a subject, with all their causes and effects.
+
+    Args:
+        events: Events of any number of nodes.
+        subject: Id of a request or another object.
+    """
+    events_by_id = {event.id: event for event in events}
+    effects_by_cause: dict[EventId, list[EventId]] = {}
+    for event in events_by_id.values():
+        if event.cause is not None:
+            effects_by_cause.setdefault(event.cause, []).append(event.id)
+    about = [event.id for event in events_by_id.values() if event.subject == subject]
+    wanted = _reachable(about, lambda event_id: effects_by_cause.get(event_id, []))
+    wanted |= _reachable(about, lambda event_id: _cause_of(event_id, events_by_id))
+    return [event for event in events_by_id.values() if event.id in wanted]
+
+
+def _cause_of(
+    event_id: EventId, events_by_id: dict[EventId, TimeLineEvent]
+) -> list[EventId]:
+    event = events_by_id.get(event_id)
+    return [event.cause] if event is not None and event.cause is not None else []
+
+
+def _reachable(
+    starts: Iterable[EventId], neighbours: Callable[[EventId], list[EventId]]
+) -> set[EventId]:
+    reached: set[EventId] = set()
+    to_visit = list(starts)
+    while to_visit:
+        event_id = to_visit.pop()
+        if event_id not in reached:
+            reached.add(event_id)
+            to_visit.extend(neighbours(event_id))
+    return reached
+
+
+def _process(event_id: EventId) -> _Process:
+    return _Process(node_id=event_id.node_id, incarnation=event_id.incarnation)
+
+
+def _led_to(first: MergedEvent, second: MergedEvent) -> bool:
+    if first.id.node_id == second.id.node_id:
+        return first.id < second.id
+    known = second.known_before.get(_process(first.id), -1)
+    return first.id.sequence <= known
+
+
+def _predecessors(
+    merged_by_id: dict[EventId, MergedEvent],
+) -> dict[EventId, list[MergedEvent]]:
+    """Return the causes and the node's event before, for each event."""
+    predecessors_by_id: dict[EventId, list[MergedEvent]] = {}
+    previous: EventId | None = None
+    for event_id in sorted(merged_by_id):
+        predecessors = []
+        if previous is not None and previous.node_id == event_id.node_id:
+            predecessors.append(merged_by_id[previous])
+        cause = merged_by_id[event_id].event.cause
+        if cause is not None and cause in merged_by_id:
+            predecessors.append(merged_by_id[cause])
+        predecessors_by_id[event_id] = predecessors
+        previous = event_id
+    return predecessors_by_id
+
+
+def _sorted_by_causes(
+    merged_by_id: dict[EventId, MergedEvent],
+    predecessors_by_id: dict[EventId, list[MergedEvent]],
+) -> list[MergedEvent]:
+    """Return the events after their predecessors, else by the middle of intervals."""
+    waiting_by_id = {event_id: len(p) for event_id, p in predecessors_by_id.items()}
+    successors_by_id: dict[EventId, list[EventId]] = {}
+    for event_id, predecessors in predecessors_by_id.items():
+        for predecessor in predecessors:
+            successors_by_id.setdefault(predecessor.id, []).append(event_id)
+    ready = [
+        (_middle(merged_by_id[event_id]), event_id)
+        for event_id, count in waiting_by_id.items()
+        if count == 0
+    ]
+    heapq.heapify(ready)
+    ordered = []
+    while ready:
+        _, event_id = heapq.heappop(ready)
+        ordered.append(merged_by_id[event_id])
+        for successor in successors_by_id.get(event_id, ()):
+            waiting_by_id[successor] -= 1
+            if waiting_by_id[successor] == 0:
+                heapq.heappush(ready, (_middle(merged_by_id[successor]), successor))
+    return ordered
+
+
+def _middle(merged: MergedEvent) -> int:
+    return (merged.earliest_us + merged.latest_us) // 2
+
+
+def _note_known_before(merged: MergedEvent, predecessors: list[MergedEvent]) -> None:
+    known = merged.known_before
+    for predecessor in predecessors:
+        for process, sequence in predecessor.known_before.items():
+            known[process] = max(sequence, known.get(process, -1))
+        process = _process(predecessor.id)
+        known[process] = max(predecessor.id.sequence, known.get(process, -1))
+
+
+def _broken_clocks(
+    events: list[MergedEvent], merged_by_id: dict[EventId, MergedEvent]
+) -> tuple[BrokenClock, ...]:
+    broken = []
+    for merged in events:
+        cause = merged_by_id.get(merged.event.cause) if merged.event.cause else None
+        if cause is None:
+            continue
+        excess_us = cause.event.earliest_us - merged.event.latest_us
+        if excess_us > 0:
+            broken.append(
+                BrokenClock(cause=cause.id, effect=merged.id, excess_us=excess_us)
+            )
+    return tuple(broken)
+
+
+def _narrow(
+    causal_order: list[MergedEvent],
+    predecessors_by_id: dict[EventId, list[MergedEvent]],
+) -> None:
+    """Narrow the intervals along causes, forwards and backwards."""
+    for merged in causal_order:
+        for predecessor in predecessors_by_id[merged.id]:
+            merged.earliest_us = max(merged.earliest_us, predecessor.earliest_us)
+    for merged in reversed(causal_order):
+        for predecessor in predecessors_by_id[merged.id]:
+            predecessor.latest_us = min(predecessor.latest_us, merged.latest_us)
