--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Placement benchmark: a discrete-event simulation in virtual time."""
--- /dev/null
+++ b/tests/bench/oracle.py
@@ -0,0 +1,114 @@
+"""Bounds: placement with perfect knowledge, and recomputation that none avoids."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from crocuswick.block_key import BLOCK_TOKENS
+from tests.bench.engine import BlockCache, EngineModel
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from random import Random
+
+    from tests.bench.trace import Trace, TraceRequest
+
+__all__ = [
+    "OracleChoice",
+    "UnavoidableWork",
+    "choose_with_perfect_knowledge",
+    "unavoidable_work",
+]
+
+
+@attrs.frozen(kw_only=True)
+class OracleChoice:
+    """The engine with the least true time to first token."""
+
+    engine: EngineModel
+    ttft_s: float
+    source: EngineModel | None = None
+
+
+def choose_with_perfect_knowledge(
+    request: TraceRequest, engines: Sequence[EngineModel], random: Random
+) -> OracleChoice:
+    """Choose by the true queues and caches of all engines at this moment.
+
+    Args:
+        request: The request.
+        engines: All engines.
+        random: Breaks ties.
+
+    Returns:
+        The choice with the least time to first token.
+    """
+    source = max(engines, key=lambda engine: engine.cached_blocks(request.keys))
+    choices = [_without_import(request, engine) for engine in engines]
+    choices += [
+        _with_import(request, engine, source)
+        for engine in engines
+        if engine is not source
+    ]
+    random.shuffle(choices)
+    return min(choices, key=lambda choice: choice.ttft_s)
+
+
+def _without_import(request: TraceRequest, engine: EngineModel) -> OracleChoice:
+    blocks = engine.expected_blocks(request.keys, request.priority)
+    tokens = request.prompt_tokens - blocks * BLOCK_TOKENS
+    prefill_s = tokens / engine.spec.prefill_tokens_per_s
+    ttft_s = engine.wait_s(request.priority) + prefill_s
+    return OracleChoice(engine=engine, ttft_s=ttft_s)
+
+
+def _with_import(
+    request: TraceRequest, engine: EngineModel, source: EngineModel
+) -> OracleChoice:
+    held = engine.cached_blocks(request.keys)
+    found = source.cached_blocks(request.keys)
+    transfer_s = engine.spec.import_cost.transfer_s(found - held)
+    tokens = request.prompt_tokens - max(held, found) * BLOCK_TOKENS
+    prefill_s = tokens / engine.spec.prefill_tokens_per_s
+    ttft_s = max(engine.wait_s(request.priority), transfer_s) + prefill_s
+    return OracleChoice(engine=engine, ttft_s=ttft_s, source=source)
+
+
+@attrs.frozen(kw_only=True)
+class UnavoidableWork:
+    """What one cache with the memory of all engines would compute."""
+
+    computed_tokens: int
+    """Prompt tokens computed."""
+
+    recomputed_tokens: int
+    """Prompt tokens of whole blocks that had been computed before."""
+
+    hit_rate: float
+    """Part of the whole blocks that it would find."""
+
+
+def unavoidable_work(
+    trace: Trace, *, capacity_blocks: int, measured_from_s: float
+) -> UnavoidableWork:
+    """Return the work of one cache that holds as much as all engines together."""
+    cache = BlockCache(capacity_blocks=capacity_blocks)
+    seen: set[int] = set()
+    computed_tokens = recomputed_blocks = hit_blocks = blocks = 0
+    for request in trace:
+        cached = cache.prefix_blocks(request.keys)
+        missed = request.keys[cached:]
+        if request.at_s >= measured_from_s:
+            computed_tokens += request.prompt_tokens - cached * BLOCK_TOKENS
+            recomputed_blocks += sum(key in seen for key in missed)
+            hit_blocks += cached
+            blocks += len(request.keys)
+        seen.update(missed)
+        cache.store(request.keys)
+    return UnavoidableWork(
+        computed_tokens=computed_tokens,
+        recomputed_tokens=recomputed_blocks * BLOCK_TOKENS,
+        hit_rate=hit_blocks / max(1, blocks),
+    )
