--- a/src/crocuswick/time_line_merge.py
+++ b/src/crocuswick/time_line_merge.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import heapq
+from collections import Counter
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
@@ -32,6 +33,10 @@
 ]
 
 
+UNKNOWN_CLOCK_ERROR_US = 3_600_000_000
+"""Assumed error of a clock that contradicts causes."""
+
+
 class Order(StrEnum):
     """What is known of the order of two events."""
 
@@ -100,8 +105,11 @@
     """The events."""
 
     broken_clocks: tuple[BrokenClock, ...]
-    """Contradictions between causes and clocks; intervals of these nodes are not
-    to be trusted."""
+    """Contradictions between causes and clocks."""
+
+    distrusted_nodes: tuple[str, ...] = ()
+    """Nodes whose clocks explain the contradictions; their intervals are not used,
+    only what causes say of their events."""
 
     def order(self, first: MergedEvent, second: MergedEvent) -> Order:
         """Return what is known of the order of two of the events.
@@ -139,9 +147,15 @@
     for merged in causal_order:
         _note_known_before(merged, predecessors_by_id[merged.id])
     broken_clocks = _broken_clocks(causal_order, merged_by_id)
+    distrusted_nodes = _distrusted_nodes(broken_clocks)
+    _widen(causal_order, distrusted_nodes)
     _narrow(causal_order, predecessors_by_id)
     ordered = _sorted_by_causes(merged_by_id, predecessors_by_id)
-    time_line = MergedTimeLine(events=tuple(ordered), broken_clocks=broken_clocks)
+    time_line = MergedTimeLine(
+        events=tuple(ordered),
+        broken_clocks=broken_clocks,
+        distrusted_nodes=distrusted_nodes,
+    )
     for previous, merged in zip(ordered, ordered[1:], strict=False):
         order = time_line.order(previous, merged)
         merged.is_after_previous = order is Order.BEFORE
@@ -219,14 +233,14 @@
     merged_by_id: dict[EventId, MergedEvent],
     predecessors_by_id: dict[EventId, list[MergedEvent]],
 ) -> list[MergedEvent]:
-    """Return the events after their predecessors, else by the middle of intervals."""
+    """Return the events after their predecessors, else by their clocks."""
     waiting_by_id = {event_id: len(p) for event_id, p in predecessors_by_id.items()}
     successors_by_id: dict[EventId, list[EventId]] = {}
     for event_id, predecessors in predecessors_by_id.items():
         for predecessor in predecessors:
             successors_by_id.setdefault(predecessor.id, []).append(event_id)
     ready = [
-        (_middle(merged_by_id[event_id]), event_id)
+        (_place_us(merged_by_id[event_id]), event_id)
         for event_id, count in waiting_by_id.items()
         if count == 0
     ]
@@ -238,12 +252,13 @@
         for successor in successors_by_id.get(event_id, ()):
             waiting_by_id[successor] -= 1
             if waiting_by_id[successor] == 0:
-                heapq.heappush(ready, (_middle(merged_by_id[successor]), successor))
+                heapq.heappush(ready, (_place_us(merged_by_id[successor]), successor))
     return ordered
 
 
-def _middle(merged: MergedEvent) -> int:
-    return (merged.earliest_us + merged.latest_us) // 2
+def _place_us(merged: MergedEvent) -> int:
+    """Return the clock's reading, moved into the narrowed interval."""
+    return max(merged.earliest_us, min(merged.event.clock_us, merged.latest_us))
 
 
 def _note_known_before(merged: MergedEvent, predecessors: list[MergedEvent]) -> None:
@@ -271,6 +286,25 @@
     return tuple(broken)
 
 
+def _distrusted_nodes(broken_clocks: Iterable[BrokenClock]) -> tuple[str, ...]:
+    """Return few nodes that take part in all contradictions, most frequent first."""
+    left = [{broken.cause.node_id, broken.effect.node_id} for broken in broken_clocks]
+    distrusted: list[str] = []
+    while left:
+        counts = Counter(node_id for pair in left for node_id in pair)
+        worst = max(sorted(counts), key=lambda node_id: counts[node_id])
+        distrusted.append(worst)
+        left = [pair for pair in left if worst not in pair]
+    return tuple(distrusted)
+
+
+def _widen(events: Iterable[MergedEvent], distrusted_nodes: tuple[str, ...]) -> None:
+    for merged in events:
+        if merged.id.node_id in distrusted_nodes:
+            merged.earliest_us -= UNKNOWN_CLOCK_ERROR_US
+            merged.latest_us += UNKNOWN_CLOCK_ERROR_US
+
+
 def _narrow(
     causal_order: list[MergedEvent],
     predecessors_by_id: dict[EventId, list[MergedEvent]],
--- a/src/crocuswick/time_line_picture.py
+++ b/src/crocuswick/time_line_picture.py
@@ -44,6 +44,7 @@
 
     def x(self, time_us: int) -> float:
         part = (time_us - self.start_us) / max(1, self.end_us - self.start_us)
+        part = max(0.0, min(1.0, part))
         return LABEL_WIDTH_PX + part * (self.width_px - LABEL_WIDTH_PX - 20)
 
     def y(self, node_id: str) -> float:
@@ -80,8 +81,8 @@
     node_ids = sorted({merged.id.node_id for merged in events})
     return _Layout(
         rows_by_node_id={node_id: row for row, node_id in enumerate(node_ids)},
-        start_us=min(merged.earliest_us for merged in events),
-        end_us=max(merged.latest_us for merged in events),
+        start_us=min(merged.event.earliest_us for merged in events),
+        end_us=max(merged.event.latest_us for merged in events),
         width_px=max(MIN_WIDTH_PX, LABEL_WIDTH_PX + MIN_EVENT_SPACE_PX * len(events)),
     )
 
--- a/src/crocuswick/time_line_render.py
+++ b/src/crocuswick/time_line_render.py
@@ -41,6 +41,9 @@
             f"! clocks contradict causes: {broken.effect} follows {broken.cause}, "
             f"but their intervals are apart by {broken.excess_us} us"
         )
+    if time_line.distrusted_nodes:
+        names = ", ".join(time_line.distrusted_nodes)
+        lines.append(f"! clock intervals not used, only causes: {names}")
     return "\n".join(lines)
 
 
@@ -70,6 +73,7 @@
             }
             for broken in time_line.broken_clocks
         ],
+        "distrusted_nodes": list(time_line.distrusted_nodes),
     }
     return json.dumps(value, indent=1, sort_keys=True)
 
--- a/tests/test_time_line_merge.py
+++ b/tests/test_time_line_merge.py
@@ -49,6 +49,17 @@
         broken = merge_events([cause, effect]).broken_clocks
         self.assertEqual([item.excess_us for item in broken], [380])
 
+    def test_intervals_of_a_contradicting_clock_are_not_used(self):
+        ahead = [event("a", number, 500 + number) for number in range(3)]
+        effects = [
+            event(node, 0, 100, cause=cause)
+            for node, cause in zip("bcd", ahead, strict=True)
+        ]
+        late = event("e", 0, 300)
+        self.assertIs(orders(late, ahead[2], *ahead, *effects), Order.AFTER)
+        time_line = merge_events([*ahead, *effects, late])
+        self.assertEqual(time_line.distrusted_nodes, ("a",))
+
     def test_causes_reach_through_other_events(self):
         first = event("a", 0, 100)
         middle = event("b", 0, 100, cause=first)
