Let prefill weigh twice as much as waiting (ttft_v2)

Cause: least expected time alone duplicates a prefix as soon as its holder has a short queue; the copies evict others, which are then computed again. Conclusion: kept; ttft_v1 stays registered. The policies by time to first token have a module of their own.

--- a/src/crocuswick/placement.py
+++ b/src/crocuswick/placement.py
@@ -26,6 +26,7 @@
     prefix_level_keys,
 )
 from crocuswick.rendezvous import Rendezvous, stable_hash
+from crocuswick.ttft_policy import DEFAULT_POLICY
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -206,7 +207,7 @@
     `set_endpoints` are ignored by all other calls.
     """
 
-    def __init__(self, *, zone: str, policy: str = "current", seed: int):
+    def __init__(self, *, zone: str, policy: str = DEFAULT_POLICY, seed: int):
         self._zone = zone
         self._policy = policies_by_name[policy]
         self._random = Random(seed)
--- a/src/crocuswick/placement_policy.py
+++ b/src/crocuswick/placement_policy.py
@@ -29,14 +29,12 @@
     "PlacementDomain",
     "PlacementPolicy",
     "PlacementView",
+    "choice_without_import",
     "placement_policy",
     "policies_by_name",
     "prefix_level_keys",
 ]
 
-MAX_HOLDERS_PER_GROUP = 3
-MAX_HOLDERS = 6
-RANDOM_CANDIDATES = 2
 CROSS_ZONE_S = 0.003
 TIE_S = 0.000_5
 
@@ -180,7 +178,10 @@
     return level_keys
 
 
-def _choice(view: PlacementView, candidate: Candidate, reason: str) -> Choice:
+def choice_without_import(
+    view: PlacementView, candidate: Candidate, reason: str
+) -> Choice:
+    """Return the choice of a candidate with what it is thought to hold."""
     cached_blocks = view.cached_blocks(candidate)
     return Choice(
         candidate=candidate,
@@ -193,7 +194,9 @@
 @placement_policy("random")
 def choose_random(view: PlacementView) -> Choice:
     """Choose any endpoint."""
-    return _choice(view, view.random.choice(view.domain.candidates), "random")
+    return choice_without_import(
+        view, view.random.choice(view.domain.candidates), "random"
+    )
 
 
 @placement_policy("least_loaded")
@@ -208,7 +211,7 @@
         for candidate, wait_s in zip(view.domain.candidates, waits_s, strict=True)
         if wait_s <= limit_s
     ]
-    return _choice(view, view.random.choice(shortest), "least_loaded")
+    return choice_without_import(view, view.random.choice(shortest), "least_loaded")
 
 
 @placement_policy("rendezvous")
@@ -217,70 +220,4 @@
     if not view.level_keys:
         return choose_random(view)
     home = view.domain.rendezvous.choose(view.level_keys[-1])
-    return _choice(view, view.domain.candidates_by_id[home], "home")
-
-
-@placement_policy("ttft_v1")
-def choose_by_ttft_v1(view: PlacementView) -> Choice:
-    """Choose the candidate with the least expected time to first token."""
-    reasons_by_id = _candidate_reasons(view)
-    choices = [
-        _choice(view, view.domain.candidates_by_id[endpoint_id], reason)
-        for endpoint_id, reason in reasons_by_id.items()
-    ]
-    return _least_ttft(view, choices)
-
-
-def _candidate_reasons(view: PlacementView) -> dict[str, str]:
-    reasons_by_id = dict.fromkeys(_holder_ids(view), "holder")
-    for endpoint_id in _home_ids(view):
-        reasons_by_id.setdefault(endpoint_id, "home")
-    for _ in range(RANDOM_CANDIDATES):
-        candidate = view.random.choice(view.domain.candidates)
-        reasons_by_id.setdefault(candidate.endpoint_id, "random")
-    return reasons_by_id
-
-
-def _home_ids(view: PlacementView) -> list[str]:
-    home_ids = []
-    domain = view.domain
-    for key in view.level_keys:
-        count = view.hot_prefixes.homes(
-            key, endpoints=len(domain.candidates), now_s=view.now_s
-        )
-        home_ids.extend(domain.rendezvous.choose_many(key, count=count))
-    return home_ids
-
-
-def _holder_ids(view: PlacementView) -> list[str]:
-    holder_ids = []
-    for group in view.holders:
-        if len(holder_ids) >= MAX_HOLDERS:
-            break
-        bits = _some_bits(group.mask & view.domain.mask, view)
-        holder_ids.extend(
-            view.domain.candidates_by_bit[bit].endpoint_id for bit in bits
-        )
-    return holder_ids
-
-
-def _some_bits(mask: int, view: PlacementView) -> list[int]:
-    """Return up to `MAX_HOLDERS_PER_GROUP` bits of a mask from a random one on."""
-    bits = []
-    pivot = view.random.randrange(mask.bit_length() or 1)
-    upper = (mask >> pivot) << pivot
-    for part in (upper, mask ^ upper):
-        while part and len(bits) < MAX_HOLDERS_PER_GROUP:
-            bit = part & -part
-            bits.append(bit)
-            part ^= bit
-    return bits
-
-
-def _least_ttft(view: PlacementView, choices: Sequence[Choice]) -> Choice:
-    limit_s = min(choice.ttft_s for choice in choices) + TIE_S
-    best = [choice for choice in choices if choice.ttft_s <= limit_s]
-    return view.random.choice(best)
-
-
-policies_by_name["current"] = choose_by_ttft_v1
+    return choice_without_import(view, view.domain.candidates_by_id[home], "home")
--- /dev/null
+++ b/src/crocuswick/ttft_policy.py
@@ -0,0 +1,122 @@
+"""Policies that choose by the expected time to first token.
+
+The candidates are few, however many endpoints there are: the endpoints that hold
+most of the prompt, the rendezvous homes of its prefix levels and a random pair.
+Earlier versions stay registered, so that the benchmark can compare them.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from crocuswick.block_key import BLOCK_TOKENS
+from crocuswick.placement_policy import (
+    TIE_S,
+    choice_without_import,
+    placement_policy,
+    policies_by_name,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from crocuswick.placement_policy import Choice, PlacementView
+
+__all__ = ["DEFAULT_POLICY", "choose_by_ttft_v1", "choose_by_ttft_v2"]
+
+DEFAULT_POLICY = "current"
+MAX_HOLDERS_PER_GROUP = 3
+MAX_HOLDERS = 6
+RANDOM_CANDIDATES = 2
+PREFILL_WEIGHT = 2.0
+
+
+@placement_policy("ttft_v1")
+def choose_by_ttft_v1(view: PlacementView) -> Choice:
+    """Choose the least expected time to first token."""
+    return _cheapest(view, _choices(view), prefill_weight=1.0)
+
+
+@placement_policy("ttft_v2")
+def choose_by_ttft_v2(view: PlacementView) -> Choice:
+    """Choose the least expected time, where prefill weighs more than waiting.
+
+    Computing a prefix again delays those who wait behind it, and its blocks take
+    the place of others.
+    """
+    return _cheapest(view, _choices(view), prefill_weight=PREFILL_WEIGHT)
+
+
+def _choices(view: PlacementView) -> list[Choice]:
+    return [
+        choice_without_import(view, view.domain.candidates_by_id[endpoint_id], reason)
+        for endpoint_id, reason in _candidate_reasons(view).items()
+    ]
+
+
+def _candidate_reasons(view: PlacementView) -> dict[str, str]:
+    reasons_by_id = dict.fromkeys(_holder_ids(view), "holder")
+    for endpoint_id in _home_ids(view):
+        reasons_by_id.setdefault(endpoint_id, "home")
+    for _ in range(RANDOM_CANDIDATES):
+        candidate = view.random.choice(view.domain.candidates)
+        reasons_by_id.setdefault(candidate.endpoint_id, "random")
+    return reasons_by_id
+
+
+def _home_ids(view: PlacementView) -> list[str]:
+    home_ids = []
+    domain = view.domain
+    for key in view.level_keys:
+        count = view.hot_prefixes.homes(
+            key, endpoints=len(domain.candidates), now_s=view.now_s
+        )
+        home_ids.extend(domain.rendezvous.choose_many(key, count=count))
+    return home_ids
+
+
+def _holder_ids(view: PlacementView) -> list[str]:
+    holder_ids = []
+    for group in view.holders:
+        if len(holder_ids) >= MAX_HOLDERS:
+            break
+        bits = _some_bits(group.mask & view.domain.mask, view)
+        holder_ids.extend(
+            view.domain.candidates_by_bit[bit].endpoint_id for bit in bits
+        )
+    return holder_ids
+
+
+def _some_bits(mask: int, view: PlacementView) -> list[int]:
+    """Return up to `MAX_HOLDERS_PER_GROUP` bits of a mask from a random one on."""
+    bits = []
+    pivot = view.random.randrange(mask.bit_length() or 1)
+    upper = (mask >> pivot) << pivot
+    for part in (upper, mask ^ upper):
+        while part and len(bits) < MAX_HOLDERS_PER_GROUP:
+            bit = part & -part
+            bits.append(bit)
+            part ^= bit
+    return bits
+
+
+def _cheapest(
+    view: PlacementView, choices: Sequence[Choice], *, prefill_weight: float
+) -> Choice:
+    costs_s = [_cost_s(view, choice, prefill_weight) for choice in choices]
+    limit_s = min(costs_s) + TIE_S
+    best = [
+        choice
+        for choice, cost_s in zip(choices, costs_s, strict=True)
+        if cost_s <= limit_s
+    ]
+    return view.random.choice(best)
+
+
+def _cost_s(view: PlacementView, choice: Choice, prefill_weight: float) -> float:
+    uncached_tokens = view.prompt_tokens - choice.cached_blocks * BLOCK_TOKENS
+    prefill_s = max(0, uncached_tokens) * choice.candidate.load.seconds_per_token
+    return choice.ttft_s + (prefill_weight - 1.0) * prefill_s
+
+
+policies_by_name[DEFAULT_POLICY] = choose_by_ttft_v2
