--- a/tests/scenarios/history.py
+++ b/tests/scenarios/history.py
@@ -200,6 +200,8 @@
 
     node: str
     zone: str
+    listening_s: float | None = None
+    """When the node first answered whether it is ready, or None."""
     ready_s: float | None
     """When the node first said that it was ready, or None."""
     recovered: bool = True
--- a/tests/scenarios/test_cut_daemon.py
+++ b/tests/scenarios/test_cut_daemon.py
@@ -5,7 +5,7 @@
 import socket
 import unittest
 
-from tests.scenarios.cut_daemon import CutSocket, cut_ports
+from tests.scenarios.cut_daemon import TIMEVAL, CutSocket, cut_ports
 
 
 class CutSocketTests(unittest.TestCase):
@@ -53,6 +53,19 @@
         with self.assertRaises(TimeoutError):
             served.recv(10)
 
+    def test_a_socket_made_from_a_descriptor_is_cut_too(self):
+        client, served = self.connect()
+        adopted = CutSocket(client.family, client.type, fileno=client.detach())
+        self.addCleanup(adopted.close)
+        timeval = TIMEVAL.pack(0, 100_000)
+        adopted.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, timeval)
+        served.sendall(b"late")
+        cut_ports.add(self.address[1])
+        with self.assertRaises(TimeoutError):
+            adopted.recv(10)
+        cut_ports.clear()
+        self.assertEqual(adopted.recv(10), b"late")
+
     def test_datagrams_are_lost(self):
         receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.addCleanup(receiver.close)
