Correct the expected queue by an early first token

Cause: an own request whose first token has come still counted as queued until the next load report (found by test_answer_teaches_without_events when imports were added: the holder looked busy for a second).

--- a/src/crocuswick/load.py
+++ b/src/crocuswick/load.py
@@ -57,6 +57,7 @@
 
     at_s: float
     tokens: int
+    expected_s: float
 
 
 class EndpointLoad:
@@ -95,11 +96,26 @@
         """Note a request that was sent with the prompt tokens to compute for it."""
         if len(self._sends_by_request) >= MAX_SENDS:
             self._forget_first_send()
-        self._sends_by_request[request_id] = _Send(at_s=now_s, tokens=tokens)
         self._add(tokens, now_s)
-
-    def record_first_token(self, request_id: str) -> None:
-        """Note that a request's prompt has been computed."""
+        self._sends_by_request[request_id] = _Send(
+            at_s=now_s,
+            tokens=tokens,
+            expected_s=now_s + self._tokens / self._tokens_per_s,
+        )
+
+    def record_first_token(self, request_id: str, now_s: float) -> None:
+        """Note that a request's prompt has been computed.
+
+        If that was earlier than expected, the queue behind it is shorter by as much.
+        """
+        send = self._sends_by_request.pop(request_id, None)
+        if send is None:
+            return
+        early_s = max(0.0, send.expected_s - now_s)
+        self._tokens = max(0.0, self._tokens - early_s * self._tokens_per_s)
+
+    def record_finished(self, request_id: str) -> None:
+        """Note that a request has ended, perhaps without any token."""
         self._sends_by_request.pop(request_id, None)
 
     def clear(self) -> None:
--- a/src/crocuswick/placement.py
+++ b/src/crocuswick/placement.py
@@ -333,7 +333,7 @@
         endpoint = self._endpoints_by_id.get(endpoint_id)
         if in_flight is None or endpoint is None:
             return
-        endpoint.load.record_first_token(request_id)
+        endpoint.load.record_first_token(request_id, now_s)
         if self._index.incarnation(endpoint_id) == in_flight.incarnation:
             self._index.add_blocks(endpoint_id, in_flight.keys)
 
@@ -343,7 +343,7 @@
         endpoint = self._endpoints_by_id.get(endpoint_id)
         if in_flight is None or endpoint is None:
             return
-        endpoint.load.record_first_token(request_id)
+        endpoint.load.record_finished(request_id)
         endpoint.sent = max(0, endpoint.sent - 1)
 
     def place(
