--- a/src/crocuswick/placement_policy.py
+++ b/src/crocuswick/placement_policy.py
@@ -142,6 +142,9 @@
     import_from: str | None = None
     """Endpoint from which to import the cached prefix first, if any."""
 
+    transfer_s: float = 0.0
+    """Time that the import takes in seconds."""
+
 
 class PlacementPolicy(Protocol):
     """Chooses an endpoint."""
--- a/src/crocuswick/ttft_policy.py
+++ b/src/crocuswick/ttft_policy.py
@@ -12,6 +12,7 @@
 from crocuswick.block_key import BLOCK_TOKENS
 from crocuswick.placement_policy import (
     TIE_S,
+    Choice,
     choice_without_import,
     placement_policy,
     policies_by_name,
@@ -20,15 +21,21 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from crocuswick.placement_policy import Choice, PlacementView
+    from crocuswick.placement_policy import Candidate, PlacementView
 
-__all__ = ["DEFAULT_POLICY", "choose_by_ttft_v1", "choose_by_ttft_v2"]
+__all__ = [
+    "DEFAULT_POLICY",
+    "choose_by_ttft_v1",
+    "choose_by_ttft_v2",
+    "choose_by_ttft_v3",
+]
 
 DEFAULT_POLICY = "current"
 MAX_HOLDERS_PER_GROUP = 3
 MAX_HOLDERS = 6
 RANDOM_CANDIDATES = 2
 PREFILL_WEIGHT = 2.0
+IMPORT_WEIGHT = 2.0
 
 
 @placement_policy("ttft_v1")
@@ -47,6 +54,17 @@
     return _cheapest(view, _choices(view), prefill_weight=PREFILL_WEIGHT)
 
 
+@placement_policy("ttft_v3")
+def choose_by_ttft_v3(view: PlacementView) -> Choice:
+    """Choose as the second version, or import the prefix where that is cheaper.
+
+    The transfer weighs more than its time, because a copy takes other blocks' place.
+    """
+    choices = _choices(view)
+    choices += _import_choices(view, choices)
+    return _cheapest(view, choices, prefill_weight=PREFILL_WEIGHT)
+
+
 def _choices(view: PlacementView) -> list[Choice]:
     return [
         choice_without_import(view, view.domain.candidates_by_id[endpoint_id], reason)
@@ -54,6 +72,46 @@
     ]
 
 
+def _import_choices(view: PlacementView, choices: Sequence[Choice]) -> list[Choice]:
+    source = _import_source(view)
+    if source is None:
+        return []
+    source_blocks = view.cached_blocks(source)
+    return [
+        _import_choice(view, choice, source, source_blocks)
+        for choice in choices
+        if choice.cached_blocks < source_blocks
+    ]
+
+
+def _import_source(view: PlacementView) -> Candidate | None:
+    """Return a placeable endpoint that holds the longest prefix."""
+    for group in view.holders:
+        bits = _some_bits(group.mask & view.domain.mask, view)
+        if bits:
+            return view.domain.candidates_by_bit[bits[0]]
+    return None
+
+
+def _import_choice(
+    view: PlacementView, choice: Choice, source: Candidate, source_blocks: int
+) -> Choice:
+    candidate = choice.candidate
+    imported_blocks = source_blocks - choice.cached_blocks
+    transfer_s = view.import_cost.transfer_s(imported_blocks)
+    # The engine's queue goes on while the blocks are on their way.
+    wait_s = candidate.load.wait_s(view.now_s)
+    queue_s = max(0.0, transfer_s - wait_s)
+    return Choice(
+        candidate=candidate,
+        reason="import",
+        cached_blocks=source_blocks,
+        ttft_s=view.ttft_s(candidate, source_blocks) + queue_s,
+        import_from=source.endpoint_id,
+        transfer_s=transfer_s,
+    )
+
+
 def _candidate_reasons(view: PlacementView) -> dict[str, str]:
     reasons_by_id = dict.fromkeys(_holder_ids(view), "holder")
     for endpoint_id in _home_ids(view):
@@ -116,7 +174,8 @@
 def _cost_s(view: PlacementView, choice: Choice, prefill_weight: float) -> float:
     uncached_tokens = view.prompt_tokens - choice.cached_blocks * BLOCK_TOKENS
     prefill_s = max(0, uncached_tokens) * choice.candidate.load.seconds_per_token
-    return choice.ttft_s + (prefill_weight - 1.0) * prefill_s
+    transfer_cost_s = IMPORT_WEIGHT * choice.transfer_s
+    return choice.ttft_s + (prefill_weight - 1.0) * prefill_s + transfer_cost_s
 
 
-policies_by_name[DEFAULT_POLICY] = choose_by_ttft_v2
+policies_by_name[DEFAULT_POLICY] = choose_by_ttft_v3
