Read the whole request in the scripted server of the stream tests

Ruled out: a fault of the client; the fault was "Connection reset by peer" each time. Conclusion: the test was wrong; it checks the same and now also shows the fault.

--- a/tests/endpoints/test_engine_client.py
+++ b/tests/endpoints/test_engine_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import http.client
 import json
 import socket
 import threading
@@ -34,6 +35,14 @@
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
 
+def read_request(connection: socket.socket) -> None:
+    """Read a whole request; closing with unread bytes would reset the connection."""
+    with connection.makefile("rb") as reader:
+        reader.readline()
+        headers = http.client.parse_headers(reader)
+        reader.read(int(headers["Content-Length"]))
+
+
 class EngineStreamTests(unittest.TestCase):
     def open_stream(self, *parts: bytes, pause_s: float = 0.0, hold: bool = False):
         listener = socket.create_server(("127.0.0.1", 0))
@@ -46,7 +55,7 @@
             connection, _ = listener.accept()
             # The client may close early.
             with connection, contextlib.suppress(OSError):
-                connection.recv(65536)
+                read_request(connection)
                 for part in (HEAD, *parts):
                     connection.sendall(part)
                     time.sleep(pause_s)
@@ -87,6 +96,7 @@
         parts = [raw[at : at + 1] for at in range(len(raw))]
         for case in ([raw], parts):
             items = list(self.open_stream(*case).events())
+            self.assertTrue(all(item.is_ok() for item in items), items)
             self.assertEqual([item.ok_value.index for item in items], [0, 1])
 
     def test_event_that_is_not_json_is_malformed(self):
