--- a/src/crocuswick/operators/_commands.py
+++ b/src/crocuswick/operators/_commands.py
@@ -25,9 +25,11 @@
 from crocuswick.configuration.submission import change_between
 from crocuswick.operators._admin_client import AdminAnswer, AdminClient, AdminError
 from crocuswick.operators._output import Output
-from crocuswick.operators._time_line_text import event_lines
 from crocuswick.operators.exit_code import ExitCode
 from crocuswick.outcome import Outcome
+from crocuswick.time_line import decode_event
+from crocuswick.time_line_merge import merge_events
+from crocuswick.time_line_render import render_json, render_page, render_text
 
 __all__ = ["COMMANDS_BY_NAME", "Command", "Context", "submission_id_of"]
 
@@ -67,6 +69,9 @@
     wait_s: float
     """Longest wait for nodes to confirm a revision."""
 
+    picture_file: str = ""
+    """File to write events to as a page with a picture, or an empty string."""
+
 
 @attrs.frozen(kw_only=True)
 class Command:
@@ -193,13 +198,13 @@
 @_command("explain", argument="REQUEST_ID")
 def explain(context: Context, request_id: str) -> ExitCode:
     """Show what happened to one request."""
-    return _show(context, f"requests/{request_id}", _event_printer(context))
+    return _show_events(context, f"requests/{request_id}", title=request_id)
 
 
 @_command("timeline")
 def timeline(context: Context, _argument: str) -> ExitCode:
     """Show the events of all nodes, merged."""
-    return _show(context, "timeline", _event_printer(context))
+    return _show_events(context, "timeline", title="Time line")
 
 
 @_command("drain")
@@ -369,12 +374,22 @@
     print("}")
 
 
-def _event_printer(context: Context) -> Callable[[dict[str, Any]], None]:
-    def print_events(body: dict[str, Any]) -> None:
-        for line in event_lines(body["events"]):
-            context.output.line(line)
-
-    return print_events
+def _show_events(context: Context, path: str, *, title: str) -> ExitCode:
+    """Merge and show events; write them as a picture if a file is named."""
+    answer = context.client.get(path)
+    if answer.is_err():
+        return _report_no_answer(context, answer.unwrap_err())
+    found = answer.unwrap()
+    if found.status != 200:
+        return _report_problem(context, found)
+    merged = merge_events(decode_event(event) for event in found.body["events"])
+    if context.picture_file:
+        Path(context.picture_file).write_text(render_page(merged, title=title))
+    if context.output.is_json:
+        print(render_json(merged))
+    else:
+        print(render_text(merged))
+    return ExitCode.OK
 
 
 def _print_change(context: Context, current: Configuration, change: Change) -> None:
--- a/src/crocuswick/operators/ctl.py
+++ b/src/crocuswick/operators/ctl.py
@@ -22,6 +22,9 @@
 _WAIT_S = flags.DEFINE_float(
     "wait_s", 10.0, "Longest time that apply waits for all nodes; 0: do not wait."
 )
+_PICTURE = flags.DEFINE_string(
+    "picture", "", "File to which timeline and explain write a page with a picture."
+)
 
 EXAMPLES = """\
 Examples:
@@ -29,6 +32,8 @@
   crocuswickctl --node=10.0.0.7:8081 --key_file=operator.key diff new.jsonc
   crocuswickctl --node=10.0.0.7:8081 --key_file=operator.key apply new.jsonc
   crocuswickctl --node=10.0.0.7:8081 --key_file=operator.key --json nodes
+  crocuswickctl --node=10.0.0.7:8081 --key_file=operator.key \\
+      --picture=timeline.html timeline
 """
 
 
@@ -51,7 +56,12 @@
     command = _command_of(argv)
     output = Output(is_json=_JSON.value)
     client = AdminClient(node=_NODE.value, secret=_secret(command))
-    context = Context(client=client, output=output, wait_s=_WAIT_S.value)
+    context = Context(
+        client=client,
+        output=output,
+        wait_s=_WAIT_S.value,
+        picture_file=_PICTURE.value,
+    )
     argument = argv[2] if command.argument else ""
     return command.run(context, argument)
 
@@ -91,7 +101,7 @@
         usage = f"{command.name} {command.argument}".strip()
         lines.append(f"  {usage:<22}{command.summary}")
     lines += ["", "Flags:"]
-    for flag in (_NODE, _KEY_FILE, _JSON, _WAIT_S):
+    for flag in (_NODE, _KEY_FILE, _JSON, _WAIT_S, _PICTURE):
         lines.append(f"  --{flag.name:<20}{flags.FLAGS[flag.name].help}")
     lines += ["", "Exit codes:"]
     lines += [f"  {code.value}  {code.name.lower()}" for code in ExitCode]
--- a/tests/operators/test_ctl.py
+++ b/tests/operators/test_ctl.py
@@ -173,9 +173,14 @@
         self.assertIn("node-1", self.ctl("nodes").stdout)
         explained = self.ctl("explain", "r1").stdout.splitlines()
         self.assertEqual(len(explained), 2)
-        self.assertIn("(after node-1/0)", explained[1])
+        self.assertIn(f"[after {cause}]", explained[1])
         self.assertEqual(self.ctl("explain", "r2").returncode, ExitCode.FAULTY)
-        self.assertEqual(len(json.loads(self.ctl("timeline", "--json").stdout)), 1)
+        picture = self.folder / "timeline.html"
+        shown = json.loads(
+            self.ctl("timeline", "--json", f"--picture={picture}").stdout
+        )
+        self.assertEqual(len(shown["events"]), 2)
+        self.assertIn("<svg", picture.read_text())
         self.assertEqual(self.ctl("drain").returncode, ExitCode.OK)
         self.assertEqual(self.drained, [True])
 
