--- a/src/crocuswick/rollout.py
+++ b/src/crocuswick/rollout.py
@@ -9,7 +9,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
 
 __all__ = [
     "FAILURES_BEFORE_ROLL_BACK",
@@ -158,24 +158,21 @@
 
 
 def routable_version(
-    *, old_version: str, new_version: str, replicas: Sequence[Replica]
+    *, old_version: str, new_version: str, ready_by_version: Mapping[str, int]
 ) -> str:
     """Return the version that callers' requests go to during a rollout.
 
     Args:
         old_version: Version before the rollout, or an empty string.
         new_version: Version that is wanted.
-        replicas: All replicas of the pool.
+        ready_by_version: Number of ready replicas of each version.
 
     Returns:
         The new version once it has as many ready replicas as the old one.
     """
-    ready = Counter(
-        each.weights_version for each in replicas if each.phase is ReplicaPhase.READY
-    )
-    if old_version and ready[old_version] > ready[new_version]:
-        return old_version
-    return new_version
+    ready_old = ready_by_version.get(old_version, 0) if old_version else 0
+    ready_new = ready_by_version.get(new_version, 0)
+    return old_version if ready_old > ready_new else new_version
 
 
 def former_version(replicas: Sequence[Replica], new_version: str) -> str:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -122,10 +122,10 @@
 class VersionTests(unittest.TestCase):
     def test_callers_move_when_the_new_version_has_as_many_replicas(self):
         for new_count, expected in ((0, "v1"), (1, "v1"), (2, "v2"), (4, "v2")):
-            pool = [*replicas(4 - new_count), *replicas(new_count, "v2")]
+            ready = {"v1": 4 - new_count, "v2": new_count}
             with self.subTest(new_count=new_count):
                 version = routable_version(
-                    old_version="v1", new_version="v2", replicas=pool
+                    old_version="v1", new_version="v2", ready_by_version=ready
                 )
                 self.assertEqual(version, expected)
 
