--- a/src/crocuswick/cache_index.py
+++ b/src/crocuswick/cache_index.py
@@ -84,7 +84,7 @@
     """Keys of the blocks held."""
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True)
 class PrefixHolders:
     """Endpoints that hold the same number of leading blocks of a prompt."""
 
@@ -236,20 +236,41 @@
             Groups of endpoints, the longest prefix first; an endpoint appears in
             one group only.
         """
+        first = self._table.mask(keys[0]) if keys else 0
+        if not first:
+            return []
         groups = []
-        mask = -1
-        for blocks, key in enumerate(keys):
-            holders = mask & self._table.mask(key)
-            if holders != mask and blocks:
-                groups.append(PrefixHolders(blocks=blocks, mask=mask & ~holders))
-            mask = holders
-            if not mask:
-                break
-        if mask > 0:
-            groups.append(PrefixHolders(blocks=len(keys), mask=mask))
-        groups.reverse()
+        last = first & self._table.mask(keys[-1])
+        if last:
+            groups.append(PrefixHolders(blocks=len(keys), mask=last))
+        self._split(keys, 0, first, len(keys) - 1, last, groups)
         return groups
 
+    def _split(
+        self,
+        keys: Sequence[int],
+        low: int,
+        low_mask: int,
+        high: int,
+        high_mask: int,
+        groups: list[PrefixHolders],
+    ) -> None:
+        """Append the groups that end between two blocks, by bisection.
+
+        Engines evict a prompt's end first, so that whoever holds a block holds
+        those before it too; where one doesn't, the answer corrects the index.
+        """
+        if low_mask == high_mask:
+            return
+        if high - low == 1:
+            mask = low_mask & ~high_mask
+            groups.append(PrefixHolders(blocks=low + 1, mask=mask))
+            return
+        middle = (low + high) // 2
+        mask = (low_mask & self._table.mask(keys[middle])) | high_mask
+        self._split(keys, middle, mask, high, high_mask, groups)
+        self._split(keys, low, low_mask, middle, mask, groups)
+
     def _begin_incarnation(self, endpoint_id: str, batch: CacheEvents) -> None:
         self.clear(endpoint_id, incarnation=batch.incarnation)
         if batch.first_seq == 0:
--- a/src/crocuswick/placement_policy.py
+++ b/src/crocuswick/placement_policy.py
@@ -123,7 +123,7 @@
         return load.wait_s(self.now_s) + prefill_s + crossing_s
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True, eq=False)
 class Choice:
     """A policy's decision."""
 
