--- a/tests/scenarios/cut_daemon.py
+++ b/tests/scenarios/cut_daemon.py
@@ -107,9 +107,8 @@
     def _wait_to_read(self) -> None:
         if self._peer() in cut_ports and self.gettimeout() != 0:
             self._wait(self._timeout_s())
-        if self._peer_port:
-            if self._lost_data:
-                raise ConnectionResetError("data was lost in a partition")
+        if self._peer_port and self._lost_data:
+            raise ConnectionResetError("data was lost in a partition")
 
     def _wait(self, timeout_s: float) -> None:
         until_s = time.monotonic() + timeout_s
