Blame a request for crashes only when nothing else explains them

Ruled out: a third run before refusing, since two crashes are the stated bound. Mend: crashes do not draw on the budget; after a loss the engine's load page tells a crash; a request that got further than at its first crash is not blamed, likely culprits (no token delivered) are retried later, apart and one after the other, and a request that runs to its end is cleared; each attempt asks the quarantine. Residue: an innocent request that is in its prefill at two crashes caused from other nodes within ten minutes is still refused, with outcome told.

--- a/src/crocuswick/callers/completion.py
+++ b/src/crocuswick/callers/completion.py
@@ -25,7 +25,7 @@
 from crocuswick.metrics import Metrics
 from crocuswick.outcome import Outcome
 from crocuswick.placement import Placement, PlacementRequest
-from crocuswick.quarantine import request_fingerprint
+from crocuswick.quarantine import QUARANTINE_STEP, request_fingerprint
 from crocuswick.resume_token import ResumePoint, ResumeTokens
 from crocuswick.stream_guard import EventVerdict, StreamGuard, TokenEvent
 from crocuswick.time_line import TimeLine
@@ -196,7 +196,7 @@
         if lost is None:
             lost = yield from self._follow(attempt)
         cancel = lost is not None and lost.kind == FailureKind.LOST
-        self._end_attempt(attempt, cancel=cancel)
+        self._end_attempt(attempt, cancel=cancel, completed=lost is None)
         if lost is not None and self._remaining_tokens() == 0:
             yield Ok(self._last_delivery(attempt))
             return None
@@ -230,7 +230,8 @@
             )
             if placed.is_ok():
                 return placed
-            if time.monotonic() >= until_s:
+            quarantined = placed.err_value.step == QUARANTINE_STEP
+            if quarantined or time.monotonic() >= until_s:
                 return placed.map_err(self._with_outcome)
             time.sleep(PLACEMENT_RETRY_S)
             # Endpoints that failed before may have come back.
@@ -366,15 +367,20 @@
         )
 
     def _kind_of_loss(self, attempt: Attempt, error: PeerError) -> str:
-        if error.outcome is not Outcome.NOT_RUN:
+        """Return whether the endpoint went down or only lost this request."""
+        if error.timed_out:
             return FailureKind.LOST
-        if not error.detail.startswith("status"):
+        client = self._context.clients.get(attempt.endpoint_id)
+        report = client.load()
+        if report.is_err() and not report.err_value.timed_out:
+            # A process that is going down resets what its port still accepts.
             return FailureKind.CRASHED
-        report = self._context.clients.get(attempt.endpoint_id).load()
         if report.is_err():
-            return FailureKind.CRASHED
+            return FailureKind.LOST
         same = report.ok_value.incarnation == attempt.incarnation
-        return FailureKind.LOST if same else FailureKind.CRASHED
+        return (
+            FailureKind.LOST if same or not attempt.incarnation else FailureKind.CRASHED
+        )
 
     def _use_stream(self, attempt: Attempt, stream: EngineStream) -> None:
         attempt.stream = stream
@@ -441,12 +447,14 @@
                 kind=lost.kind,
                 fingerprint=self._fingerprint,
                 attempts=self._attempts,
+                progressed=self._attempt.guard.next_index > 0,
             )
         )
         if verdict.refusal is not None:
             return self._with_outcome(verdict.refusal)
         if verdict.retry and time.monotonic() <= self._deadline_s:
             self._context.metrics.retries.inc({"kind": lost.kind})
+            time.sleep(verdict.delay_s)
             return None
         return attrs.evolve(
             no_endpoint_refusal(lost.detail, None),
@@ -455,19 +463,23 @@
             peer=endpoint_id,
         )
 
-    def _end_attempt(self, attempt: Attempt, *, cancel: bool) -> None:
-        self._attempt_done(attempt)
+    def _end_attempt(
+        self, attempt: Attempt, *, cancel: bool, completed: bool = False
+    ) -> None:
+        self._attempt_done(attempt, completed=completed)
         client = self._context.clients.get(attempt.endpoint_id)
         if cancel and client is not None:
             self._context.clients.cancel_later(attempt.endpoint_id, attempt.request_id)
 
-    def _attempt_done(self, attempt: Attempt) -> None:
+    def _attempt_done(self, attempt: Attempt, *, completed: bool) -> None:
         if attempt.stream is not None:
             attempt.stream.close()
         attempt.stream = None
         self._context.dispatcher.tell(
             Dispatcher.Finished(
-                endpoint_id=attempt.endpoint_id, request_id=attempt.request_id
+                endpoint_id=attempt.endpoint_id,
+                request_id=attempt.request_id,
+                completed_fingerprint=self._fingerprint if completed else None,
             )
         )
 
--- a/src/crocuswick/dispatcher.py
+++ b/src/crocuswick/dispatcher.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 from typing import TYPE_CHECKING
 
@@ -39,6 +40,8 @@
 __all__ = ["Dispatcher", "FailureKind", "FailureVerdict"]
 
 MAX_ATTEMPTS = 5
+SUSPECT_DELAY_MS = 200
+SUSPECT_SPREAD_MS = 600
 NO_ENDPOINT_STATUS = 503
 
 
@@ -65,6 +68,9 @@
     refusal: Refusal | None = None
     """Set when the request is refused from now on."""
 
+    delay_s: float = 0.0
+    """Seconds to wait before the next attempt."""
+
 
 class Dispatcher(Actor):
     """Owns the state of placement, limits, retries and quarantine of one node.
@@ -158,6 +164,8 @@
 
         endpoint_id: str
         request_id: str
+        completed_fingerprint: str | None = None
+        """Fingerprint of a request that has run to its end."""
 
     @attrs.frozen(kw_only=True)
     class Failed(Message):
@@ -167,6 +175,8 @@
         kind: str
         fingerprint: str
         attempts: int
+        progressed: bool = False
+        """Whether the attempt delivered a token."""
 
     @attrs.frozen(kw_only=True)
     class CrashesReported(Message):
@@ -297,6 +307,9 @@
         """Choose an endpoint for a request."""
         now_s = time.monotonic()
         request = message.request
+        checked = self._quarantine.check(message.fingerprint, now_s=now_s)
+        if checked.is_err():
+            return checked
         excluded = request.excluded | self._breakers.open_ids(now_s)
         suspect = self._quarantine.is_suspect(message.fingerprint, now_s=now_s)
         if suspect:
@@ -328,6 +341,8 @@
         """Stop counting an attempt as load."""
         attempt = (message.endpoint_id, message.request_id)
         self._suspects_by_attempt.pop(attempt, None)
+        if message.completed_fingerprint is not None:
+            self._quarantine.exonerate(message.completed_fingerprint)
         self._placer.record_finished(
             message.endpoint_id, message.request_id, time.monotonic()
         )
@@ -344,7 +359,12 @@
             return FailureVerdict(retry=False, refusal=checked.err_value)
         if message.attempts >= MAX_ATTEMPTS:
             return FailureVerdict(retry=False)
-        return FailureVerdict(retry=self._retries.take())
+        # The work of a crashed endpoint has to go somewhere; the budget is there
+        # against repeats that add load to endpoints which are up.
+        if message.kind != FailureKind.CRASHED:
+            return FailureVerdict(retry=self._retries.take())
+        delay_s = 0.0 if message.progressed else _suspect_delay_s()
+        return FailureVerdict(retry=True, delay_s=delay_s)
 
     def on_crashes_reported(self, message: CrashesReported) -> None:
         """Take over crashes that other nodes have seen."""
@@ -395,6 +415,11 @@
 
     def _record_crash(self, message: Failed, now_s: float) -> None:
         self._placer.record_lost(message.endpoint_id, now_s)
+        suspect = self._quarantine.is_suspect(message.fingerprint, now_s=now_s)
+        if suspect and message.progressed:
+            # It got past the point at which the first endpoint crashed, so it
+            # was not what crashed that one.
+            return
         report = CrashReport(
             fingerprint=message.fingerprint, endpoint_id=message.endpoint_id
         )
@@ -407,6 +432,16 @@
         )
 
 
+def _suspect_delay_s() -> float:
+    """Return how long a likely culprit waits before its next attempt.
+
+    Requests that had got further are retried at once and are past their first
+    token by then; several likely culprits, also those of other nodes, go one
+    after the other.
+    """
+    return random.uniform(SUSPECT_DELAY_MS, SUSPECT_DELAY_MS + SUSPECT_SPREAD_MS) / 1000
+
+
 def draining_refusal() -> Refusal:
     """Return the refusal of new work by a node that shuts down."""
     return Refusal(
--- a/src/crocuswick/errors.py
+++ b/src/crocuswick/errors.py
@@ -25,6 +25,9 @@
     outcome: Outcome = Outcome.UNKNOWN
     """What is known of the exchange's effect at the peer."""
 
+    timed_out: bool = False
+    """Whether the peer was silent, rather than refusing or closing."""
+
     def __str__(self) -> str:
         return f"{self.step} at {self.peer}: {self.detail} ({self.outcome})"
 
--- a/src/crocuswick/quarantine.py
+++ b/src/crocuswick/quarantine.py
@@ -20,7 +20,12 @@
 
     from result import Result
 
-__all__ = ["CrashReport", "Quarantine", "request_fingerprint"]
+__all__ = [
+    "QUARANTINE_STEP",
+    "CrashReport",
+    "Quarantine",
+    "request_fingerprint",
+]
 
 CRASHES_TO_REFUSE = 2
 """Different endpoints that must have crashed before a request is refused."""
@@ -37,6 +42,9 @@
 MAX_FINGERPRINTS = 1024
 """Requests remembered; the one whose last crash is oldest is forgotten first."""
 
+QUARANTINE_STEP = "quarantine"
+"""Step that refusals of poison requests carry."""
+
 FINGERPRINT_BYTES = 8
 """Bytes in a fingerprint, which is written as hexadecimal digits."""
 
@@ -132,6 +140,14 @@
             now_s - crashed_s < REPORT_LIFETIME_S for crashed_s in crash_times.values()
         )
 
+    def exonerate(self, fingerprint: str) -> None:
+        """Forget the crashes of a request that has run to its end.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+        """
+        self._crash_times_by_fingerprint.pop(fingerprint, None)
+
     def recent(self, *, now_s: float) -> tuple[CrashReport, ...]:
         """Return the latest reports, to be passed on to other nodes.
 
@@ -197,6 +213,6 @@
         status=422,
         title="request crashed endpoints",
         detail=f"An identical request crashed {endpoints}; it is not run again.",
-        step="quarantine",
+        step=QUARANTINE_STEP,
         retry_after_s=retry_after_s,
     )
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -8,7 +8,7 @@
 from crocuswick.limits import Admission
 from crocuswick.load import LoadReport
 from crocuswick.placement import EndpointDescription, PlacementRequest, Placer
-from crocuswick.quarantine import Quarantine
+from crocuswick.quarantine import QUARANTINE_STEP, CrashReport, Quarantine
 from crocuswick.time_line import TimeLine
 
 ENGINES = ("a", "b", "c")
@@ -68,13 +68,14 @@
         )
         return self.handle(Dispatcher.Place(request=request, fingerprint=fingerprint))
 
-    def crash(self, endpoint_id: str, fingerprint: str):
+    def crash(self, endpoint_id: str, fingerprint: str, progressed: bool = False):
         return self.handle(
             Dispatcher.Failed(
                 endpoint_id=endpoint_id,
                 kind=FailureKind.CRASHED,
                 fingerprint=fingerprint,
                 attempts=1,
+                progressed=progressed,
             )
         )
 
@@ -94,6 +95,24 @@
         self.assertTrue(self.admit("innocent").is_ok())
         self.assertEqual(len(self.shared), 2)
 
+    def test_request_that_got_further_is_not_blamed_for_the_second_crash(self):
+        self.crash("a", "innocent", progressed=True)
+        self.assertTrue(self.crash("b", "innocent", progressed=True).retry)
+        self.assertTrue(self.admit("innocent").is_ok())
+
+    def test_request_that_crashes_while_it_generates_is_refused(self):
+        self.crash("a", "poison", progressed=True)
+        self.assertFalse(self.crash("b", "poison").retry)
+
+    def test_request_that_ran_to_its_end_is_cleared(self):
+        self.crash("a", "innocent")
+        self.handle(
+            Dispatcher.Finished(
+                endpoint_id="b", request_id="r", completed_fingerprint="innocent"
+            )
+        )
+        self.assertTrue(self.crash("c", "innocent").retry)
+
     def test_requests_that_saw_the_same_crash_are_retried_apart(self):
         for fingerprint in ("poison", "innocent"):
             self.crash("a", fingerprint)
@@ -108,6 +127,13 @@
                     )
                 )
 
+    def test_crashes_reported_by_other_nodes_stop_the_next_attempt(self):
+        reports = tuple(
+            CrashReport(fingerprint="poison", endpoint_id=each) for each in "ab"
+        )
+        self.handle(Dispatcher.CrashesReported(reports=reports))
+        self.assertEqual(self.place("r", "poison").err_value.step, QUARANTINE_STEP)
+
     def test_leaving_endpoint_gets_no_new_work(self):
         self.handle(Dispatcher.SetLeaving(endpoint_id="a", leaving=True))
         placed = {self.place(f"r{n}", "f").ok_value.endpoint_id for n in range(50)}
