--- a/src/crocuswick/configuration/keeper.py
+++ b/src/crocuswick/configuration/keeper.py
@@ -19,7 +19,12 @@
     OfferState,
 )
 from crocuswick.configuration.fold import snapshot_record
-from crocuswick.configuration.state import decode_state, encode_state
+from crocuswick.configuration.model import Configuration
+from crocuswick.configuration.state import (
+    ConfigurationState,
+    decode_state,
+    encode_state,
+)
 from crocuswick.configuration.submission import (
     Change,
     Submission,
@@ -36,8 +41,6 @@
     from typing import Any
 
     from crocuswick.configuration.checks import ObjectSet
-    from crocuswick.configuration.model import Configuration
-    from crocuswick.configuration.state import ConfigurationState
 
 __all__ = ["CONFIGURATION_STREAM", "ConfigurationKeeper"]
 
@@ -178,6 +181,41 @@
         )
         return self._append_until_judged(submission, deadline_s)
 
+    def recover(
+        self, wanted: ObjectSet, *, timeout_ms: int = SUBMIT_TIMEOUT_MS
+    ) -> Result[int, PeerError]:
+        """Begin a new history from a set that an operator kept.
+
+        For a fleet of which every node restarted and whose log has dropped the last
+        snapshot. A node that still knows a higher revision wins over the set.
+
+        Args:
+            wanted: A checked set, its base the last revision known.
+            timeout_ms: Longest wait until the set is in force.
+
+        Returns:
+            The revision in force, or an error with outcome ``not_run`` if this node
+            knows a configuration.
+        """
+        view = self._view
+        is_ignorant = view.is_caught_up and not view.state.is_complete
+        if not is_ignorant or view.state.configuration.revision > 0:
+            detail = "this node knows a configuration or can still read one"
+            return Err(self._error("recover", detail, Outcome.NOT_RUN))
+        deadline_s = time.monotonic() + timeout_ms / 1000
+        revision = max(1, wanted.base_revision)
+        state = ConfigurationState(
+            configuration=Configuration.from_objects(
+                revision=revision, objects=wanted.objects
+            )
+        )
+        record = snapshot_record(state, is_recovery=True)
+        appended = self._client.append(CONFIGURATION_STREAM, [record])
+        if appended.is_err():
+            return appended
+        found = self._await_base(revision, deadline_s)
+        return found.map(lambda state: state.configuration.revision)
+
     def _await_base(
         self, revision: int, deadline_s: float
     ) -> Result[ConfigurationState, PeerError]:
--- a/src/crocuswick/operators/_commands.py
+++ b/src/crocuswick/operators/_commands.py
@@ -134,6 +134,25 @@
     return ExitCode.NOT_EVERYWHERE if missing else ExitCode.OK
 
 
+@_command("recover", argument="FILE")
+def recover(context: Context, path: str) -> ExitCode:
+    """Begin anew from a kept set, when no node knows a configuration."""
+    read = _read_set(context, path)
+    if read.is_err():
+        return read.unwrap_err()
+    answer = context.client.post("recovery", _submission_body(read.unwrap()))
+    if answer.is_err():
+        return _report_no_answer(context, answer.unwrap_err())
+    found = answer.unwrap()
+    if found.status != 200:
+        return _report_problem(context, found)
+    if context.output.is_json:
+        context.output.json(found.body)
+    else:
+        context.output.line(f"Revision {found.body['revision']} is in force.")
+    return ExitCode.OK
+
+
 @_command("get")
 def get(context: Context, _argument: str) -> ExitCode:
     """Print the configuration in force as a set file."""
--- a/src/crocuswick/operators/admin.py
+++ b/src/crocuswick/operators/admin.py
@@ -59,6 +59,9 @@
     secret: Callable[[], bytes]
     """Returns the operators' key."""
 
+    recover: Callable[[ObjectSet], Result[int, PeerError]] | None = None
+    """Begins a new history of the configuration from a set."""
+
 
 @attrs.frozen(kw_only=True)
 class _Problem:
@@ -92,6 +95,7 @@
             ("GET", "endpoints"): lambda: {"endpoints": _plain(providers.endpoints())},
             ("GET", "timeline"): lambda: {"events": _plain(providers.time_line())},
             ("POST", "drain"): self._drain,
+            ("POST", "recovery"): self._recover,
         }
 
     @cherrypy.expose
@@ -154,6 +158,17 @@
             cherrypy.response.status = 422
         return {"verdict": _plain(verdict)}
 
+    def _recover(self) -> Any:
+        read = _read_submission()
+        if read.is_err():
+            return read.unwrap_err()
+        if self._providers.recover is None:
+            return _not_found("this node offers no recovery")
+        answer = self._providers.recover(read.unwrap().wanted)
+        if answer.is_err():
+            return _log_problem(answer.unwrap_err())
+        return {"revision": answer.unwrap()}
+
     def _explain(self, request_id: str) -> Any:
         events = self._providers.explain(request_id)
         if not events:
--- a/tests/configuration/test_keeper.py
+++ b/tests/configuration/test_keeper.py
@@ -138,6 +138,23 @@
         wait_until(lambda: fresh.current.revision == 3, timeout_s=15)
         self.assertEqual(fresh.current, ahead.current)
 
+    def test_operator_recovers_a_fleet_that_knows_nothing(self):
+        keeper = self.keeper()
+        kept = object_set(1, [organisation(1), organisation(2)])
+        self.assertIs(keeper.recover(kept).unwrap_err().outcome, Outcome.NOT_RUN)
+        self.fill(keeper, 2)
+        self.log.set_faults(retention_records=1)
+        fleet = [self.keeper(), self.keeper()]
+        # The record that is left alone does not tell what came before it.
+        wait_until(lambda: all(each.is_log_reachable for each in fleet))
+        self.assertFalse(any(each.has_configuration for each in fleet))
+        self.log.set_faults(retention_records=0)
+        # Refused until the node has read to the end of the stream.
+        revision = wait_until(lambda: fleet[0].recover(kept).ok())
+        self.assertEqual(revision, 1)
+        wait_until(lambda: fleet[1].current == fleet[0].current)
+        self.assertEqual(fleet[1].current.objects(), list(kept.objects))
+
     def _has_snapshot_of(self, revision):
         records = self.log.history()["streams"]["configuration"]["records"]
         last = records[-1]["value"]
--- a/tests/operators/test_ctl.py
+++ b/tests/operators/test_ctl.py
@@ -66,6 +66,7 @@
             time_line=lambda: self.time_line.since(),
             drain=lambda: self.drained.append(True),
             secret=lambda: SECRET.encode(),
+            recover=lambda wanted: self.keeper.recover(wanted),
         )
         return HttpServer(
             host="127.0.0.1",
@@ -151,6 +152,12 @@
         self.assertEqual(found.returncode, ExitCode.NOT_EVERYWHERE)
         self.assertIn("node-9", found.stderr)
 
+    def test_recovery_is_refused_while_there_is_a_history(self):
+        path = self.set_file(0, small_objects())
+        found = self.ctl("recover", path)
+        self.assertEqual(found.returncode, ExitCode.UNREACHABLE)
+        self.assertIn("knows a configuration", found.stderr)
+
     def test_log_down_is_not_run(self):
         self.log.kill()
         found = self.ctl("apply", self.set_file(0, small_objects()))
