Read and write callers' connections without cheroot's Python-level buffers

Cause: cheroot's files are built on `_pyio`: each event went through a lock, a growing buffer and two copies before one send; each head line was read in Python. Ruled out: nothing else was changed. TLS connections keep cheroot's files.

--- a/src/crocuswick/http_server.py
+++ b/src/crocuswick/http_server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import io
+import socket
 import ssl
 import threading
 import time
@@ -13,7 +15,6 @@
 from crocuswick.timeout_socket import TimeoutSocket
 
 if TYPE_CHECKING:
-    import socket
     from collections.abc import Callable
 
 __all__ = ["HttpServer"]
@@ -22,13 +23,84 @@
 STOP_TIMEOUT_S = 2
 
 
+class SocketReader(io.BufferedReader):
+    """Buffers what a connection receives."""
+
+    def __init__(self, sock: socket.socket):
+        self._received = ReceivedBytes(sock, "rb")
+        super().__init__(self._received)
+        self.bytes_read = 0
+
+    def read(self, size: int | None = -1) -> bytes:
+        """Read as any buffered reader does."""
+        data = super().read(size)
+        self.bytes_read += len(data)
+        return data
+
+    def readline(self, size: int | None = -1) -> bytes:
+        """Read one line as any buffered reader does."""
+        line = super().readline(size)
+        self.bytes_read += len(line)
+        return line
+
+    def has_data(self) -> bool:
+        """Tell whether received bytes are left to be read."""
+        return self._received.total > self.bytes_read
+
+
+class ReceivedBytes(socket.SocketIO):
+    """The receiving side of a socket, which counts its bytes."""
+
+    total = 0
+
+    def readinto(self, buffer: memoryview) -> int | None:
+        """Receive into a buffer."""
+        count = super().readinto(buffer)
+        self.total += count or 0
+        return count
+
+
+class SocketWriter:
+    """Sends each piece of an answer at once, with one call."""
+
+    def __init__(self, sock: socket.socket):
+        self._socket = sock
+        self.bytes_written = 0
+
+    def write(self, data: bytes) -> int:
+        """Send everything.
+
+        Args:
+            data: The piece.
+
+        Returns:
+            Its length.
+        """
+        self._socket.sendall(data)
+        self.bytes_written += len(data)
+        return len(data)
+
+
+def socket_file(
+    sock: socket.socket, mode: str, _buffer_bytes: int
+) -> SocketReader | SocketWriter:
+    """Return the file through which the server uses a connection.
+
+    Args:
+        sock: Socket of the connection.
+        mode: ``"rb"`` or ``"wb"``.
+    """
+    return SocketReader(sock) if mode == "rb" else SocketWriter(sock)
+
+
 class Connection(server.HTTPConnection):
     """A caller's connection whose timeouts are kept by the kernel."""
 
     def __init__(self, http_server: server.HTTPServer, sock: socket.socket, makefile):
-        # TLS needs the socket's own timeouts.
+        # TLS needs the socket's own timeouts and files.
         if not isinstance(sock, ssl.SSLSocket):
             sock = TimeoutSocket.adopt(sock)
+            makefile = socket_file
         super().__init__(http_server, sock, makefile)
 
 
