--- a/src/crocuswick/operators/_commands.py
+++ b/src/crocuswick/operators/_commands.py
@@ -15,7 +15,6 @@
 
 from crocuswick import jsonc
 from crocuswick.configuration import (
-    Change,
     Configuration,
     ObjectSet,
     check_objects,
@@ -23,15 +22,21 @@
     to_record,
 )
 from crocuswick.configuration.submission import change_between
-from crocuswick.operators._admin_client import AdminAnswer, AdminClient, AdminError
-from crocuswick.operators._output import Output
+from crocuswick.operators._reports import (
+    Context,
+    print_change,
+    print_configuration,
+    report_accepted,
+    report_no_answer,
+    report_problem,
+    report_rejection,
+)
 from crocuswick.operators.exit_code import ExitCode
-from crocuswick.outcome import Outcome
 from crocuswick.time_line import decode_event
 from crocuswick.time_line_merge import merge_events
 from crocuswick.time_line_render import render_json, render_page, render_text
 
-__all__ = ["COMMANDS_BY_NAME", "Command", "Context", "submission_id_of"]
+__all__ = ["COMMANDS_BY_NAME", "Command", "submission_id_of"]
 
 POLL_INTERVAL_S = 0.1
 NODE_COLUMNS = (
@@ -56,23 +61,6 @@
 )
 
 
-@attrs.frozen(kw_only=True)
-class Context:
-    """What a command works with."""
-
-    client: AdminClient
-    """The node."""
-
-    output: Output
-    """Where results go."""
-
-    wait_s: float
-    """Longest wait for nodes to confirm a revision."""
-
-    picture_file: str = ""
-    """File to write events to as a page with a picture, or an empty string."""
-
-
 @attrs.frozen(kw_only=True)
 class Command:
     """One command."""
@@ -122,15 +110,15 @@
     body = _submission_body(read.unwrap())
     answer = context.client.post("configuration", body)
     if answer.is_err():
-        return _report_no_answer(context, answer.unwrap_err())
+        return report_no_answer(context, answer.unwrap_err())
     found = answer.unwrap()
     if "verdict" not in found.body:
-        return _report_problem(context, found)
+        return report_problem(context, found)
     verdict = found.body["verdict"]
     if found.status != 200:
-        return _report_rejection(context, verdict)
+        return report_rejection(context, verdict)
     missing = _await_nodes(context, verdict["revision"])
-    _report_accepted(context, verdict, missing)
+    report_accepted(context, verdict, missing)
     return ExitCode.NOT_EVERYWHERE if missing else ExitCode.OK
 
 
@@ -142,10 +130,10 @@
         return read.unwrap_err()
     answer = context.client.post("recovery", _submission_body(read.unwrap()))
     if answer.is_err():
-        return _report_no_answer(context, answer.unwrap_err())
+        return report_no_answer(context, answer.unwrap_err())
     found = answer.unwrap()
     if found.status != 200:
-        return _report_problem(context, found)
+        return report_problem(context, found)
     if context.output.is_json:
         context.output.json(found.body)
     else:
@@ -156,7 +144,7 @@
 @_command("get")
 def get(context: Context, _argument: str) -> ExitCode:
     """Print the configuration in force as a set file."""
-    return _show(context, "configuration", _print_configuration)
+    return _show(context, "configuration", print_configuration)
 
 
 @_command("diff", argument="FILE")
@@ -167,16 +155,16 @@
         return read.unwrap_err()
     answer = context.client.get("configuration")
     if answer.is_err():
-        return _report_no_answer(context, answer.unwrap_err())
+        return report_no_answer(context, answer.unwrap_err())
     found = answer.unwrap()
     if found.status != 200:
-        return _report_problem(context, found)
+        return report_problem(context, found)
     current = Configuration.from_objects(
         revision=found.body["revision"],
         objects=check_objects(found.body["objects"]).unwrap(),
     )
     change = change_between(current, read.unwrap())
-    _print_change(context, current, change)
+    print_change(context, current, change)
     return ExitCode.OK if change.is_empty else ExitCode.FAULTY
 
 
@@ -231,9 +219,9 @@
     """Take the asked node out of service; what is in flight finishes."""
     answer = context.client.post("drain", {})
     if answer.is_err():
-        return _report_no_answer(context, answer.unwrap_err())
+        return report_no_answer(context, answer.unwrap_err())
     if answer.unwrap().status != 200:
-        return _report_problem(context, answer.unwrap())
+        return report_problem(context, answer.unwrap())
     if context.output.is_json:
         context.output.json(answer.unwrap().body)
     else:
@@ -310,72 +298,15 @@
     ]
 
 
-def _report_accepted(
-    context: Context, verdict: dict[str, Any], missing: list[str]
-) -> None:
-    output = context.output
-    if output.is_json:
-        output.json({"verdict": verdict, "unconfirmed_nodes": missing})
-        return
-    revision = verdict["revision"]
-    if verdict["kind"] == "unchanged":
-        output.line(f"Nothing to change; revision {revision} is in force.")
-    else:
-        output.line(f"Accepted as revision {revision}.", style="green")
-    if missing:
-        output.error(f"Not confirmed in time by {', '.join(missing)}.")
-    elif context.wait_s:
-        output.line("In force on all live nodes.")
-
-
-def _report_rejection(context: Context, verdict: dict[str, Any]) -> ExitCode:
-    output = context.output
-    if output.is_json:
-        output.json({"verdict": verdict})
-    if verdict["kind"] == "lost":
-        author = verdict["lost_to_author"] or "unknown"
-        output.error(
-            f"Rejected: revision {verdict['revision']} is in force, made by {author} "
-            f"(submission {verdict['lost_to'] or 'unknown'}). Look at the difference, "
-            f"set base_revision to {verdict['revision']} and apply again."
-        )
-        return ExitCode.LOST
-    for fault in verdict["faults"]:
-        output.error(f"{fault['object']}, {fault['field']}: {fault['message']}")
-    return ExitCode.FAULTY
-
-
-def _report_no_answer(context: Context, error: AdminError) -> ExitCode:
-    context.output.error(f"{error.detail} (outcome: {error.outcome})")
-    if error.outcome is Outcome.NOT_RUN:
-        return ExitCode.UNREACHABLE
-    return ExitCode.UNKNOWN
-
-
-def _report_problem(context: Context, answer: AdminAnswer) -> ExitCode:
-    body = answer.body
-    if context.output.is_json:
-        context.output.json(body)
-    context.output.error(f"{body.get('title')}: {body.get('detail')}")
-    for fault in body.get("faults", ()):
-        context.output.error(f"{fault['object']}, {fault['field']}: {fault['message']}")
-    if answer.status == 401:
-        return ExitCode.UNAUTHORISED
-    if answer.status != 503:
-        return ExitCode.FAULTY
-    is_not_run = body.get("outcome") == Outcome.NOT_RUN
-    return ExitCode.UNREACHABLE if is_not_run else ExitCode.UNKNOWN
-
-
 def _show(
     context: Context, path: str, print_body: Callable[[dict[str, Any]], None]
 ) -> ExitCode:
     answer = context.client.get(path)
     if answer.is_err():
-        return _report_no_answer(context, answer.unwrap_err())
+        return report_no_answer(context, answer.unwrap_err())
     found = answer.unwrap()
     if found.status != 200:
-        return _report_problem(context, found)
+        return report_problem(context, found)
     if context.output.is_json:
         context.output.json(found.body)
     else:
@@ -383,24 +314,14 @@
     return ExitCode.OK
 
 
-def _print_configuration(body: dict[str, Any]) -> None:
-    print("{")
-    print(f'  "base_revision": {body["revision"]},')
-    print('  "objects": [')
-    lines = [f"    {json.dumps(item)}" for item in body["objects"]]
-    print(",\n".join(lines))
-    print("  ]")
-    print("}")
-
-
 def _show_events(context: Context, path: str, *, title: str) -> ExitCode:
     """Merge and show events; write them as a picture if a file is named."""
     answer = context.client.get(path)
     if answer.is_err():
-        return _report_no_answer(context, answer.unwrap_err())
+        return report_no_answer(context, answer.unwrap_err())
     found = answer.unwrap()
     if found.status != 200:
-        return _report_problem(context, found)
+        return report_problem(context, found)
     merged = merge_events(decode_event(event) for event in found.body["events"])
     if context.picture_file:
         Path(context.picture_file).write_text(render_page(merged, title=title))
@@ -409,33 +330,3 @@
     else:
         print(render_text(merged))
     return ExitCode.OK
-
-
-def _print_change(context: Context, current: Configuration, change: Change) -> None:
-    output = context.output
-    if output.is_json:
-        output.json(
-            {
-                "revision": current.revision,
-                "added": change.added,
-                "changed": change.changed,
-                "removed": [attrs.asdict(name) for name in change.removed],
-            }
-        )
-        return
-    old_by_name = {
-        (item.kind_name, item.id): to_record(item) for item in current.objects()
-    }
-    output.line(f"against revision {current.revision}:")
-    for record in change.added:
-        output.line(f"+ {record['kind']} {record['id']}", style="green")
-    for name in change.removed:
-        output.line(f"- {name}", style="red")
-    for record in change.changed:
-        output.line(f"~ {record['kind']} {record['id']}", style="yellow")
-        old = old_by_name[(record["kind"], record["id"])]
-        for field, value in record.items():
-            if old[field] != value:
-                output.line(f"    {field}: {old[field]} -> {value}")
-    if change.is_empty:
-        output.line("no difference")
--- a/src/crocuswick/operators/ctl.py
+++ b/src/crocuswick/operators/ctl.py
@@ -8,8 +8,9 @@
 from absl import app, flags
 
 from crocuswick.operators._admin_client import AdminClient
-from crocuswick.operators._commands import COMMANDS_BY_NAME, Command, Context
+from crocuswick.operators._commands import COMMANDS_BY_NAME, Command
 from crocuswick.operators._output import Output
+from crocuswick.operators._reports import Context
 from crocuswick.operators.exit_code import ExitCode
 
 __all__ = ["main"]
