--- a/src/crocuswick/order_keeper.py
+++ b/src/crocuswick/order_keeper.py
@@ -38,8 +38,19 @@
         log_address: str,
         node_id: str,
         configuration: Callable[[], Configuration],
+        on_rollout: Callable[[Rollout], None] = lambda rollout: None,
     ):
+        """Create the component.
+
+        Args:
+            log_address: ``host:port`` of the log.
+            node_id: Id of this node.
+            configuration: Returns the configuration in force.
+            on_rollout: Called on the keeper's thread, on every node, for each
+                rollout that begins or is rolled back.
+        """
         self._rollouts: tuple[Rollout, ...] = ()
+        self._on_rollout = on_rollout
         self._client = LogClient(address=log_address, timeout_ms=APPEND_TIMEOUT_MS)
         self._actor = OrderActor.start(
             client=self._client,
@@ -85,7 +96,11 @@
         self._actor.stop(block=False)
 
     def _set_rollouts(self, rollouts: tuple[Rollout, ...]) -> None:
+        known = set(self._rollouts)
         self._rollouts = rollouts
+        for rollout in rollouts:
+            if rollout not in known:
+                self._on_rollout(rollout)
 
     def _tick(self) -> None:
         # Asked, not told, so that ticks do not pile up behind slow engines.
--- a/tests/test_order_keeper.py
+++ b/tests/test_order_keeper.py
@@ -19,6 +19,7 @@
         self.engines = []
         self.wanted = "v1"
         self.samples = []
+        self.announced = []
 
     def start_engines(self, count, **settings):
         self.engines = [
@@ -64,6 +65,7 @@
             log_address=self.log.address,
             node_id=name,
             configuration=self.configuration,
+            on_rollout=self.announced.append,
         )
         keeper.start()
         self.addCleanup(keeper.stop)
@@ -118,6 +120,9 @@
             timeout_s=40,
         )
         self.await_version("v1")
+        self.assertEqual(
+            [rollout.is_rolled_back for rollout in self.announced], [False, True]
+        )
         self.assert_always_served_and_few_loads()
 
     def test_next_holder_finishes_and_old_tokens_are_refused(self):
