--- a/src/crocuswick/node.py
+++ b/src/crocuswick/node.py
@@ -26,10 +26,12 @@
 from crocuswick.metrics import Metrics
 from crocuswick.nodes import NodePhase, PeerKeys, read_key_file
 from crocuswick.operators import AdminProviders, admin_application
+from crocuswick.order_keeper import OrderKeeper
 from crocuswick.placement import Placer
 from crocuswick.platform_log import ClaimKeeper
 from crocuswick.quarantine import Quarantine
 from crocuswick.resume_token import ResumeTokens
+from crocuswick.served_configuration import ServedConfiguration
 from crocuswick.time_line import TimeLine
 
 if TYPE_CHECKING:
@@ -84,7 +86,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the node takes new work."""
-        if self._draining or self._keeper.current.revision == 0:
+        if self._draining or self._served.current.revision == 0:
             return False
         self._endpoints_known = self._endpoints_known or self._knows_endpoints()
         return self._endpoints_known
@@ -144,8 +146,16 @@
             append_timeout_ms=log.timeout_ms,
         )
         self._claims = ClaimKeeper(log_address=log.address, node_id=settings.node_id)
-        self.application.add(self._keeper)
-        self.application.add(self._claims)
+        self._orders = OrderKeeper(
+            log_address=log.address,
+            node_id=settings.node_id,
+            configuration=lambda: self._keeper.current,
+        )
+        self._served = ServedConfiguration(
+            keeper=self._keeper, orders=self._orders, dispatcher=self._dispatcher
+        )
+        for component in (self._keeper, self._claims, self._orders, self._served):
+            self.application.add(component)
 
     def _build_fleet_member(self) -> None:
         self._fleet_member = FleetMember(
@@ -181,7 +191,7 @@
                 time_line=self._time_line,
                 zone=self._settings.zone,
             ),
-            configuration=lambda: self._keeper.current,
+            configuration=lambda: self._served.current,
             ready=lambda: self.is_ready,
             max_body_bytes=callers.max_body_bytes,
         )
--- a/src/crocuswick/placement.py
+++ b/src/crocuswick/placement.py
@@ -152,6 +152,9 @@
     state: str
     """State of the last load report, or ``unknown``."""
 
+    weights_versions_by_model: Mapping[str, str]
+    """Weights that it serves, by the last load report."""
+
     is_leaving: bool
     """Whether it gets no new work because it leaves."""
 
@@ -451,6 +454,9 @@
             id=endpoint_id,
             zone=endpoint.description.zone,
             pool=endpoint.description.pool,
+            weights_versions_by_model=(
+                report.weights_versions_by_model if report else {}
+            ),
             state=report.state if report else "unknown",
             is_leaving=endpoint.is_leaving,
             incarnation=report.incarnation if report else "",
--- /dev/null
+++ b/src/crocuswick/served_configuration.py
@@ -0,0 +1,83 @@
+"""Keeps the configuration as callers' requests see it up to date."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from crocuswick.actor import Ticker
+from crocuswick.dispatcher import Dispatcher
+from crocuswick.served_versions import ServedWeights, configuration_for_callers
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    import pykka
+
+    from crocuswick.configuration import Configuration, ConfigurationKeeper
+    from crocuswick.order_keeper import OrderKeeper
+    from crocuswick.placement import EndpointStatus
+
+__all__ = ["ServedConfiguration", "count_ready_replicas"]
+
+REFRESH_INTERVAL_S = 0.25
+READY_STATE = "ready"
+
+
+class ServedConfiguration:
+    """Component that works out which weights callers get during a rollout.
+
+    Args:
+        keeper: Keeper of the configuration in force.
+        orders: Keeper of the rollouts.
+        dispatcher: Knows what the endpoints serve.
+    """
+
+    def __init__(
+        self,
+        *,
+        keeper: ConfigurationKeeper,
+        orders: OrderKeeper,
+        dispatcher: pykka.ActorRef,
+    ):
+        self._keeper = keeper
+        self._orders = orders
+        self._dispatcher = dispatcher
+        self._current = keeper.current
+        self._ticker = Ticker(
+            name="served-configuration",
+            interval_s=REFRESH_INTERVAL_S,
+            call=self.refresh,
+        )
+
+    @property
+    def current(self) -> Configuration:
+        """The configuration for callers' requests."""
+        return self._current
+
+    def start(self) -> None:
+        """Start refreshing."""
+        self._ticker.start()
+
+    def stop(self) -> None:
+        """Stop refreshing."""
+        self._ticker.stop()
+
+    def refresh(self) -> None:
+        """Work the configuration out anew."""
+        statuses = self._dispatcher.ask(Dispatcher.Describe())
+        self._current = configuration_for_callers(
+            self._keeper.current,
+            rollouts=self._orders.rollouts,
+            ready_replicas_by_weights=count_ready_replicas(statuses),
+        )
+
+
+def count_ready_replicas(statuses: Iterable[EndpointStatus]) -> Counter[ServedWeights]:
+    """Return how many ready replicas serve which weights."""
+    return Counter(
+        ServedWeights(pool=status.pool, model=model, weights_version=version)
+        for status in statuses
+        if status.state == READY_STATE and not status.is_leaving
+        for model, version in status.weights_versions_by_model.items()
+    )
