--- /dev/null
+++ b/tests/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the slopes from which ``docs/CAPACITY.md`` is worked out."""
--- /dev/null
+++ b/tests/capacity/timing.py
@@ -0,0 +1,62 @@
+"""Measures CPU time and memory of small pieces of work."""
+
+from __future__ import annotations
+
+import gc
+import subprocess
+import sys
+import time
+import tracemalloc
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["ROUNDS", "allocated_bytes", "best_us", "child_rss_bytes"]
+
+ROUNDS = 5
+_RSS_CODE = """
+import gc
+{code}
+gc.collect()
+status = open("/proc/self/status").read()
+print(status.split("VmRSS:")[1].split()[0])
+"""
+
+
+def best_us(work: Callable[[], int], *, rounds: int = ROUNDS) -> float:
+    """Return the least CPU time per item in µs.
+
+    Args:
+        work: Does the work and returns the number of items.
+        rounds: Number of repetitions.
+    """
+    return min(_us_per_item(work) for _ in range(rounds))
+
+
+def allocated_bytes(create: Callable[[], object]) -> int:
+    """Return the bytes that a created object keeps allocated."""
+    gc.collect()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    created = create()
+    gc.collect()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del created
+    return after - before
+
+
+def child_rss_bytes(code: str) -> int:
+    """Return the resident memory of a new interpreter after some code."""
+    script = _RSS_CODE.format(code=code)
+    output = subprocess.run(
+        [sys.executable, "-c", script], capture_output=True, text=True, check=True
+    )
+    return int(output.stdout) * 1024
+
+
+def _us_per_item(work: Callable[[], int]) -> float:
+    started_ns = time.thread_time_ns()
+    items = work()
+    return (time.thread_time_ns() - started_ns) / 1000.0 / items
