--- a/src/crocuswick/placement.py
+++ b/src/crocuswick/placement.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -18,15 +18,26 @@
 from crocuswick.hot_prefix import HotPrefixes
 from crocuswick.kv_import import ImportCost
 from crocuswick.load import EndpointLoad
-from crocuswick.placement_policy import (
-    CROSS_ZONE_S,
+from crocuswick.placement_domain import (
     Candidate,
     PlacementDomain,
+    domain_of,
+    domain_without,
+)
+from crocuswick.placement_messages import (
+    EndpointDescription,
+    EndpointStatus,
+    NoEndpoint,
+    Placement,
+    PlacementRequest,
+)
+from crocuswick.placement_policy import (
+    CROSS_ZONE_S,
     PlacementView,
     policies_by_name,
     prefix_level_keys,
 )
-from crocuswick.rendezvous import Rendezvous, stable_hash
+from crocuswick.rendezvous import stable_hash
 from crocuswick.ttft_policy import DEFAULT_POLICY
 
 if TYPE_CHECKING:
@@ -53,130 +64,6 @@
 READY = "ready"
 
 
-@attrs.frozen(kw_only=True)
-class EndpointDescription:
-    """What the configuration and the VM list say of an endpoint."""
-
-    id: str
-    """Endpoint id, unique over all zones."""
-
-    address: str
-    """``host:port``."""
-
-    zone: str
-    """Zone of the endpoint."""
-
-    pool: str
-    """Endpoint pool that it belongs to."""
-
-    models: Mapping[str, str] | None = None
-    """Weights version wanted for each model, or None if not set."""
-
-
-@attrs.frozen(kw_only=True)
-class PlacementRequest:
-    """What placement needs to know of a request."""
-
-    request_id: str
-    """Request id."""
-
-    model: str
-    """Model name."""
-
-    weights_version: str
-    """Weights version that must serve the request."""
-
-    keys: Sequence[int]
-    """Salted, chained keys of the prompt's whole blocks."""
-
-    prompt_tokens: int
-    """Tokens in the prompt."""
-
-    max_tokens: int
-    """Tokens to generate at most."""
-
-    priority: int
-    """0 (first) to 9."""
-
-    excluded: frozenset[str] = frozenset()
-    """Endpoints that mustn't be chosen, for instance because they failed before."""
-
-    pool: str
-    """Endpoint pool."""
-
-
-@attrs.frozen(kw_only=True)
-class Placement:
-    """Where a request goes."""
-
-    endpoint_id: str
-    """The chosen endpoint."""
-
-    predicted_cached_blocks: int
-    """Leading blocks of the prompt that the endpoint is thought to hold."""
-
-    expected_ttft_ms: float
-    """Expected time to first token in milliseconds."""
-
-    reason: str
-    """Why the endpoint was chosen, in a word for operators."""
-
-    import_from: str | None = None
-    """Endpoint from which to import the cached prefix first, if that pays."""
-
-
-@attrs.frozen(kw_only=True)
-class NoEndpoint:
-    """No endpoint may serve a request now."""
-
-    reason: str
-    """Why, for people."""
-
-    retry_after_s: float
-    """Seconds after which a repeat may succeed."""
-
-
-@attrs.frozen(kw_only=True)
-class EndpointStatus:
-    """What this node thinks of an endpoint, for operators."""
-
-    id: str
-    """Endpoint id."""
-
-    zone: str
-    """Zone of the endpoint."""
-
-    pool: str
-    """Endpoint pool that it belongs to."""
-
-    state: str
-    """State of the last load report, or ``unknown``."""
-
-    weights_versions_by_model: Mapping[str, str]
-    """Weights that it serves, by the last load report."""
-
-    is_leaving: bool
-    """Whether it gets no new work because it leaves."""
-
-    incarnation: str
-    """Incarnation of the last load report."""
-
-    running: int
-    """Requests that generated tokens at the last load report."""
-
-    queued: int
-    """Requests that waited at the last load report."""
-
-    sent: int
-    """Requests of this node that have not finished."""
-
-    indexed_blocks: int
-    """About how many blocks it is thought to hold."""
-
-    index_in_sync: bool
-    """Whether no cache event is known to be missing."""
-
-
 @attrs.define(kw_only=True, eq=False)
 class _Endpoint:
     """State of one endpoint."""
@@ -410,7 +297,7 @@
             domain = self._build_domain(self._serving(request))
             self._domains_by_wanted[wanted] = domain
         if request.excluded:
-            return _without(domain, request.excluded)
+            return domain_without(domain, request.excluded)
         return domain
 
     def _serving(self, request: PlacementRequest) -> list[_Endpoint]:
@@ -442,7 +329,7 @@
             )
             for endpoint in endpoints
         ]
-        return _domain_of(candidates)
+        return domain_of(candidates)
 
     def _crossing_s(self, endpoint: _Endpoint) -> float:
         return 0.0 if endpoint.description.zone == self._zone else CROSS_ZONE_S
@@ -468,30 +355,6 @@
         )
 
 
-def _domain_of(candidates: Sequence[Candidate]) -> PlacementDomain:
-    return PlacementDomain(
-        candidates=candidates,
-        candidates_by_id={candidate.endpoint_id: candidate for candidate in candidates},
-        candidates_by_bit={candidate.bit: candidate for candidate in candidates},
-        mask=sum(candidate.bit for candidate in candidates),
-        rendezvous=Rendezvous(
-            members=[candidate.endpoint_id for candidate in candidates]
-        ),
-    )
-
-
-def _without(domain: PlacementDomain, excluded: frozenset[str]) -> PlacementDomain:
-    if excluded.isdisjoint(domain.candidates_by_id):
-        return domain
-    return _domain_of(
-        [
-            candidate
-            for candidate in domain.candidates
-            if candidate.endpoint_id not in excluded
-        ]
-    )
-
-
 def _placement(choice: Choice) -> Placement:
     return Placement(
         endpoint_id=choice.candidate.endpoint_id,
--- a/src/crocuswick/placement_policy.py
+++ b/src/crocuswick/placement_policy.py
@@ -16,8 +16,7 @@
 from crocuswick.cache_index import PrefixHolders
 from crocuswick.hot_prefix import HotPrefixes
 from crocuswick.kv_import import ImportCost
-from crocuswick.load import EndpointLoad
-from crocuswick.rendezvous import Rendezvous
+from crocuswick.placement_domain import Candidate, PlacementDomain
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,9 +24,7 @@
 
 __all__ = [
     "CROSS_ZONE_S",
-    "Candidate",
     "Choice",
-    "PlacementDomain",
     "PlacementPolicy",
     "PlacementView",
     "choice_without_import",
@@ -40,43 +37,6 @@
 TIE_S = 0.000_5
 
 
-@attrs.define(kw_only=True, eq=False)
-class Candidate:
-    """A placeable endpoint."""
-
-    endpoint_id: str
-    """The endpoint."""
-
-    bit: int
-    """The endpoint's bit in the cache index."""
-
-    load: EndpointLoad
-    """Its expected queue."""
-
-    crossing_s: float
-    """Time that crossing to another zone takes."""
-
-
-@attrs.define(kw_only=True, eq=False)
-class PlacementDomain:
-    """The endpoints that may serve one model version, for one pool."""
-
-    candidates: Sequence[Candidate]
-    """All placeable endpoints."""
-
-    candidates_by_id: dict[str, Candidate]
-    """The same by id."""
-
-    candidates_by_bit: dict[int, Candidate]
-    """The same by bit in the cache index."""
-
-    mask: int
-    """All their bits."""
-
-    rendezvous: Rendezvous
-    """Rendezvous hash over them."""
-
-
 @attrs.define(kw_only=True, eq=False)
 class PlacementView:
     """All that a policy may use for one request."""
--- a/src/crocuswick/ttft_policy.py
+++ b/src/crocuswick/ttft_policy.py
@@ -91,11 +91,16 @@
     blocks = view.cached_blocks(source)
     if choice.cached_blocks >= blocks:
         return None
-    transfer_s = view.import_cost.transfer_s(blocks - choice.cached_blocks)
+    imported_blocks = blocks - choice.cached_blocks
+    seconds_per_token = choice.candidate.load.seconds_per_token
+    cost = view.import_cost
+    if cost.saving_s(imported_blocks, seconds_per_token=seconds_per_token) <= 0.0:
+        return None
+    transfer_s = cost.transfer_s(imported_blocks)
     # The engine's queue goes on while the blocks are on their way.
     wait_s = max(choice.wait_s, transfer_s)
     uncached_tokens = view.prompt_tokens - blocks * BLOCK_TOKENS
-    prefill_s = uncached_tokens * choice.candidate.load.seconds_per_token
+    prefill_s = uncached_tokens * seconds_per_token
     return Choice(
         candidate=choice.candidate,
         reason="import",
