--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,8 +3,14 @@
 from __future__ import annotations
 
 import unittest
+from pathlib import Path
 
-from crocuswick.settings import parse_settings
+import attrs
+
+from crocuswick.settings import Settings, parse_settings
+
+REPOSITORY = Path(__file__).resolve().parent.parent
+SECTION = "crocuswick_section"
 
 GOOD = """{
   // A node of Swanfold.
@@ -56,3 +62,34 @@
             '"port": 8080', '"port": 8080, "tls_certificate_file": "a.pem"'
         )
         self.assertIn("must be set together", self.faults(text)[0])
+
+
+class DocumentedSettingsTests(unittest.TestCase):
+    def test_the_reference_lists_every_setting_with_its_default(self):
+        page = (REPOSITORY / "docs/reference/settings.md").read_text()
+        for path, default in setting_defaults(Settings):
+            self.assertIn(f"| `{path}` | {default} |", page)
+
+    def test_the_sample_files_are_good(self):
+        for name in ("node-swanfold", "node-umurava"):
+            text = (REPOSITORY / f"samples/{name}.jsonc").read_text()
+            self.assertTrue(parse_settings(text).is_ok(), name)
+
+
+def setting_defaults(settings_type: type, prefix: str = "") -> list[tuple[str, str]]:
+    found = []
+    for field in attrs.fields(settings_type):
+        path = f"{prefix}{field.name}"
+        section = field.metadata.get(SECTION)
+        if section is not None:
+            found += setting_defaults(section, f"{path}.")
+        elif field.default is attrs.NOTHING:
+            found.append((path, "required"))
+        else:
+            found.append(
+                (
+                    path,
+                    {"": '`""`', (): "`[]`"}.get(field.default) or f"`{field.default}`",
+                )
+            )
+    return found
