--- a/src/crocuswick/cache_index.py
+++ b/src/crocuswick/cache_index.py
@@ -1,7 +1,7 @@
 """Index of the blocks that engines hold, built from unreliable event streams.
 
-The index is a hint. A gap in an engine's sequence numbers makes its part
-doubtful until a snapshot replaces it; a new incarnation empties it.
+The index is a hint. Gaps in an engine's sequence numbers are counted, and when too
+much is missing a snapshot replaces the engine's part; a new incarnation empties it.
 """
 
 from __future__ import annotations
@@ -29,6 +29,7 @@
 
 DEFAULT_MAX_BLOCKS = 600_000
 MAX_RETIRED_INCARNATIONS = 8
+MAX_MISSING_SHARE = 0.004
 
 
 class CacheEventKind(StrEnum):
@@ -102,6 +103,7 @@
     slot: int
     incarnation: str = ""
     next_seq: int | None = None
+    missing_events: int = 0
     blocks: int = 0
     retired: deque[str] = attrs.field(
         factory=lambda: deque(maxlen=MAX_RETIRED_INCARNATIONS)
@@ -111,6 +113,12 @@
     def bit(self) -> int:
         return 1 << self.slot
 
+    @property
+    def needs_snapshot(self) -> bool:
+        if self.next_seq is None:
+            return True
+        return self.missing_events > MAX_MISSING_SHARE * self.blocks
+
 
 class CacheIndex:
     """Answers which endpoints hold the leading blocks of a prompt."""
@@ -152,6 +160,7 @@
             stream.retired.append(stream.incarnation)
         stream.incarnation = incarnation
         stream.next_seq = None
+        stream.missing_events = 0
         stream.blocks = 0
 
     def incarnation(self, endpoint_id: str) -> str:
@@ -168,7 +177,8 @@
 
     def in_sync(self, endpoint_id: str) -> bool:
         """Return whether no event is known to be missing since a snapshot."""
-        return self._streams_by_endpoint[endpoint_id].next_seq is not None
+        stream = self._streams_by_endpoint[endpoint_id]
+        return stream.next_seq is not None and not stream.missing_events
 
     def apply_events(self, endpoint_id: str, batch: CacheEvents) -> bool:
         """Apply a batch of events.
@@ -178,27 +188,22 @@
             batch: Events of one incarnation; repeated ones are ignored.
 
         Returns:
-            Whether a snapshot is needed, because events or their start are missing.
+            Whether a snapshot is needed: the start of the events is missing, or
+            more events than a small share of the blocks held.
         """
         stream = self._streams_by_endpoint[endpoint_id]
         if batch.incarnation in stream.retired:
-            return stream.next_seq is None
+            return stream.needs_snapshot
         if batch.incarnation != stream.incarnation:
             self._begin_incarnation(endpoint_id, batch)
-        expected = stream.next_seq
         for event in batch.events:
-            if expected is not None and event.seq < expected:
-                continue
-            if event.seq != expected:
-                stream.next_seq = None
-            self._apply_event(stream, event)
-            expected = event.seq + 1
+            if stream.next_seq is None or event.seq >= stream.next_seq:
+                self._apply_event(stream, event)
         self._table.sweep()
-        if stream.next_seq is None or expected is None or expected < batch.next_seq:
-            stream.next_seq = None
-            return True
-        stream.next_seq = expected
-        return False
+        if stream.next_seq is not None and stream.next_seq < batch.next_seq:
+            stream.missing_events += batch.next_seq - stream.next_seq
+            stream.next_seq = batch.next_seq
+        return stream.needs_snapshot
 
     def apply_snapshot(self, endpoint_id: str, snapshot: CacheSnapshot) -> None:
         """Replace what is known of an endpoint, unless the snapshot is older.
@@ -278,6 +283,9 @@
             self._streams_by_endpoint[endpoint_id].next_seq = 0
 
     def _apply_event(self, stream: _EndpointStream, event: CacheEvent) -> None:
+        if stream.next_seq is not None:
+            stream.missing_events += event.seq - stream.next_seq
+            stream.next_seq = event.seq + 1
         if event.kind == CacheEventKind.STORED:
             self._store(stream, event.keys)
         elif event.kind == CacheEventKind.EVICTED:
--- a/tests/test_cache_index.py
+++ b/tests/test_cache_index.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import attrs
+
 from crocuswick.cache_index import CacheEvent, CacheEvents, CacheIndex, CacheSnapshot
 
 
@@ -50,6 +52,17 @@
         self.assertEqual(self.held("a"), 1)
         self.assertFalse(self.index.apply_events("a", batch(stored(4, 20))))
 
+    def test_a_few_missing_events_of_many_blocks_need_no_snapshot(self):
+        keys = [number << 50 for number in range(1000)]
+        snapshot = CacheSnapshot(incarnation="i1", next_seq=1, keys=keys)
+        self.index.apply_snapshot("a", snapshot)
+        for seq in (2, 4, 6, 8):
+            self.assertFalse(self.index.apply_events("a", batch(stored(seq, seq))))
+        self.assertFalse(self.index.in_sync("a"))
+        self.assertTrue(self.index.apply_events("a", batch(stored(11, 11))))
+        self.index.apply_snapshot("a", attrs.evolve(snapshot, next_seq=14))
+        self.assertTrue(self.index.in_sync("a"))
+
     def test_gap_at_the_end_of_a_batch_is_seen(self):
         self.index.apply_events("a", batch(stored(0, 10)))
         self.assertTrue(self.index.apply_events("a", batch(stored(1, 20), next_seq=3)))
