--- a/tests/scenarios/actions.py
+++ b/tests/scenarios/actions.py
@@ -91,6 +91,7 @@
 @action("kill", on="node engine service")
 def kill(state: RunState, part: str, options: dict[str, Any]) -> Undo:
     """End a process at once; taken back by a start."""
+    state.lives.doom(part)
     state.deployment.process(part).kill()
     state.lives.end(part)
     return lambda: restart_part(state, part)
--- a/tests/scenarios/measures.py
+++ b/tests/scenarios/measures.py
@@ -8,6 +8,7 @@
 from tests.scenarios.history import (
     Booking,
     Completion,
+    Cut,
     Ending,
     EngineLife,
     NodeLife,
@@ -106,6 +107,18 @@
     )
 
 
+@measure("answers-in-isolation")
+def answers_in_isolation(history: History) -> float:
+    """Number of whole answers that isolated nodes gave while they were cut off."""
+    return sum(
+        item.node in cut.parts and cut.interval.contains(item.interval.start_s)
+        for cut in history.of(Cut)
+        if cut.reason == "isolated"
+        for item in _ordinary(history)
+        if item.ending is Ending.DONE and cut.interval.contains(item.interval.end_s)
+    )
+
+
 @measure("restarted-nodes")
 def restarted_nodes(history: History) -> float:
     """Number of times that a node became ready again after a restart."""
--- a/tests/scenarios/run_state.py
+++ b/tests/scenarios/run_state.py
@@ -24,6 +24,7 @@
     part: str
     start_s: float
     end_s: float = END_OF_TIME_S
+    alive_until_s: float = END_OF_TIME_S
     listening_s: float | None = None
     ready_s: float | None = None
     recovered: bool = False
@@ -50,6 +51,12 @@
         with self._lock:
             self._lives.append(life)
 
+    def doom(self, part: str) -> None:
+        """Note that a part's process is about to be ended."""
+        with self._lock:
+            for life in self._open(part):
+                life.alive_until_s = now_s()
+
     def end(self, part: str) -> None:
         """Note that a part's process has ended."""
         with self._lock:
--- a/tests/scenarios/test_checkers.py
+++ b/tests/scenarios/test_checkers.py
@@ -236,6 +236,12 @@
         third = EngineLife(interval=span(1.45, 9), engine="engine-3", incarnation="i3")
         self.assert_breach(self.name, "given up", *lives, third, bad)
 
+    def test_an_engine_about_to_be_killed_is_not_surely_alive(self):
+        life = EngineLife(interval=span(0, 9), engine="engine-1", incarnation="i1")
+        bad = completion(ending=Ending.ERROR)
+        self.assert_breach(self.name, "given up", life, bad)
+        self.assert_holds(self.name, attrs.evolve(life, alive_until_s=1.9), bad)
+
     def test_refusal_is_no_stream(self):
         verdict = check(self.name, History(records=[completion(ending=Ending.REFUSED)]))
         self.assertEqual((verdict.checked, verdict.violations), (0, ()))
