--- a/src/crocuswick/dispatcher.py
+++ b/src/crocuswick/dispatcher.py
@@ -34,6 +34,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from crocuswick.byte_budget import ByteBudget
     from crocuswick.demand_meter import OrganisationDemand
     from crocuswick.time_line import TimeLine
 
@@ -79,6 +80,7 @@
         placer: Placement state of this node.
         admission: Admission state of this node.
         quarantine: Fingerprints of requests that crashed endpoints.
+        byte_budget: Bound of the bodies held.
         time_line: Where changes of state are recorded.
         share_crash: Tells the other nodes of a crash.
     """
@@ -202,6 +204,18 @@
     class Unavailable(Message):
         """Ask which endpoints must not be used; replies a frozen set of ids."""
 
+    @attrs.frozen(kw_only=True)
+    class ReserveBytes(Message):
+        """Ask to hold a body; replies ``Result[None, Refusal]``."""
+
+        size_bytes: int
+
+    @attrs.frozen(kw_only=True)
+    class ReleaseBytes(Message):
+        """A body is no longer held."""
+
+        size_bytes: int
+
     @attrs.frozen(kw_only=True)
     class Drain(Message):
         """Admit nothing more."""
@@ -226,6 +240,7 @@
         placer: Placer,
         admission: Admission,
         quarantine: Quarantine,
+        byte_budget: ByteBudget,
         time_line: TimeLine,
         share_crash: Callable[[CrashReport], None],
     ):
@@ -235,6 +250,7 @@
         self._admission = admission
         self._quarantine = quarantine
         self._time_line = time_line
+        self._bytes = byte_budget
         self._breakers = CircuitBreakers()
         self._retries = RetryBudget()
         self._leaving_ids: set[str] = set()
@@ -295,6 +311,14 @@
         """Return the endpoints that leave or whose breaker is open."""
         return self._breakers.open_ids(time.monotonic()) | self._leaving_ids
 
+    def on_reserve_bytes(self, message: ReserveBytes) -> Result[None, Refusal]:
+        """Allow a body to be read, or refuse it."""
+        return self._bytes.reserve(message.size_bytes)
+
+    def on_release_bytes(self, message: ReleaseBytes) -> None:
+        """Count a body as given up."""
+        self._bytes.release(message.size_bytes)
+
     def on_drain(self, message: Drain) -> None:
         """Refuse all new work from now on."""
         self._draining = True
--- a/src/crocuswick/node.py
+++ b/src/crocuswick/node.py
@@ -11,6 +11,7 @@
 import logbook
 
 from crocuswick.application import Application
+from crocuswick.byte_budget import ByteBudget
 from crocuswick.callers import (
     CallersInterface,
     CompletionContext,
@@ -128,6 +129,7 @@
             ),
             admission=Admission(capacity=settings.callers.max_in_flight),
             quarantine=Quarantine(),
+            byte_budget=ByteBudget(capacity_bytes=settings.callers.max_buffered_bytes),
             time_line=self._time_line,
             share_crash=lambda report: self._fleet_member.share_crash(report),
         )
--- a/src/crocuswick/settings.py
+++ b/src/crocuswick/settings.py
@@ -49,6 +49,11 @@
     )
     """Largest request body."""
 
+    max_buffered_bytes: int = fields.integer(
+        low=1024, high=1 << 36, unit="bytes", default=128 << 20
+    )
+    """Bytes of request bodies held at once; further requests are refused."""
+
     idle_timeout_ms: int = fields.integer(
         low=100, high=600_000, unit="ms", default=10_000
     )
@@ -257,6 +262,13 @@
                 message="must be set together with tls_certificate_file",
             )
         )
+    if callers.max_buffered_bytes < callers.max_body_bytes:
+        faults.append(
+            SettingFault(
+                path=("callers", "max_buffered_bytes"),
+                message="must be at least max_body_bytes",
+            )
+        )
     ports = {
         ("callers", "port"): callers.port,
         ("operators", "port"): settings.operators.port,
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from crocuswick.byte_budget import ByteBudget
 from crocuswick.dispatcher import MAX_ATTEMPTS, Dispatcher, FailureKind
 from crocuswick.limits import Admission
 from crocuswick.load import LoadReport
@@ -37,6 +38,7 @@
             placer=Placer(zone="z", seed=1),
             admission=Admission(capacity=8),
             quarantine=Quarantine(),
+            byte_budget=ByteBudget(capacity_bytes=1000),
             time_line=TimeLine(node_id="n"),
             share_crash=self.shared.append,
         )
