--- a/src/crocuswick/endpoints/engine_client.py
+++ b/src/crocuswick/endpoints/engine_client.py
@@ -115,8 +115,9 @@
         self._response.close()
 
     def _chunks(self) -> Iterator[bytes]:
-        while chunk := self._response.read1(READ_CHUNK_BYTES):
-            yield chunk
+        if self._response.chunked:
+            return self._response.read_chunked(decode_content=False)
+        return iter(lambda: self._response.read1(READ_CHUNK_BYTES), b"")
 
     def _fault(self, step: str, error: Exception) -> StreamFault:
         return StreamFault(step=step, peer=self._endpoint_id, detail=str(error))
--- a/tests/endpoints/test_engine_client.py
+++ b/tests/endpoints/test_engine_client.py
@@ -14,6 +14,7 @@
 from crocuswick.outcome import Outcome
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+PLAIN_HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 PROGRESS_TIMEOUT_S = 0.3
 ORDER = CompletionOrder(
     request_id="r",
@@ -44,7 +45,13 @@
 
 
 class EngineStreamTests(unittest.TestCase):
-    def open_stream(self, *parts: bytes, pause_s: float = 0.0, hold: bool = False):
+    def open_stream(
+        self,
+        *parts: bytes,
+        head: bytes = HEAD,
+        pause_s: float = 0.0,
+        hold: bool = False,
+    ):
         listener = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(listener.close)
         address = "{}:{}".format(*listener.getsockname())
@@ -56,7 +63,7 @@
             # The client may close early.
             with connection, contextlib.suppress(OSError):
                 read_request(connection)
-                for part in (HEAD, *parts):
+                for part in (head, *parts):
                     connection.sendall(part)
                     time.sleep(pause_s)
                 if hold:
@@ -114,3 +121,12 @@
         closed.close()
         client = EngineClient(endpoint_id="e", address=address)
         self.assertIs(client.open(ORDER).err_value.outcome, Outcome.NOT_RUN)
+
+    def test_stream_without_chunks_ends_with_its_connection(self):
+        plain = b"".join(event(index).split(b"\r\n")[1] for index in range(2))
+        body = plain + b"data: [DONE]\n\n"
+        for cut, whole in ((body, True), (plain, False)):
+            with self.subTest(whole=whole):
+                items = list(self.open_stream(cut, head=PLAIN_HEAD).events())
+                self.assertEqual([item.is_ok() for item in items[:2]], [True, True])
+                self.assertEqual(len(items) == 2, whole)
