Read heartbeats in batches every 100 ms

Cause: a node among 26 took 0.92 % of a core over real sockets, against 0.24 % on datagrams in memory. Ruled out: decoding is the same in both. News come up to 100 ms later a hop.

--- a/src/crocuswick/nodes/membership.py
+++ b/src/crocuswick/nodes/membership.py
@@ -44,10 +44,13 @@
 HEARTBEAT_JITTER = 0.1
 """Share of the interval by which it varies from node to node."""
 
+READ_INTERVAL_MS = 100
+"""Interval at which received datagrams are read, many with one wake-up."""
+
 RECEIVE_BUFFER_BYTES = 2048
 """Size of the largest datagram that is read."""
 
-RECEIVES_PER_WAKE_UP = 64
+RECEIVES_PER_WAKE_UP = 256
 """Datagrams read before messages and the clock get their turn."""
 
 STOP_TIMEOUT_S = 2.0
@@ -165,6 +168,7 @@
             time_line=time_line,
         )
         self._interval_s = interval_ms / _MS_PER_S
+        self._read_interval_s = min(READ_INTERVAL_MS, interval_ms / 2) / _MS_PER_S
         self._random = random.Random(time_line.incarnation)
         self._mailbox: queue.SimpleQueue[Message] = queue.SimpleQueue()
         self._wake_receiver, self._wake_sender = socket.socketpair()
@@ -301,17 +305,18 @@
 
     def _run(self) -> None:
         with selectors.DefaultSelector() as selector:
-            selector.register(self._socket, selectors.EVENT_READ, self._read_socket)
-            selector.register(
-                self._wake_receiver, selectors.EVENT_READ, self._read_mailbox
-            )
-            due_s = time.monotonic()
+            selector.register(self._wake_receiver, selectors.EVENT_READ)
+            tick_s = read_s = time.monotonic()
             while self._is_running:
-                if time.monotonic() >= due_s:
+                if time.monotonic() >= read_s:
+                    self._guarded(self._read_socket)
+                    read_s = time.monotonic() + self._read_interval_s
+                if time.monotonic() >= tick_s:
                     self._guarded(self._tick)
-                    due_s = time.monotonic() + self._next_interval_s()
-                for key, _ in selector.select(max(0.0, due_s - time.monotonic())):
-                    self._guarded(key.data)
+                    tick_s = time.monotonic() + self._next_interval_s()
+                wait_s = min(tick_s, read_s) - time.monotonic()
+                if selector.select(max(0.0, wait_s)):
+                    self._guarded(self._read_mailbox)
 
     def _announce_news(self) -> None:
         now_s = time.monotonic()
