Encode the parts of a token event that stay the same only once

Ruled out: orjson for it, which refuses a lone surrogate that an engine may cut a pair into; the standard encoder of one string is enough.

--- a/src/crocuswick/callers/_completion_format.py
+++ b/src/crocuswick/callers/_completion_format.py
@@ -13,6 +13,7 @@
     from crocuswick.callers.completion_request import CompletionRequest
 
 DONE_EVENT = b"data: [DONE]\n\n"
+EMPTY_TEXT = '""'
 
 
 class CompletionFormat:
@@ -33,6 +34,7 @@
             "model": model,
         }
         self._first = True
+        self._middle: tuple[str, str] | None = None
 
     @classmethod
     def of(cls, request: CompletionRequest) -> CompletionFormat:
@@ -43,16 +45,35 @@
 
     def event(self, delivery: Delivery) -> bytes:
         """Return the server-sent event of one token."""
-        chunk = {
+        if self._first or delivery.finish_reason is not None:
+            data = self._chunk(delivery)
+        else:
+            data = self._middle_chunk(delivery.text)
+        self._first = False
+        return f"id: {delivery.resume_token}\ndata: {data}\n\n".encode()
+
+    def _chunk(self, delivery: Delivery) -> str:
+        choice = self._choice(delivery.finish_reason, delivery.text)
+        chunk = self._chunk_document(choice)
+        if delivery.finish_reason is not None:
+            chunk["usage"] = usage(delivery)
+        return _compact(chunk)
+
+    def _middle_chunk(self, text: str) -> str:
+        """Return a chunk that differs from the others in its text only."""
+        if self._middle is None:
+            empty = _compact(self._chunk_document(self._choice(None, "")))
+            head, _, tail = empty.rpartition(EMPTY_TEXT)
+            self._middle = (head, tail)
+        head, tail = self._middle
+        return f"{head}{json.dumps(text)}{tail}"
+
+    def _chunk_document(self, choice: dict[str, Any]) -> dict[str, Any]:
+        return {
             **self._head,
             "object": self._object("chat.completion.chunk"),
-            "choices": [self._chunk_choice(delivery)],
+            "choices": [choice],
         }
-        if delivery.finish_reason is not None:
-            chunk["usage"] = usage(delivery)
-        self._first = False
-        data = json.dumps(chunk, separators=(",", ":"))
-        return f"id: {delivery.resume_token}\ndata: {data}\n\n".encode()
 
     def document(self, text: str, last: Delivery) -> bytes:
         """Return the whole answer as one JSON document.
@@ -77,16 +98,20 @@
     def _object(self, chat_name: str) -> str:
         return chat_name if self._dialect == Dialect.CHAT else "text_completion"
 
-    def _chunk_choice(self, delivery: Delivery) -> dict[str, Any]:
-        choice: dict[str, Any] = {"index": 0, "finish_reason": delivery.finish_reason}
+    def _choice(self, finish_reason: str | None, text: str) -> dict[str, Any]:
+        choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason}
         if self._dialect == Dialect.CHAT:
             role = {"role": "assistant"} if self._first else {}
-            choice["delta"] = {**role, "content": delivery.text}
+            choice["delta"] = {**role, "content": text}
         else:
-            choice["text"] = delivery.text
+            choice["text"] = text
         return choice
 
 
+def _compact(document: dict[str, Any]) -> str:
+    return json.dumps(document, separators=(",", ":"))
+
+
 def usage(last: Delivery) -> dict[str, Any]:
     """Return the usage object of an answer."""
     return {
