--- a/src/crocuswick/callers/completion.py
+++ b/src/crocuswick/callers/completion.py
@@ -26,7 +26,7 @@
 from crocuswick.outcome import Outcome
 from crocuswick.placement import Placement, PlacementRequest
 from crocuswick.quarantine import QUARANTINE_STEP, request_fingerprint
-from crocuswick.resume_token import ResumePoint, ResumeTokens
+from crocuswick.resume_token import ResumePoint, ResumeTokens, TokenSeries
 from crocuswick.stream_guard import EventVerdict, StreamGuard, TokenEvent
 from crocuswick.time_line import TimeLine
 
@@ -105,6 +105,8 @@
 
     stream: EngineStream | None = None
     incarnation: str = ""
+    tokens: TokenSeries | None = None
+    """Issues the resume tokens, from the first stream on."""
 
 
 def fingerprint(request: CompletionRequest) -> str:
@@ -205,14 +207,11 @@
     def _last_delivery(self, attempt: Attempt) -> Delivery:
         """Return the end of an answer whose last token came without its mark."""
         index = attempt.guard.next_index - 1
-        event = TokenEvent(
-            request_id=attempt.request_id, index=index, text="", finish_reason="length"
-        )
         delivered = attempt.base + index + 1
         return Delivery(
             text="",
             finish_reason="length",
-            resume_token=self._resume_token(attempt, event, delivered),
+            resume_token=attempt.tokens.issue(index=index, delivered=delivered),
             endpoint_id=attempt.endpoint_id,
             prompt_tokens=self._prompt_tokens,
             cached_tokens=self._cached_tokens,
@@ -264,7 +263,9 @@
         if source is None or client is None:
             return
         keys = block_keys(self._prompt(), salt=self._salt)
-        client.import_cache(source_address=source, keys=keys)
+        held = keys[: placement.predicted_cached_blocks]
+        # An import that fails costs time, not the answer: the engine computes.
+        client.import_cache(source_address=source, keys=held)
 
     def _new_attempt(self, placement: Placement) -> Attempt:
         request_id = self._engine_request_id()
@@ -385,6 +386,7 @@
     def _use_stream(self, attempt: Attempt, stream: EngineStream) -> None:
         attempt.stream = stream
         attempt.incarnation = attempt.incarnation or stream.incarnation
+        attempt.tokens = self._context.tokens.series(self._resume_point(attempt))
 
     def _deliver(self, attempt: Attempt, event: TokenEvent) -> Delivery:
         if event.index == 0:
@@ -394,7 +396,7 @@
         return Delivery(
             text=event.text,
             finish_reason=event.finish_reason,
-            resume_token=self._resume_token(attempt, event, delivered),
+            resume_token=attempt.tokens.issue(index=event.index, delivered=delivered),
             endpoint_id=attempt.endpoint_id,
             prompt_tokens=self._prompt_tokens or event.prompt_tokens,
             cached_tokens=self._cached_tokens,
@@ -416,18 +418,17 @@
             )
         )
 
-    def _resume_token(self, attempt: Attempt, event: TokenEvent, delivered: int) -> str:
-        return self._context.tokens.issue(
-            ResumePoint(
-                organisation=self._request.organisation,
-                pool=self._request.pool,
-                endpoint_id=attempt.endpoint_id,
-                incarnation=attempt.incarnation,
-                engine_request_id=attempt.request_id,
-                index=event.index,
-                delivered=delivered,
-                model=self._request.model,
-            )
+    def _resume_point(self, attempt: Attempt) -> ResumePoint:
+        """Return the point before the attempt's first event."""
+        return ResumePoint(
+            organisation=self._request.organisation,
+            pool=self._request.pool,
+            endpoint_id=attempt.endpoint_id,
+            incarnation=attempt.incarnation,
+            engine_request_id=attempt.request_id,
+            index=0,
+            delivered=attempt.base,
+            model=self._request.model,
         )
 
     def _refusal_after(self, lost: Lost) -> Refusal | None:
--- a/tests/callers/test_completion.py
+++ b/tests/callers/test_completion.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok
 
+from crocuswick.block_key import BLOCK_BYTES
 from crocuswick.callers.completion import CompletionContext, CompletionRun
 from crocuswick.callers.completion_request import CompletionRequest, Dialect
 from crocuswick.dispatcher import Dispatcher, FailureVerdict
@@ -50,6 +51,7 @@
     def __init__(self, *, opened: list[Any], resumed: list[Any] | None = None):
         self._opened = deque(opened)
         self._resumed = deque(resumed or [])
+        self.imports = []
         self.orders = []
         self.resumes = []
 
@@ -64,6 +66,10 @@
     def load(self):
         return Err(REFUSED)
 
+    def import_cache(self, *, source_address: str, keys: list[int]):
+        self.imports.append((source_address, len(keys)))
+        return Err(NO_ANSWER)
+
     def _next(self, queue: deque, request_id: str):
         step = queue.popleft()
         if isinstance(step, PeerError):
@@ -95,7 +101,7 @@
         return self._engines_by_id.get(endpoint_id)
 
     def address_of(self, endpoint_id: str):
-        return None
+        return f"{endpoint_id}:1"
 
     def cancel_later(self, endpoint_id: str, request_id: str) -> None:
         self.cancelled.append((endpoint_id, request_id))
@@ -104,8 +110,9 @@
 class ScriptedDispatcher:
     """Places at prepared endpoints and lets every attempt be repeated."""
 
-    def __init__(self, endpoint_ids: list[str]):
+    def __init__(self, endpoint_ids: list[str], import_from: str | None):
         self._endpoint_ids = deque(endpoint_ids)
+        self._import_from = import_from
         self.failures = []
         self.finished = 0
 
@@ -114,9 +121,10 @@
             return Ok(
                 Placement(
                     endpoint_id=self._endpoint_ids.popleft(),
-                    predicted_cached_blocks=0,
+                    predicted_cached_blocks=2 if self._import_from else 0,
                     expected_ttft_ms=1,
                     reason="test",
+                    import_from=self._import_from,
                 )
             )
         self.failures.append(message)
@@ -128,10 +136,14 @@
 
 class CompletionRunTests(unittest.TestCase):
     def run_completion(
-        self, engines_by_id: dict[str, ScriptedEngine], max_tokens: int = 3
+        self,
+        engines_by_id: dict[str, ScriptedEngine],
+        max_tokens: int = 3,
+        prompt: str = "P",
+        import_from: str | None = None,
     ):
         self.clients = ScriptedClients(engines_by_id)
-        self.dispatcher = ScriptedDispatcher(list(engines_by_id))
+        self.dispatcher = ScriptedDispatcher(list(engines_by_id), import_from)
         context = CompletionContext(
             dispatcher=self.dispatcher,
             clients=self.clients,
@@ -147,7 +159,7 @@
             engine_model="m",
             weights_version="v1",
             pool="p",
-            prompt="P",
+            prompt=prompt,
             max_tokens=max_tokens,
             priority=0,
             stream=True,
@@ -190,6 +202,15 @@
         dying = ScriptedEngine(opened=[[(0,), (1,), (2,), CLOSED]], resumed=[REFUSED])
         self.assert_whole(self.run_completion({"a": dying}))
 
+    def test_prefix_is_imported_as_far_as_the_source_holds_it(self):
+        engine = ScriptedEngine(opened=[[(0, True)]])
+        prompt = "x" * (3 * BLOCK_BYTES)
+        items = self.run_completion(
+            {"a": engine}, max_tokens=1, prompt=prompt, import_from="b"
+        )
+        self.assert_whole(items, tokens=1)
+        self.assertEqual(engine.imports, [("b:1", 2)])
+
     def test_short_answer_ends_with_a_refusal(self):
         dying = ScriptedEngine(opened=[[(0,), CLOSED]], resumed=[REFUSED])
         items = self.run_completion({"a": dying})
