--- a/src/crocuswick/dispatcher.py
+++ b/src/crocuswick/dispatcher.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import random
 import time
 from typing import TYPE_CHECKING
 
@@ -30,6 +29,7 @@
 )
 from crocuswick.quarantine import CrashReport, Quarantine
 from crocuswick.retry_budget import RetryBudget
+from crocuswick.suspects import AttemptId, Suspects
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -41,8 +41,6 @@
 __all__ = ["Dispatcher", "FailureKind", "FailureVerdict"]
 
 MAX_ATTEMPTS = 5
-SUSPECT_DELAY_MS = 200
-SUSPECT_SPREAD_MS = 600
 NO_ENDPOINT_STATUS = 503
 
 
@@ -254,7 +252,7 @@
         self._breakers = CircuitBreakers()
         self._retries = RetryBudget()
         self._leaving_ids: set[str] = set()
-        self._suspects_by_attempt: dict[tuple[str, str], str] = {}
+        self._suspects = Suspects()
         self._draining = False
 
     def on_set_endpoints(self, message: SetEndpoints) -> None:
@@ -337,15 +335,17 @@
         excluded = request.excluded | self._breakers.open_ids(now_s)
         suspect = self._quarantine.is_suspect(message.fingerprint, now_s=now_s)
         if suspect:
-            excluded |= self._endpoints_of_other_suspects(message.fingerprint)
+            excluded |= self._suspects.endpoints_of_others(message.fingerprint)
         placed = self._placer.place(attrs.evolve(request, excluded=excluded), now_s)
         if placed.is_err():
             reason = placed.err_value
             return Err(no_endpoint_refusal(reason.reason, reason.retry_after_s))
         placement = placed.ok_value
         if suspect:
-            attempt = (placement.endpoint_id, request.request_id)
-            self._suspects_by_attempt[attempt] = message.fingerprint
+            attempt = AttemptId(
+                endpoint_id=placement.endpoint_id, request_id=request.request_id
+            )
+            self._suspects.add(attempt, message.fingerprint)
         self._placer.record_sent(
             placement.endpoint_id, request.request_id, placement, request, now_s
         )
@@ -363,8 +363,10 @@
 
     def on_finished(self, message: Finished) -> None:
         """Stop counting an attempt as load."""
-        attempt = (message.endpoint_id, message.request_id)
-        self._suspects_by_attempt.pop(attempt, None)
+        attempt = AttemptId(
+            endpoint_id=message.endpoint_id, request_id=message.request_id
+        )
+        self._suspects.remove(attempt)
         if message.completed_fingerprint is not None:
             self._quarantine.exonerate(message.completed_fingerprint)
         self._placer.record_finished(
@@ -387,7 +389,7 @@
         # against repeats that add load to endpoints which are up.
         if message.kind != FailureKind.CRASHED:
             return FailureVerdict(retry=self._retries.take())
-        delay_s = 0.0 if message.progressed else _suspect_delay_s()
+        delay_s = self._suspects.retry_delay_s(progressed=message.progressed)
         return FailureVerdict(retry=True, delay_s=delay_s)
 
     def on_crashes_reported(self, message: CrashesReported) -> None:
@@ -430,13 +432,6 @@
             limits, weights_by_organisation=weights, now_s=time.monotonic()
         )
 
-    def _endpoints_of_other_suspects(self, fingerprint: str) -> frozenset[str]:
-        return frozenset(
-            endpoint_id
-            for (endpoint_id, _), suspect in self._suspects_by_attempt.items()
-            if suspect != fingerprint
-        )
-
     def _record_crash(self, message: Failed, now_s: float) -> None:
         self._placer.record_lost(message.endpoint_id, now_s)
         suspect = self._quarantine.is_suspect(message.fingerprint, now_s=now_s)
@@ -456,16 +451,6 @@
         )
 
 
-def _suspect_delay_s() -> float:
-    """Return how long a likely culprit waits before its next attempt.
-
-    Requests that had got further are retried at once and are past their first
-    token by then; several likely culprits, also those of other nodes, go one
-    after the other.
-    """
-    return random.uniform(SUSPECT_DELAY_MS, SUSPECT_DELAY_MS + SUSPECT_SPREAD_MS) / 1000
-
-
 def draining_refusal() -> Refusal:
     """Return the refusal of new work by a node that shuts down."""
     return Refusal(
