Sign the fixed part of a stream's resume tokens only once

Ruled out: another form of token; a test checks that the bytes are the same and that a replaced key signs from the next event on.

--- a/src/crocuswick/resume_token.py
+++ b/src/crocuswick/resume_token.py
@@ -15,11 +15,17 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ["ResumePoint", "ResumeTokens", "TokenFault"]
+__all__ = ["ResumePoint", "ResumeTokens", "TokenFault", "TokenSeries"]
 
 MAC_BYTES = 12
 """Bytes of the message authentication code in a token."""
 
+ARRAY_OF_8 = b"\x98"
+"""Head of a msgpack array with as many values as a `ResumePoint` has fields."""
+
+INDEX_AT = 5
+"""Place of ``index`` among the fields; ``delivered`` follows it."""
+
 
 @attrs.frozen(kw_only=True)
 class ResumePoint:
@@ -83,6 +89,19 @@
         mac = _mac(self._keys[0], payload)
         return base64.urlsafe_b64encode(mac + payload).decode()
 
+    @property
+    def signing_key(self) -> bytes:
+        """Key that signs at present."""
+        return self._keys[0]
+
+    def series(self, point: ResumePoint) -> TokenSeries:
+        """Return the issuer of the tokens of one stream.
+
+        Args:
+            point: Any point of the stream; its counts are not used.
+        """
+        return TokenSeries(tokens=self, point=point)
+
     def read(self, token: str) -> Result[ResumePoint, TokenFault]:
         """Verify and decode a token.
 
@@ -105,9 +124,49 @@
         return Ok(ResumePoint(**dict(zip(names, values, strict=True))))
 
 
+class TokenSeries:
+    """Issues the tokens of one stream, which differ in their counts only.
+
+    Args:
+        tokens: Holds the keys, which may be replaced during the stream.
+        point: Any point of the stream.
+    """
+
+    def __init__(self, *, tokens: ResumeTokens, point: ResumePoint):
+        self._tokens = tokens
+        values = attrs.astuple(point)
+        packed = [msgpack.packb(value) for value in values]
+        self._head = ARRAY_OF_8 + b"".join(packed[:INDEX_AT])
+        self._tail = b"".join(packed[INDEX_AT + 2 :])
+        self._key = b""
+
+    def issue(self, *, index: int, delivered: int) -> str:
+        """Return the token for one delivered event.
+
+        Args:
+            index: Index of the event at the endpoint.
+            delivered: Tokens delivered so far, over all endpoints.
+        """
+        key = self._tokens.signing_key
+        if key is not self._key:
+            self._key = key
+            self._begun_mac = _keyed(key)
+            self._begun_mac.update(self._head)
+        rest = msgpack.packb(index) + msgpack.packb(delivered) + self._tail
+        mac = self._begun_mac.copy()
+        mac.update(rest)
+        return base64.urlsafe_b64encode(mac.digest() + self._head + rest).decode()
+
+
 def _derived(key: bytes) -> bytes:
     return hashlib.blake2b(key, person=b"resume-token").digest()
 
 
 def _mac(key: bytes, payload: bytes) -> bytes:
-    return hashlib.blake2b(payload, key=key, digest_size=MAC_BYTES).digest()
+    mac = _keyed(key)
+    mac.update(payload)
+    return mac.digest()
+
+
+def _keyed(key: bytes) -> hashlib.blake2b:
+    return hashlib.blake2b(key=key, digest_size=MAC_BYTES)
--- a/tests/test_resume_token.py
+++ b/tests/test_resume_token.py
@@ -5,6 +5,7 @@
 import base64
 import unittest
 
+import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -27,6 +28,16 @@
         token = ResumeTokens(keys=[b"shared"]).issue(POINT)
         self.assertEqual(ResumeTokens(keys=[b"shared"]).read(token).ok_value, POINT)
 
+    def test_series_issues_the_same_tokens(self):
+        tokens = ResumeTokens(keys=[b"shared"])
+        series = tokens.series(POINT)
+        for index, delivered in ((0, 1), (4, 9), (127, 128), (70000, 1 << 33)):
+            point = attrs.evolve(POINT, index=index, delivered=delivered)
+            token = series.issue(index=index, delivered=delivered)
+            self.assertEqual(token, tokens.issue(point))
+        tokens.replace([b"next", b"shared"])
+        self.assertEqual(series.issue(index=4, delivered=9), tokens.issue(POINT))
+
     def test_another_key_does_not_verify(self):
         token = ResumeTokens(keys=[b"shared"]).issue(POINT)
         self.assertTrue(ResumeTokens(keys=[b"other"]).read(token).is_err())
