--- a/tests/scenarios/run_state.py
+++ b/tests/scenarios/run_state.py
@@ -14,6 +14,9 @@
 from tests.scenarios.history import END_OF_TIME_S, Interval, NodeLife
 from tests.scenarios.recorder import Recorder, now_s
 
+MAX_START_S = 12.0
+FIRST_REQUESTS_S = 2.0
+
 __all__ = ["Life", "LifeBook", "RunState"]
 
 
@@ -36,6 +39,13 @@
         return Interval(start_s=self.start_s, end_s=self.end_s)
 
 
+def _settled_s(life: Life) -> float:
+    """Return until when traffic goes on, so that a new process gets requests."""
+    if life.ready_s is None:
+        return life.start_s + MAX_START_S
+    return life.ready_s + FIRST_REQUESTS_S
+
+
 class LifeBook:
     """Keeps the lives of the parts."""
 
@@ -79,6 +89,17 @@
                 if is_ready:
                     life.ready_s = life.ready_s or moment_s
 
+    def is_settling(self) -> bool:
+        """Return whether a restarted node is not ready yet, or only just."""
+        with self._lock:
+            return any(
+                life.recovered
+                and life.end_s == END_OF_TIME_S
+                and now_s() < _settled_s(life)
+                for life in self._lives
+                if life.part.startswith("node-")
+            )
+
     def lives(self, kind: str) -> list[Life]:
         """Return the lives of the parts of a kind."""
         with self._lock:
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -18,7 +18,7 @@
 from tests.scenarios.configuration_watcher import ConfigurationWatcher
 from tests.scenarios.deployment import Deployment, plan_of
 from tests.scenarios.harvest import harvest
-from tests.scenarios.history import Ending, History
+from tests.scenarios.history import END_OF_TIME_S, Ending, History
 from tests.scenarios.measures import measures_by_name
 from tests.scenarios.recorder import Recorder, now_s
 from tests.scenarios.run_state import LifeBook, RunState
@@ -196,7 +196,18 @@
     state.stopped.set()
     for take_back in state.undo:
         take_back()
-    return traffic.failures + script.failures
+    return traffic.failures + script.failures + _unasked_ends(state)
+
+
+def _unasked_ends(state: RunState) -> list[str]:
+    """Return the nodes whose process ended although nothing ended it."""
+    faults = []
+    for life in state.lives.lives("node"):
+        process = state.deployment.process(life.part)
+        if life.end_s == END_OF_TIME_S and not process.is_running:
+            last_lines = process.stderr().strip().splitlines()[-2:]
+            faults.append(f"{life.part} ended by itself: {' '.join(last_lines)}")
+    return faults
 
 
 def run_scenario(
--- a/tests/scenarios/traffic.py
+++ b/tests/scenarios/traffic.py
@@ -60,7 +60,9 @@
 
 
 def _goes_on(state: RunState, until_s: float) -> bool:
-    return time.monotonic() < until_s and not state.stopped.is_set()
+    if state.stopped.is_set():
+        return False
+    return time.monotonic() < until_s or state.lives.is_settling()
 
 
 def _prefix_text(number: int, blocks: int) -> str:
