--- a/src/crocuswick/callers/server.py
+++ b/src/crocuswick/callers/server.py
@@ -395,9 +395,11 @@
             return b""
         if declared is not None and int(declared) > limit:
             raise _RefusedError(_too_large(limit))
-        body = cherrypy.request.rfile.read(limit + 1 if chunked else int(declared))
+        body = _received(limit + 1 if chunked else int(declared))
         if len(body) > limit:
             raise _RefusedError(_too_large(limit))
+        if declared is not None and len(body) < int(declared):
+            raise _RefusedError(_bad_body("the body ends early"))
         return body
 
     def _refuse(self, refusal: Refusal, request_id: str) -> bytes:
@@ -443,6 +445,16 @@
     return application
 
 
+def _received(size: int) -> bytes:
+    """Read at most this many bytes of the body."""
+    try:
+        return cherrypy.request.rfile.read(size)
+    except TimeoutError:
+        raise _RefusedError(_slow_body()) from None
+    except ValueError as error:
+        raise _RefusedError(_bad_body(str(error))) from None
+
+
 def _value(answer: Result[Any, Refusal]) -> Any:
     if isinstance(answer, Ok):
         return answer.ok_value
@@ -524,6 +536,26 @@
     )
 
 
+def _slow_body() -> Refusal:
+    return Refusal(
+        status=408,
+        title="body-too-slow",
+        detail="the body did not arrive in time",
+        step="validation",
+        field="body",
+    )
+
+
+def _bad_body(detail: str) -> Refusal:
+    return Refusal(
+        status=400,
+        title="invalid-request",
+        detail=detail,
+        step="validation",
+        field="body",
+    )
+
+
 def _too_large(limit: int) -> Refusal:
     return Refusal(
         status=413,
