--- a/src/crocuswick/suspects.py
+++ b/src/crocuswick/suspects.py
@@ -14,8 +14,8 @@
 
 __all__ = ["AttemptId", "Suspects"]
 
-RETRY_DELAY_MS = 200
-RETRY_SPREAD_MS = 600
+RETRY_DELAY_MS = 700
+RETRY_SPREAD_MS = 1500
 
 
 @attrs.frozen(kw_only=True)
