Follow a rollout that moves on while a request waits to be placed

Before: test_request_follows_a_rollout_that_has_just_moved_on failed to be placed. Rollouts are in the time line, and operators can recover a configuration.

--- a/src/crocuswick/callers/completion.py
+++ b/src/crocuswick/callers/completion.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import attrs
@@ -51,6 +52,8 @@
     tokens: ResumeTokens
     time_line: TimeLine
     metrics: Metrics
+    served_version: Callable[[str], str]
+    """Returns the weights version that a public model name gets at this moment."""
 
 
 @attrs.frozen(kw_only=True)
@@ -133,11 +136,7 @@
         self._outcome_so_far = Outcome.NOT_RUN
         self._prompt_tokens = 0
         self._cached_tokens = 0
-        self._salt = cache_salt(
-            organisation=request.organisation,
-            model=request.engine_model,
-            weights_version=request.weights_version,
-        )
+        self._salt = _salt_of(request)
 
     def deliveries(self) -> Iterator[Result[Delivery, Refusal]]:
         """Yield the answer token by token.
@@ -229,6 +228,9 @@
             )
             if placed.is_ok():
                 return placed
+            if not self._attempts and self._adopt_served_version():
+                wanted = self._wanted()
+                continue
             quarantined = placed.err_value.step == QUARANTINE_STEP
             if quarantined or time.monotonic() >= until_s:
                 return placed.map_err(self._with_outcome)
@@ -236,6 +238,15 @@
             # Endpoints that failed before may have come back.
             wanted = attrs.evolve(wanted, excluded=frozenset())
 
+    def _adopt_served_version(self) -> bool:
+        """Take the weights that callers get now, if a rollout has just moved on."""
+        version = self._context.served_version(self._request.model)
+        if version == self._request.weights_version:
+            return False
+        self._request = attrs.evolve(self._request, weights_version=version)
+        self._salt = _salt_of(self._request)
+        return True
+
     def _with_outcome(self, refusal: Refusal) -> Refusal:
         return attrs.evolve(refusal, outcome=self._outcome_so_far)
 
@@ -500,6 +511,14 @@
         return f"{self._request.request_id}-{self._attempts}"
 
 
+def _salt_of(request: CompletionRequest) -> str:
+    return cache_salt(
+        organisation=request.organisation,
+        model=request.engine_model,
+        weights_version=request.weights_version,
+    )
+
+
 def _unresumable(attempt: Attempt, lost: Lost) -> Refusal:
     return Refusal(
         status=410,
--- a/src/crocuswick/node.py
+++ b/src/crocuswick/node.py
@@ -40,6 +40,7 @@
 
     from crocuswick.configuration import Configuration, ObjectSet, Verdict
     from crocuswick.errors import PeerError
+    from crocuswick.rollout import Rollout
     from crocuswick.settings import Settings
     from crocuswick.time_line import TimeLineEvent
 
@@ -152,6 +153,7 @@
             log_address=log.address,
             node_id=settings.node_id,
             configuration=lambda: self._keeper.current,
+            on_rollout=self._on_rollout,
         )
         self._served = ServedConfiguration(
             keeper=self._keeper, orders=self._orders, dispatcher=self._dispatcher
@@ -185,6 +187,7 @@
                 tokens=self._tokens,
                 time_line=self._time_line,
                 metrics=self._metrics,
+                served_version=self._served_version,
             ),
             services=ServiceContext(
                 dispatcher=self._dispatcher,
@@ -208,6 +211,13 @@
         )
         self.application.add(self._callers_server)
 
+    def _served_version(self, model: str) -> str:
+        configuration = self._served.latest()
+        policy = configuration.policy_for_model(model)
+        if policy is None:
+            return ""
+        return configuration.model_versions_by_id[policy.model_version].weights_version
+
     def _build_operators_server(self) -> None:
         operators = self._settings.operators
         providers = AdminProviders(
@@ -219,6 +229,7 @@
             time_line=self._fleet_member.collect_time_lines,
             drain=self.application.shut_down_once,
             secret=lambda: Path(operators.key_file).read_bytes().strip(),
+            recover=self._keeper.recover,
         )
         self.application.add(
             HttpServer(
@@ -268,6 +279,13 @@
         )
         self._dispatcher.tell(Dispatcher.SetLimits(configuration=configuration))
 
+    def _on_rollout(self, rollout: Rollout) -> None:
+        self._time_line.record(
+            kind="rolled_back" if rollout.is_rolled_back else "rollout_began",
+            subject=f"{rollout.pool}/{rollout.model}",
+            detail=f"{rollout.old_version} to {rollout.new_version}",
+        )
+
     def _drain(self) -> None:
         """Refuse new work and wait for what is in flight."""
         self._draining = True
--- a/src/crocuswick/served_configuration.py
+++ b/src/crocuswick/served_configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -21,6 +22,7 @@
 __all__ = ["ServedConfiguration", "count_ready_replicas"]
 
 REFRESH_INTERVAL_S = 0.25
+MIN_REFRESH_INTERVAL_S = 0.02
 READY_STATE = "ready"
 
 
@@ -44,6 +46,7 @@
         self._orders = orders
         self._dispatcher = dispatcher
         self._current = keeper.current
+        self._refreshed_s = 0.0
         self._ticker = Ticker(
             name="served-configuration",
             interval_s=REFRESH_INTERVAL_S,
@@ -63,8 +66,15 @@
         """Stop refreshing."""
         self._ticker.stop()
 
+    def latest(self) -> Configuration:
+        """Return the configuration for callers' requests, not older than 20 ms."""
+        if time.monotonic() - self._refreshed_s > MIN_REFRESH_INTERVAL_S:
+            self.refresh()
+        return self._current
+
     def refresh(self) -> None:
         """Work the configuration out anew."""
+        self._refreshed_s = time.monotonic()
         statuses = self._dispatcher.ask(Dispatcher.Describe())
         self._current = configuration_for_callers(
             self._keeper.current,
--- a/tests/callers/test_completion.py
+++ b/tests/callers/test_completion.py
@@ -5,13 +5,18 @@
 import unittest
 from collections import deque
 from typing import Any
+from unittest import mock
 
 from result import Err, Ok
 
 from crocuswick.block_key import BLOCK_BYTES
 from crocuswick.callers.completion import CompletionContext, CompletionRun
 from crocuswick.callers.completion_request import CompletionRequest, Dialect
-from crocuswick.dispatcher import Dispatcher, FailureVerdict
+from crocuswick.dispatcher import (
+    Dispatcher,
+    FailureVerdict,
+    no_endpoint_refusal,
+)
 from crocuswick.endpoints import StreamFault
 from crocuswick.errors import PeerError
 from crocuswick.metrics import Metrics
@@ -110,6 +115,8 @@
 class ScriptedDispatcher:
     """Places at prepared endpoints and lets every attempt be repeated."""
 
+    ready_version = "v1"
+
     def __init__(self, endpoint_ids: list[str], import_from: str | None):
         self._endpoint_ids = deque(endpoint_ids)
         self._import_from = import_from
@@ -118,6 +125,8 @@
 
     def ask(self, message):
         if isinstance(message, Dispatcher.Place):
+            if message.request.weights_version != self.ready_version:
+                return Err(no_endpoint_refusal("none has these weights", None))
             return Ok(
                 Placement(
                     endpoint_id=self._endpoint_ids.popleft(),
@@ -135,6 +144,8 @@
 
 
 class CompletionRunTests(unittest.TestCase):
+    served_version = "v1"
+
     def run_completion(
         self,
         engines_by_id: dict[str, ScriptedEngine],
@@ -150,6 +161,7 @@
             tokens=ResumeTokens(keys=[b"k"]),
             time_line=TimeLine(node_id="n"),
             metrics=Metrics(node_id="n"),
+            served_version=lambda model: self.served_version,
         )
         request = CompletionRequest(
             request_id="r",
@@ -202,6 +214,18 @@
         dying = ScriptedEngine(opened=[[(0,), (1,), (2,), CLOSED]], resumed=[REFUSED])
         self.assert_whole(self.run_completion({"a": dying}))
 
+    def test_request_follows_a_rollout_that_has_just_moved_on(self):
+        self.served_version = "v2"
+        with mock.patch.object(ScriptedDispatcher, "ready_version", "v2"):
+            engine = ScriptedEngine(opened=[[(0, True)]])
+            self.assert_whole(self.run_completion({"a": engine}, max_tokens=1), 1)
+        self.assertEqual(engine.orders[0].weights_version, "v2")
+
+    def test_request_without_an_endpoint_is_refused_at_once(self):
+        with mock.patch.object(ScriptedDispatcher, "ready_version", "none"):
+            items = self.run_completion({"a": ScriptedEngine(opened=[])})
+        self.assertIs(items[0].err_value.outcome, Outcome.NOT_RUN)
+
     def test_prefix_is_imported_as_far_as_the_source_holds_it(self):
         engine = ScriptedEngine(opened=[[(0, True)]])
         prompt = "x" * (3 * BLOCK_BYTES)
