--- a/tests/callers/test_http_input.py
+++ b/tests/callers/test_http_input.py
@@ -168,6 +168,7 @@
             tokens=ResumeTokens(keys=[b"k"]),
             time_line=TimeLine(node_id="n"),
             metrics=Metrics(node_id="n"),
+            served_version=lambda model: "v1",
         )
         interface = CallersInterface(
             completions=context,
