--- a/src/crocuswick/callers/completion.py
+++ b/src/crocuswick/callers/completion.py
@@ -41,6 +41,7 @@
 MAX_IDLE_RESUMES = 2
 PLACEMENT_PATIENCE_S = 5.0
 PLACEMENT_RETRY_S = 0.1
+RESUME_RETRY_AFTER_S = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -95,6 +96,9 @@
     detail: str
     """What happened, for people."""
 
+    gone: bool = False
+    """Whether the endpoint itself showed that it has the request no more."""
+
 
 @attrs.define(kw_only=True)
 class Attempt:
@@ -166,7 +170,10 @@
         Yields:
             As `deliveries`; without the prompt there is no continuation at
             another endpoint, so a lost endpoint ends the answer with a refusal.
+            Nothing, if the caller already has the last token.
         """
+        if point.finished:
+            return
         attempt = Attempt(
             endpoint_id=point.endpoint_id,
             request_id=point.engine_request_id,
@@ -210,7 +217,9 @@
         return Delivery(
             text="",
             finish_reason="length",
-            resume_token=attempt.tokens.issue(index=index, delivered=delivered),
+            resume_token=attempt.tokens.issue(
+                index=index, delivered=delivered, finished=True
+            ),
             endpoint_id=attempt.endpoint_id,
             prompt_tokens=self._prompt_tokens,
             cached_tokens=self._cached_tokens,
@@ -376,6 +385,7 @@
             kind=self._kind_of_loss(attempt, resumed.err_value),
             step="resume",
             detail=resumed.err_value.detail,
+            gone=not resumed.err_value.timed_out,
         )
 
     def _kind_of_loss(self, attempt: Attempt, error: PeerError) -> str:
@@ -407,7 +417,11 @@
         return Delivery(
             text=event.text,
             finish_reason=event.finish_reason,
-            resume_token=attempt.tokens.issue(index=event.index, delivered=delivered),
+            resume_token=attempt.tokens.issue(
+                index=event.index,
+                delivered=delivered,
+                finished=event.finish_reason is not None,
+            ),
             endpoint_id=attempt.endpoint_id,
             prompt_tokens=self._prompt_tokens or event.prompt_tokens,
             cached_tokens=self._cached_tokens,
@@ -520,11 +534,13 @@
 
 
 def _unresumable(attempt: Attempt, lost: Lost) -> Refusal:
+    """Return the refusal of a resumption; another node may still reach the endpoint."""
     return Refusal(
-        status=410,
-        title="stream-lost",
-        detail=f"The answer can't be resumed: {lost.detail}",
+        status=410 if lost.gone else 503,
+        title="stream-lost" if lost.gone else "endpoint-unreachable",
+        detail=f"The answer can't be resumed here: {lost.detail}",
         outcome=Outcome.UNKNOWN,
         step=lost.step,
         peer=attempt.endpoint_id,
+        retry_after_s=None if lost.gone else RESUME_RETRY_AFTER_S,
     )
--- a/src/crocuswick/callers/server.py
+++ b/src/crocuswick/callers/server.py
@@ -213,13 +213,14 @@
         """
         streaming = False
         try:
-            first = _value(next(deliveries))
-            headers = cherrypy.response.headers
-            headers["X-Crocuswick-Endpoint"] = first.endpoint_id
+            item = next(deliveries, None)
+            if item is None:
+                return self._finished_before()
+            first = _value(item)
+            cherrypy.response.headers["X-Crocuswick-Endpoint"] = first.endpoint_id
             if not stream:
                 return self._whole(first, deliveries, form)
-            headers["Content-Type"] = EVENT_STREAM
-            headers["Cache-Control"] = "no-store"
+            self._set_event_stream()
             cherrypy.response.stream = True
             streaming = True
             return self._events(first, deliveries, ticket, form, request_id)
@@ -228,6 +229,15 @@
                 deliveries.close()
                 self._release(ticket)
 
+    def _finished_before(self) -> bytes:
+        """Answer a caller that has the last token and missed the end of the stream."""
+        self._set_event_stream()
+        return DONE_EVENT
+
+    def _set_event_stream(self) -> None:
+        cherrypy.response.headers["Content-Type"] = EVENT_STREAM
+        cherrypy.response.headers["Cache-Control"] = "no-store"
+
     def _whole(
         self,
         first: Delivery,
--- a/src/crocuswick/resume_token.py
+++ b/src/crocuswick/resume_token.py
@@ -20,7 +20,7 @@
 MAC_BYTES = 12
 """Bytes of the message authentication code in a token."""
 
-ARRAY_OF_8 = b"\x98"
+ARRAY_OF_9 = b"\x99"
 """Head of a msgpack array with as many values as a `ResumePoint` has fields."""
 
 INDEX_AT = 5
@@ -55,6 +55,9 @@
     model: str = ""
     """Model name that the caller asked for."""
 
+    finished: bool = False
+    """Whether the event was the last one of the answer."""
+
 
 @attrs.frozen(kw_only=True)
 class TokenFault:
@@ -136,23 +139,25 @@
         self._tokens = tokens
         values = attrs.astuple(point)
         packed = [msgpack.packb(value) for value in values]
-        self._head = ARRAY_OF_8 + b"".join(packed[:INDEX_AT])
-        self._tail = b"".join(packed[INDEX_AT + 2 :])
+        self._head = ARRAY_OF_9 + b"".join(packed[:INDEX_AT])
+        self._tail = b"".join(packed[INDEX_AT + 2 : -1])
         self._key = b""
 
-    def issue(self, *, index: int, delivered: int) -> str:
+    def issue(self, *, index: int, delivered: int, finished: bool = False) -> str:
         """Return the token for one delivered event.
 
         Args:
             index: Index of the event at the endpoint.
             delivered: Tokens delivered so far, over all endpoints.
+            finished: Whether the event is the last one of the answer.
         """
         key = self._tokens.signing_key
         if key is not self._key:
             self._key = key
             self._begun_mac = _keyed(key)
             self._begun_mac.update(self._head)
-        rest = msgpack.packb(index) + msgpack.packb(delivered) + self._tail
+        counts = msgpack.packb(index) + msgpack.packb(delivered)
+        rest = counts + self._tail + msgpack.packb(finished)
         mac = self._begun_mac.copy()
         mac.update(rest)
         return base64.urlsafe_b64encode(mac.digest() + self._head + rest).decode()
--- a/tests/callers/test_completion.py
+++ b/tests/callers/test_completion.py
@@ -7,6 +7,7 @@
 from typing import Any
 from unittest import mock
 
+import attrs
 from result import Err, Ok
 
 from crocuswick.block_key import BLOCK_BYTES
@@ -22,7 +23,7 @@
 from crocuswick.metrics import Metrics
 from crocuswick.outcome import Outcome
 from crocuswick.placement import Placement
-from crocuswick.resume_token import ResumeTokens
+from crocuswick.resume_token import ResumePoint, ResumeTokens
 from crocuswick.stream_guard import TokenEvent
 from crocuswick.time_line import TimeLine
 
@@ -226,6 +227,45 @@
             items = self.run_completion({"a": ScriptedEngine(opened=[])})
         self.assertIs(items[0].err_value.outcome, Outcome.NOT_RUN)
 
+    def resume(self, engine: ScriptedEngine, **changes: Any) -> list[Any]:
+        self.run_completion({"a": ScriptedEngine(opened=[[(0, True)]])}, max_tokens=1)
+        self.clients._engines_by_id["a"] = engine
+        point = ResumePoint(
+            organisation="o",
+            pool="p",
+            endpoint_id="a",
+            incarnation="i1",
+            engine_request_id="r-0",
+            index=1,
+            delivered=2,
+        )
+        return list(self.run_.resume(attrs.evolve(point, **changes)))
+
+    def test_resumption_goes_on_after_the_last_event(self):
+        engine = ScriptedEngine(opened=[], resumed=[[(2,), (3, True)]])
+        items = self.resume(engine)
+        self.assert_whole(items, tokens=4)
+        self.assertEqual(engine.resumes, [2])
+
+    def test_resumption_after_the_last_token_yields_nothing_more(self):
+        self.assertEqual(self.resume(ScriptedEngine(opened=[]), finished=True), [])
+
+    def test_last_token_says_that_it_is_the_last(self):
+        items = self.run_completion({"a": ScriptedEngine(opened=[[(0,), (1, True)]])})
+        tokens = ResumeTokens(keys=[b"k"])
+        points = [tokens.read(each.ok_value.resume_token).ok_value for each in items]
+        self.assertEqual([point.finished for point in points], [False, True])
+
+    def test_resumption_from_a_silent_endpoint_may_be_tried_elsewhere(self):
+        silent = attrs.evolve(NO_ANSWER, timed_out=True)
+        refusal = self.resume(ScriptedEngine(opened=[], resumed=[silent]))[0].err_value
+        self.assertEqual((refusal.status, refusal.retry_after_s), (503, 1.0))
+
+    def test_resumption_from_an_endpoint_that_is_gone_is_final(self):
+        gone = ScriptedEngine(opened=[], resumed=[REFUSED])
+        refusal = self.resume(gone)[0].err_value
+        self.assertEqual((refusal.status, refusal.retry_after_s), (410, None))
+
     def test_prefix_is_imported_as_far_as_the_source_holds_it(self):
         engine = ScriptedEngine(opened=[[(0, True)]])
         prompt = "x" * (3 * BLOCK_BYTES)
