Read engines at a rate that does not grow with their number

Cause: each engine's load was read 5 times a second and its events without a pause, so that a node's reading cost grew with the engines and the events. After: at most 17 reads a second of each kind up to 33 engines (0.36 s for 6 engines).

--- a/src/crocuswick/endpoints/watcher.py
+++ b/src/crocuswick/endpoints/watcher.py
@@ -3,30 +3,48 @@
 from __future__ import annotations
 
 import threading
+import time
 from typing import TYPE_CHECKING
 
-from crocuswick.actor import Ticker
 from crocuswick.dispatcher import Dispatcher
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import pykka
 
     from crocuswick.endpoints.engine_client import EngineClient
     from crocuswick.time_line import TimeLine
 
-__all__ = ["EngineWatcher"]
+__all__ = ["EngineWatcher", "read_interval_s"]
 
-LOAD_INTERVAL_S = 0.2
+MIN_INTERVAL_S = 0.2
+INTERVAL_PER_ENGINE_S = 0.06
+MAX_INTERVAL_S = 2.0
 EVENTS_WAIT_MS = 1000
 FAILURES_TO_LOST = 2
 EVENTS_BACKOFF_S = 0.2
 
 
+def read_interval_s(engines: int) -> float:
+    """Return the time between two reads of one engine.
+
+    It grows with the engines that a node watches, so that reading them costs the
+    node about the same however many there are.
+
+    Args:
+        engines: Number of engines that the node watches.
+    """
+    interval_s = max(MIN_INTERVAL_S, INTERVAL_PER_ENGINE_S * engines)
+    return min(interval_s, MAX_INTERVAL_S)
+
+
 class EngineWatcher:
     """Watches one engine with two threads, one for load and one for events.
 
     Args:
         client: Client used by these threads only.
+        interval_s: Returns the least time between two reads of the same kind.
         dispatcher: Receives what is read.
         time_line: Where an endpoint's loss and return are recorded.
     """
@@ -35,32 +53,32 @@
         self,
         *,
         client: EngineClient,
+        interval_s: Callable[[], float],
         dispatcher: pykka.ActorRef,
         time_line: TimeLine,
     ):
         self._client = client
+        self._interval_s = interval_s
         self._dispatcher = dispatcher
         self._time_line = time_line
         self._load_failures = 0
         self._lost = True
         self._stopped = threading.Event()
-        self._ticker = Ticker(
-            name=f"load-{client.endpoint_id}",
-            interval_s=LOAD_INTERVAL_S,
-            call=self._read_load,
+        self._load_thread = threading.Thread(
+            target=self._watch_load, name=f"load-{client.endpoint_id}", daemon=True
         )
         self._events_thread = threading.Thread(
-            target=self._read_events, name=f"events-{client.endpoint_id}", daemon=True
+            target=self._watch_events, name=f"events-{client.endpoint_id}", daemon=True
         )
 
     def start(self) -> None:
         """Start reading."""
+        self._load_thread.start()
         self._events_thread.start()
 
     def stop(self) -> None:
         """Stop reading."""
         self._stopped.set()
-        self._ticker.stop()
 
     def _read_load(self) -> None:
         report = self._client.load()
@@ -93,12 +111,18 @@
             subject=self._client.endpoint_id,
         )
 
-    def _read_events(self) -> None:
-        self._read_load()
-        self._ticker.start()
+    def _watch_load(self) -> None:
+        while not self._stopped.is_set():
+            self._read_load()
+            self._stopped.wait(self._interval_s())
+
+    def _watch_events(self) -> None:
         after = -1
         while not self._stopped.is_set():
+            began_s = time.monotonic()
             after = self._read_events_once(after)
+            due_s = began_s + self._interval_s()
+            self._stopped.wait(max(0.0, due_s - time.monotonic()))
 
     def _read_events_once(self, after: int) -> int:
         page = self._client.cache_events(after=after, wait_ms=EVENTS_WAIT_MS)
--- a/src/crocuswick/endpoints/watchers.py
+++ b/src/crocuswick/endpoints/watchers.py
@@ -9,7 +9,7 @@
 from crocuswick.actor import Actor, Message
 from crocuswick.configuration import Configuration
 from crocuswick.dispatcher import Dispatcher
-from crocuswick.endpoints.watcher import EngineWatcher
+from crocuswick.endpoints.watcher import EngineWatcher, read_interval_s
 from crocuswick.placement import EndpointDescription
 
 if TYPE_CHECKING:
@@ -84,6 +84,7 @@
     def _start_watcher(self, endpoint_id: str) -> EngineWatcher:
         watcher = EngineWatcher(
             client=self._clients.new_client(endpoint_id),
+            interval_s=lambda: read_interval_s(len(self._addresses_by_id)),
             dispatcher=self._dispatcher,
             time_line=self._time_line,
         )
--- /dev/null
+++ b/tests/endpoints/test_watcher.py
@@ -0,0 +1,17 @@
+"""Tests of how often engines are read."""
+
+from __future__ import annotations
+
+import unittest
+
+from crocuswick.endpoints.watcher import MAX_INTERVAL_S, read_interval_s
+
+
+class ReadIntervalTests(unittest.TestCase):
+    def test_reads_a_second_do_not_grow_with_the_engines(self):
+        rates = [engines / read_interval_s(engines) for engines in range(1, 33)]
+        self.assertLessEqual(max(rates), 17)
+
+    def test_interval_is_bounded(self):
+        self.assertEqual(read_interval_s(1), 0.2)
+        self.assertEqual(read_interval_s(207), MAX_INTERVAL_S)
