Let replicas settle before others load; give test parts stable ports

Cause: the holder of the orders' lease saw new replicas ready and let the old ones load at once, while nodes that had not read the new load reports yet found no ready replica of any version (503 in 4 of 10 parallel runs of the rollout test). Ruled out: a stale configuration for callers (mended before, 503 stayed).

--- a/src/crocuswick/_order_actor.py
+++ b/src/crocuswick/_order_actor.py
@@ -28,6 +28,7 @@
     RolloutTable,
     encode_rollout,
 )
+from crocuswick.settled_replicas import SettledReplicas
 from crocuswick.wanted_versions import WantedVersion, wanted_versions
 
 if TYPE_CHECKING:
@@ -70,6 +71,7 @@
         node_id: str,
         configuration: Callable[[], Configuration],
         publish: Callable[[tuple[Rollout, ...]], None],
+        ready_settle_s: float,
     ):
         super().__init__()
         self._client = client
@@ -84,6 +86,7 @@
         )
         self._sent_by_endpoint_id: dict[str, _SentOrder] = {}
         self._status_by_place: dict[tuple[str, str], RolloutStatus] = {}
+        self._settled = SettledReplicas(settle_s=ready_settle_s)
         self._refreshed_s = time.monotonic()
         self._executor = ThreadPoolExecutor(max_workers=POLL_THREADS)
 
@@ -245,6 +248,16 @@
         )
 
     def _phase(self, endpoint_id: str, state: EngineState | None) -> ReplicaPhase:
+        phase = self._seen_phase(endpoint_id, state)
+        if phase is not ReplicaPhase.READY:
+            self._settled.forget(endpoint_id)
+            return phase
+        is_settled = self._settled.is_settled(
+            endpoint_id, state.versions_by_model, time.monotonic()
+        )
+        return phase if is_settled else ReplicaPhase.LOADING
+
+    def _seen_phase(self, endpoint_id: str, state: EngineState | None) -> ReplicaPhase:
         if state is None:
             return ReplicaPhase.UNREACHABLE
         sent = self._sent_by_endpoint_id.get(endpoint_id)
--- a/src/crocuswick/order_keeper.py
+++ b/src/crocuswick/order_keeper.py
@@ -9,6 +9,7 @@
 from crocuswick._order_actor import LEASES_STREAM, OrderActor, Tick
 from crocuswick.actor import Ticker
 from crocuswick.platform_log import LogClient, LogFollower
+from crocuswick.settled_replicas import READY_SETTLE_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,6 +40,7 @@
         node_id: str,
         configuration: Callable[[], Configuration],
         on_rollout: Callable[[Rollout], None] = lambda rollout: None,
+        ready_settle_s: float = READY_SETTLE_S,
     ):
         """Create the component.
 
@@ -48,6 +50,8 @@
             configuration: Returns the configuration in force.
             on_rollout: Called on the keeper's thread, on every node, for each
                 rollout that begins or is rolled back.
+            ready_settle_s: Time for which a replica must have been ready before
+                others load.
         """
         self._rollouts: tuple[Rollout, ...] = ()
         self._on_rollout = on_rollout
@@ -57,6 +61,7 @@
             node_id=node_id,
             configuration=configuration,
             publish=self._set_rollouts,
+            ready_settle_s=ready_settle_s,
         )
         self._follower = LogFollower(
             client=self._client, stream=LEASES_STREAM, post=self._actor.tell
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -4,7 +4,6 @@
 
 import hashlib
 import json
-import socket
 import subprocess
 import sys
 from typing import TYPE_CHECKING, Any
@@ -12,11 +11,12 @@
 import attrs
 
 from tests.fakes.launcher import REPOSITORY, Launcher, Process, wait_until
+from tests.ports import stable_ports
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-__all__ = ["Fleet", "FleetPlan", "free_ports"]
+__all__ = ["Fleet", "FleetPlan", "caller_key"]
 
 NODE_SECRET = "node-secret-for-tests-only"
 OPERATOR_SECRET = "operator-secret-for-tests-only"
@@ -25,25 +25,6 @@
 SERVICE_PREFIX = "tent-app"
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that the kernel says are free for both TCP and UDP."""
-    ports: list[int] = []
-    held: list[socket.socket] = []
-    while len(ports) < count:
-        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        held += [tcp, udp]
-        tcp.bind(("127.0.0.1", 0))
-        try:
-            udp.bind(tcp.getsockname())
-        except OSError:
-            continue
-        ports.append(tcp.getsockname()[1])
-    for each in held:
-        each.close()
-    return ports
-
-
 @attrs.frozen(kw_only=True)
 class FleetPlan:
     """How large a deployment is and how its parts behave."""
@@ -256,7 +237,7 @@
     def start_nodes(self) -> None:
         """Start the nodes of the plan and wait until they serve."""
         directory = self.launcher.directory
-        self._ports = free_ports(3 * self.plan.nodes)
+        self._ports = stable_ports(3 * self.plan.nodes)
         (directory / "node.key").write_text(NODE_SECRET)
         (directory / "operator.key").write_text(OPERATOR_SECRET)
         self.nodes = [
--- a/tests/scenarios/deployment.py
+++ b/tests/scenarios/deployment.py
@@ -11,9 +11,9 @@
 from typing import TYPE_CHECKING, Any
 
 from tests.fleet import ENGINE_MODEL, NODE_SECRET, OPERATOR_SECRET, Fleet, FleetPlan
+from tests.ports import stable_ports
 from tests.scenarios.cut_daemon import CUT_FILE_VARIABLE
 from tests.scenarios.operators import OperatorsPort
-from tests.scenarios.ports import stable_ports
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/tests/scenarios/test_ports.py
+++ b/tests/scenarios/test_ports.py
@@ -5,7 +5,7 @@
 import socket
 import unittest
 
-from tests.scenarios.ports import RANGE_FILE, stable_ports
+from tests.ports import RANGE_FILE, stable_ports
 
 
 class PortTests(unittest.TestCase):
--- a/tests/test_rollout_process.py
+++ b/tests/test_rollout_process.py
@@ -27,6 +27,7 @@
         self.assertEqual(applied.returncode, 0, applied.stderr)
         self.fleet.wait_ready()
         self.statuses = []
+        self.refusals = []
         self.stopped = threading.Event()
 
     def publish(self, version: str) -> None:
@@ -52,6 +53,8 @@
                 headers={"Authorization": f"Bearer {caller_key('swanfold')}"},
             )
             self.statuses.append(response.status)
+            if response.status != 200:
+                self.refusals.append(response.data.decode())
 
     def under_traffic(self, condition) -> None:
         thread = threading.Thread(target=self.call_until_stopped)
@@ -65,7 +68,7 @@
         finally:
             self.stopped.set()
             thread.join()
-        self.assertEqual(set(self.statuses), {200})
+        self.assertEqual(set(self.statuses), {200}, self.refusals)
 
     def test_new_weights_come_everywhere_and_no_request_fails(self):
         self.publish("v2")
