--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,8 @@
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock 2>/dev/null
-	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e . 2>/dev/null
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $@
 
 demo: setup
