Count large bodies against the node's bytes; never say not_run for a failure inside

Cause: (1) the bound of buffered bytes was not asked for when bodies are read; (2) an unexpected failure was answered with not_run, although it may come after the request was sent; (3) a missing key file was reported at line 1.

--- a/src/crocuswick/callers/_completion_format.py
+++ b/src/crocuswick/callers/_completion_format.py
@@ -9,8 +9,8 @@
 from crocuswick.callers.completion_request import Dialect
 
 if TYPE_CHECKING:
-    from crocuswick.callers.completion import Delivery
     from crocuswick.callers.completion_request import CompletionRequest
+    from crocuswick.callers.delivery import Delivery
 
 DONE_EVENT = b"data: [DONE]\n\n"
 EMPTY_TEXT = '""'
--- a/src/crocuswick/callers/completion.py
+++ b/src/crocuswick/callers/completion.py
@@ -16,18 +16,19 @@
 from result import Err, Ok, Result
 
 from crocuswick.block_key import block_keys, cache_salt, count_tokens
+from crocuswick.callers._attempt import Attempt, Lost, unresumable
+from crocuswick.callers.delivery import Delivery
 from crocuswick.dispatcher import (
     Dispatcher,
     FailureKind,
     no_endpoint_refusal,
 )
 from crocuswick.endpoints import CompletionOrder, EngineClients, EngineStream
-from crocuswick.errors import PeerError, Refusal
 from crocuswick.metrics import Metrics
 from crocuswick.outcome import Outcome
 from crocuswick.placement import Placement, PlacementRequest
 from crocuswick.quarantine import QUARANTINE_STEP, request_fingerprint
-from crocuswick.resume_token import ResumePoint, ResumeTokens, TokenSeries
+from crocuswick.resume_token import ResumePoint, ResumeTokens
 from crocuswick.stream_guard import EventVerdict, StreamGuard, TokenEvent
 from crocuswick.time_line import TimeLine
 
@@ -35,13 +36,13 @@
     from collections.abc import Generator, Iterator
 
     from crocuswick.callers.completion_request import CompletionRequest
+    from crocuswick.errors import PeerError, Refusal
 
-__all__ = ["CompletionContext", "CompletionRun", "Delivery", "fingerprint"]
+__all__ = ["CompletionContext", "CompletionRun", "fingerprint"]
 
 MAX_IDLE_RESUMES = 2
 PLACEMENT_PATIENCE_S = 5.0
 PLACEMENT_RETRY_S = 0.1
-RESUME_RETRY_AFTER_S = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -57,65 +58,6 @@
     """Returns the weights version that a public model name gets at this moment."""
 
 
-@attrs.frozen(kw_only=True)
-class Delivery:
-    """One token for the caller."""
-
-    text: str
-    """Text of the token."""
-
-    finish_reason: str | None
-    """Set on the last token only."""
-
-    resume_token: str
-    """Token from which the answer can be resumed after this delivery."""
-
-    endpoint_id: str
-    """Endpoint that produced the token."""
-
-    prompt_tokens: int
-    """Tokens of the prompt."""
-
-    cached_tokens: int
-    """Prompt tokens that were found in the first endpoint's cache."""
-
-    completion_tokens: int
-    """Tokens delivered up to and including this one."""
-
-
-@attrs.frozen(kw_only=True)
-class Lost:
-    """An attempt that ended before its last token."""
-
-    kind: str
-    """A value of `FailureKind`."""
-
-    step: str
-    """The step at which it was lost."""
-
-    detail: str
-    """What happened, for people."""
-
-    gone: bool = False
-    """Whether the endpoint itself showed that it has the request no more."""
-
-
-@attrs.define(kw_only=True)
-class Attempt:
-    """One try at one endpoint."""
-
-    endpoint_id: str
-    request_id: str
-    guard: StreamGuard
-    base: int
-    """Tokens delivered by earlier attempts."""
-
-    stream: EngineStream | None = None
-    incarnation: str = ""
-    tokens: TokenSeries | None = None
-    """Issues the resume tokens, from the first stream on."""
-
-
 def fingerprint(request: CompletionRequest) -> str:
     """Return the digest by which a repeated request is recognised."""
     return request_fingerprint(
@@ -188,7 +130,7 @@
             if lost is None:
                 lost = yield from self._follow(attempt)
             if lost is not None:
-                yield Err(_unresumable(attempt, lost))
+                yield Err(unresumable(attempt, lost))
         finally:
             self._abandon()
 
@@ -531,16 +473,3 @@
         model=request.engine_model,
         weights_version=request.weights_version,
     )
-
-
-def _unresumable(attempt: Attempt, lost: Lost) -> Refusal:
-    """Return the refusal of a resumption; another node may still reach the endpoint."""
-    return Refusal(
-        status=410 if lost.gone else 503,
-        title="stream-lost" if lost.gone else "endpoint-unreachable",
-        detail=f"The answer can't be resumed here: {lost.detail}",
-        outcome=Outcome.UNKNOWN,
-        step=lost.step,
-        peer=attempt.endpoint_id,
-        retry_after_s=None if lost.gone else RESUME_RETRY_AFTER_S,
-    )
--- a/src/crocuswick/callers/server.py
+++ b/src/crocuswick/callers/server.py
@@ -13,15 +13,17 @@
 from result import Ok, Result
 
 from crocuswick.block_key import count_tokens
+from crocuswick.callers import _refusals as refusals
+from crocuswick.callers._body import BodyReader
 from crocuswick.callers._completion_format import (
     DONE_EVENT,
     CompletionFormat,
     error_event,
 )
+from crocuswick.callers._refusals import RefusedError
 from crocuswick.callers.completion import (
     CompletionContext,
     CompletionRun,
-    Delivery,
     fingerprint,
 )
 from crocuswick.callers.completion_request import (
@@ -35,10 +37,12 @@
 from crocuswick.dispatcher import Dispatcher
 from crocuswick.endpoints import ServiceCall
 from crocuswick.errors import Refusal
+from crocuswick.outcome import Outcome
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from crocuswick.callers.delivery import Delivery
     from crocuswick.limits import Ticket
 
 __all__ = ["CallersInterface", "CallersRoot", "callers_application"]
@@ -62,7 +66,6 @@
 )
 EVENT_STREAM = "text/event-stream; charset=utf-8"
 MAX_KEY_CHARACTERS = 255
-STARTING_RETRY_AFTER_S = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -81,12 +84,6 @@
     """Largest request body accepted."""
 
 
-class _RefusedError(Exception):
-    def __init__(self, refusal: Refusal):
-        super().__init__(refusal.detail)
-        self.refusal = refusal
-
-
 class CallersRoot:
     """The CherryPy root object of the callers' port."""
 
@@ -94,11 +91,14 @@
         self._interface = interface
         self._metrics = interface.completions.metrics
         self._dispatcher = interface.completions.dispatcher
+        self._body = BodyReader(
+            dispatcher=self._dispatcher, max_body_bytes=interface.max_body_bytes
+        )
 
     @cherrypy.expose
     def index(self, **_query: str) -> bytes:
         """Refuse the root path, which has no content."""
-        return self._refuse(_not_found("/"), "")
+        return self._refuse(refusals.not_found("/"), "")
 
     @cherrypy.expose
     def default(self, *path: str, **_query: str) -> Any:
@@ -107,7 +107,7 @@
         cherrypy.response.headers["X-Crocuswick-Request-Id"] = request_id
         try:
             return self._route(path, request_id)
-        except _RefusedError as error:
+        except RefusedError as error:
             return self._refuse(error.refusal, request_id)
 
     @cherrypy.expose
@@ -144,8 +144,8 @@
         if handler is not None:
             return handler(request_id)
         if any(known == path for _, known in routes):
-            raise _RefusedError(_wrong_method(method))
-        raise _RefusedError(_not_found("/" + "/".join(path)))
+            raise RefusedError(refusals.wrong_method(method))
+        raise RefusedError(refusals.not_found("/" + "/".join(path)))
 
     def _text_completion(self, request_id: str) -> Any:
         return self._completion(Dialect.TEXT, request_id)
@@ -171,7 +171,7 @@
             return self._resume_stream(resume_token, organisation, request_id, dialect)
         request = _value(
             parse_completion(
-                body=self._body(),
+                body=self._body.read(),
                 dialect=dialect,
                 request_id=request_id,
                 organisation=organisation,
@@ -294,7 +294,7 @@
     ) -> Any:
         read = self._interface.completions.tokens.read(token)
         if read.is_err() or read.ok_value.organisation != organisation:
-            raise _RefusedError(_bad_token())
+            raise RefusedError(refusals.bad_token())
         point = read.ok_value
         ticket = self._admit(organisation=organisation, tokens=0, priority=0)
         request = CompletionRequest(
@@ -320,7 +320,7 @@
         configuration, organisation = self._authenticated()
         service = configuration.service_for_prefix(prefix)
         if service is None:
-            raise _RefusedError(_not_found(f"/services/{prefix}"))
+            raise RefusedError(refusals.not_found(f"/services/{prefix}"))
         request = ServiceRequest(
             request_id=request_id,
             organisation=organisation,
@@ -358,13 +358,13 @@
         headers["X-Organisation"] = organisation
         headers["X-Request-Id"] = request_id
         return ServiceCall(
-            method=request.method, path=path, headers=headers, body=self._body()
+            method=request.method, path=path, headers=headers, body=self._body.read()
         )
 
     def _authenticated(self) -> tuple[Configuration, str]:
         configuration = self._interface.configuration()
         if configuration.revision == 0:
-            raise _RefusedError(_starting())
+            raise RefusedError(refusals.starting())
         scheme, _, secret = cherrypy.request.headers.get("Authorization", "").partition(
             " "
         )
@@ -372,7 +372,7 @@
         if scheme.lower() == "bearer" and secret:
             organisation = configuration.organisation_id_for_key(secret.strip())
         if organisation is None:
-            raise _RefusedError(_unauthorised())
+            raise RefusedError(refusals.unauthorised())
         return configuration, organisation
 
     def _admit(
@@ -397,21 +397,6 @@
     def _release(self, ticket: Ticket) -> None:
         self._dispatcher.tell(Dispatcher.Release(ticket=ticket))
 
-    def _body(self) -> bytes:
-        limit = self._interface.max_body_bytes
-        declared = cherrypy.request.headers.get("Content-Length")
-        chunked = "Transfer-Encoding" in cherrypy.request.headers
-        if declared is None and not chunked:
-            return b""
-        if declared is not None and int(declared) > limit:
-            raise _RefusedError(_too_large(limit))
-        body = _received(limit + 1 if chunked else int(declared))
-        if len(body) > limit:
-            raise _RefusedError(_too_large(limit))
-        if declared is not None and len(body) < int(declared):
-            raise _RefusedError(_bad_body("the body ends early"))
-        return body
-
     def _refuse(self, refusal: Refusal, request_id: str) -> bytes:
         cherrypy.response.status = refusal.status
         cherrypy.response.headers.update(problem_headers(refusal))
@@ -455,20 +440,10 @@
     return application
 
 
-def _received(size: int) -> bytes:
-    """Read at most this many bytes of the body."""
-    try:
-        return cherrypy.request.rfile.read(size)
-    except TimeoutError:
-        raise _RefusedError(_slow_body()) from None
-    except ValueError as error:
-        raise _RefusedError(_bad_body(str(error))) from None
-
-
 def _value(answer: Result[Any, Refusal]) -> Any:
     if isinstance(answer, Ok):
         return answer.ok_value
-    raise _RefusedError(answer.err_value)
+    raise RefusedError(answer.err_value)
 
 
 def _error_page(status: str, message: str, traceback: str, version: str) -> bytes:
@@ -478,6 +453,8 @@
         status=code,
         title="bad-request" if code < 500 else "internal-error",
         detail=message or status,
+        # A failure inside may have come after the request was sent.
+        outcome=Outcome.NOT_RUN if code < 500 else Outcome.UNKNOWN,
         step="http",
     )
     cherrypy.response.headers.update(problem_headers(refusal))
@@ -489,88 +466,5 @@
     if key is None:
         return None
     if not 1 <= len(key) <= MAX_KEY_CHARACTERS:
-        raise _RefusedError(
-            Refusal(
-                status=400,
-                title="invalid-request",
-                detail=f"the key must have 1 to {MAX_KEY_CHARACTERS} characters",
-                step="validation",
-                field="Idempotency-Key",
-            )
-        )
+        raise RefusedError(refusals.bad_idempotency_key(MAX_KEY_CHARACTERS))
     return key
-
-
-def _starting() -> Refusal:
-    return Refusal(
-        status=503,
-        title="starting",
-        detail="This node has no configuration yet.",
-        step="configuration",
-        retry_after_s=STARTING_RETRY_AFTER_S,
-    )
-
-
-def _unauthorised() -> Refusal:
-    return Refusal(
-        status=401,
-        title="unauthorised",
-        detail="The Authorization header holds no known key.",
-        step="authentication",
-        field="Authorization",
-    )
-
-
-def _not_found(path: str) -> Refusal:
-    return Refusal(
-        status=404, title="not-found", detail=f"nothing at {path}", step="routing"
-    )
-
-
-def _wrong_method(method: str) -> Refusal:
-    return Refusal(
-        status=405,
-        title="method-not-allowed",
-        detail=f"{method} is not answered here",
-        step="routing",
-    )
-
-
-def _bad_token() -> Refusal:
-    return Refusal(
-        status=400,
-        title="invalid-request",
-        detail="The token is not one that this organisation can resume from.",
-        step="validation",
-        field="Last-Event-ID",
-    )
-
-
-def _slow_body() -> Refusal:
-    return Refusal(
-        status=408,
-        title="body-too-slow",
-        detail="the body did not arrive in time",
-        step="validation",
-        field="body",
-    )
-
-
-def _bad_body(detail: str) -> Refusal:
-    return Refusal(
-        status=400,
-        title="invalid-request",
-        detail=detail,
-        step="validation",
-        field="body",
-    )
-
-
-def _too_large(limit: int) -> Refusal:
-    return Refusal(
-        status=413,
-        title="body-too-large",
-        detail=f"the body exceeds {limit} bytes",
-        step="validation",
-        field="body",
-    )
--- a/src/crocuswick/settings.py
+++ b/src/crocuswick/settings.py
@@ -26,6 +26,7 @@
 
 MAX_PORT = 65535
 MIN_SECRET_BYTES = 16
+SECTIONS_WITH_KEY_FILE = ("operators", "nodes")
 
 
 @attrs.frozen(kw_only=True)
@@ -234,7 +235,7 @@
     except (OSError, UnicodeDecodeError) as error:
         return Err([SettingsFault(line=1, path="", message=str(error))])
     return parse_settings(source).and_then(
-        lambda settings: _with_files(settings, path.parent)
+        lambda settings: _with_files(settings, path.parent, source)
     )
 
 
@@ -284,19 +285,19 @@
 
 
 def _with_files(
-    settings: Settings, folder: Path
+    settings: Settings, folder: Path, source: str
 ) -> Result[Settings, list[SettingsFault]]:
     faults = []
     resolved: dict[str, Any] = {}
-    for section, name in (("operators", "key_file"), ("nodes", "key_file")):
+    for section in SECTIONS_WITH_KEY_FILE:
         part = getattr(settings, section)
-        path = folder / getattr(part, name)
-        resolved[section] = attrs.evolve(part, **{name: str(path)})
+        path = folder / part.key_file
+        resolved[section] = attrs.evolve(part, key_file=str(path))
         if (message := _secret_fault(path)) is not None:
-            faults.append(
-                SettingsFault(line=1, path=f"{section}.{name}", message=message)
-            )
-    return Err(faults) if faults else Ok(attrs.evolve(settings, **resolved))
+            faults.append(SettingFault(path=(section, "key_file"), message=message))
+    if faults:
+        return Err(_located(faults, jsonc.parse(source).ok_value))
+    return Ok(attrs.evolve(settings, **resolved))
 
 
 def _secret_fault(path: Path) -> str | None:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import tempfile
 import unittest
 from pathlib import Path
 
 import attrs
 
-from crocuswick.settings import Settings, parse_settings
+from crocuswick.settings import Settings, load_settings, parse_settings
 
 REPOSITORY = Path(__file__).resolve().parent.parent
 SECTION = "crocuswick_section"
@@ -57,6 +58,14 @@
     def test_a_text_that_is_not_json_names_its_line(self):
         self.assertTrue(self.faults('{\n  "node_id": \n}')[0].startswith("line 3"))
 
+    def test_missing_key_files_are_named_with_their_lines(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.jsonc"
+            path.write_text(GOOD)
+            faults = [str(fault) for fault in load_settings(path).err_value]
+        self.assertTrue(faults[0].startswith("line 7: operators.key_file"), faults)
+        self.assertTrue(faults[1].startswith("line 8: nodes.key_file"), faults)
+
     def test_tls_needs_both_files(self):
         text = GOOD.replace(
             '"port": 8080', '"port": 8080, "tls_certificate_file": "a.pem"'
