Expose requests in flight, index quality, engines and nodes as metrics

Completions were not counted in crocuswick_requests_total, and the gauge of requests in flight was never set.

--- a/src/crocuswick/callers/server.py
+++ b/src/crocuswick/callers/server.py
@@ -220,6 +220,7 @@
             cherrypy.response.headers["X-Crocuswick-Endpoint"] = first.endpoint_id
             if not stream:
                 return self._whole(first, deliveries, form)
+            self._count_request("completions", 200)
             self._set_event_stream()
             cherrypy.response.stream = True
             streaming = True
@@ -248,6 +249,7 @@
         for item in deliveries:
             delivered.append(_value(item))
         cherrypy.response.headers["Content-Type"] = "application/json"
+        self._count_request("completions", 200)
         text = "".join(delivery.text for delivery in delivered)
         return form.document(text, delivered[-1])
 
--- a/src/crocuswick/metrics.py
+++ b/src/crocuswick/metrics.py
@@ -9,7 +9,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
 __all__ = ["Metrics", "ThreadedCounter"]
 
@@ -63,6 +63,7 @@
     def __init__(self, *, node_id: str):
         self._registry = Registry()
         self._threaded: list[ThreadedCounter] = []
+        self._render_hooks: list[Callable[[], None]] = []
         labels = {"node": node_id}
         self.requests = self._counter(
             "crocuswick_requests_total", "Requests by route and status.", labels
@@ -90,6 +91,23 @@
         self.revision = self._gauge(
             "crocuswick_configuration_revision", "Revision in force.", labels
         )
+        self.endpoints_ready = self._gauge(
+            "crocuswick_endpoints_ready", "Engines that take work.", labels
+        )
+        self.index_in_sync = self._gauge(
+            "crocuswick_cache_index_in_sync",
+            "Engines whose cache events are all known.",
+            labels,
+        )
+        self.index_blocks = self._gauge(
+            "crocuswick_cache_index_blocks", "Blocks in the cache index.", labels
+        )
+        self.nodes_live = self._gauge(
+            "crocuswick_nodes_live", "Nodes that are believed live.", labels
+        )
+        self.heartbeat_bytes = self._gauge(
+            "crocuswick_heartbeat_bytes", "Bytes of heartbeats since the start.", labels
+        )
         self.ttft = Histogram(
             "crocuswick_time_to_first_token_seconds",
             "Time to first token.",
@@ -108,12 +126,19 @@
         self.prompt_tokens.add({}, prompt_tokens)
         self.cached_tokens.add({}, cached_tokens)
 
+    def on_render(self, hook: Callable[[], None]) -> Callable[[], None]:
+        """Register a hook that sets gauges before they are read."""
+        self._render_hooks.append(hook)
+        return hook
+
     def render(self, accept: str = "") -> tuple[bytes, dict[str, str]]:
         """Return the exposition and its HTTP headers.
 
         Args:
             accept: Value of the ``Accept`` header.
         """
+        for hook in self._render_hooks:
+            hook()
         for counter in self._threaded:
             counter.publish()
         return render(self._registry, [accept] if accept else [])
--- a/src/crocuswick/node.py
+++ b/src/crocuswick/node.py
@@ -25,7 +25,7 @@
 from crocuswick.http_server import HttpServer
 from crocuswick.limits import Admission
 from crocuswick.metrics import Metrics
-from crocuswick.nodes import NodePhase, PeerKeys, read_key_file
+from crocuswick.nodes import NodeLiveness, NodePhase, PeerKeys, read_key_file
 from crocuswick.operators import AdminProviders, admin_application
 from crocuswick.order_keeper import OrderKeeper
 from crocuswick.placement import Placer
@@ -51,6 +51,7 @@
 FIRST_REPORT_TIMEOUT_S = 1.0
 EXIT_REQUESTS_CUT = 3
 OPERATOR_THREADS = 8
+READY_STATE = "ready"
 UNKNOWN_STATE = "unknown"
 DRAIN_POLL_S = 0.05
 DRAIN_QUIET_S = 0.3
@@ -253,10 +254,31 @@
         )
 
     def _register_hooks(self) -> None:
+        self._metrics.on_render(self._set_gauges)
         self.application.on_start(self._announce)
         self.application.on_reload(self._reload)
         self.application.on_drain(self._drain)
 
+    def _set_gauges(self) -> None:
+        """Set the gauges that are worked out only when they are read."""
+        statuses = self._dispatcher.ask(Dispatcher.Describe())
+        metrics = self._metrics
+        metrics.streams.set({}, self._in_flight())
+        metrics.endpoints_ready.set(
+            {}, sum(status.state == READY_STATE for status in statuses)
+        )
+        metrics.index_in_sync.set({}, sum(status.index_in_sync for status in statuses))
+        metrics.index_blocks.set({}, sum(status.indexed_blocks for status in statuses))
+        live = [
+            status
+            for status in self._fleet_member.nodes()
+            if status.liveness is NodeLiveness.LIVE
+        ]
+        metrics.nodes_live.set({}, len(live))
+        counters = self._fleet_member.membership.counters
+        metrics.heartbeat_bytes.set({"direction": "sent"}, counters.sent_bytes)
+        metrics.heartbeat_bytes.set({"direction": "received"}, counters.received_bytes)
+
     def _announce(self) -> None:
         self._time_line.record(kind="node_started", subject=self._settings.node_id)
         logger.info("{} serves at {}", self._settings.node_id, self.address)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -143,6 +143,31 @@
                 self.assertEqual(response.status, 401, path)
                 self.assertNotIn(b"swanfold", response.data)
 
+    def test_metrics_tell_requests_cache_index_and_nodes(self):
+        fleet = self.start_fleet(nodes=2, engines=2)
+        pool = urllib3.PoolManager()
+        url = fleet.nodes[0].url
+        post_completion(pool, url, "long prompt " * 2000, tokens=3)
+
+        def metrics() -> dict[str, float]:
+            lines = pool.request("GET", f"{url}/metrics").data.decode().splitlines()
+            pairs = [line.rsplit(" ", 1) for line in lines if line[:1] != "#"]
+            return {name.split("{")[0]: float(value) for name, value in pairs if name}
+
+        wait_until(
+            lambda: metrics()["crocuswick_cache_index_blocks"] >= 5, what="the index"
+        )
+        wait_until(lambda: metrics()["crocuswick_nodes_live"] == 2, what="both nodes")
+        wait_until(
+            lambda: metrics()["crocuswick_cache_index_in_sync"] == 2,
+            what="both engines",
+        )
+        found = metrics()
+        self.assertEqual(found["crocuswick_requests_total"], 1)
+        self.assertEqual(found["crocuswick_endpoints_ready"], 2)
+        self.assertEqual(found["crocuswick_streams_in_flight"], 0)
+        self.assertGreater(found["crocuswick_heartbeat_bytes"], 0)
+
     def test_one_organisation_cannot_resume_another_ones_answer(self):
         fleet = self.start_fleet(nodes=1, engines=1)
         url = fleet.nodes[0].url
