--- a/src/crocuswick/callers/_attempt.py
+++ b/src/crocuswick/callers/_attempt.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from crocuswick.dispatcher import FailureKind
 from crocuswick.endpoints import EngineStream
 from crocuswick.errors import Refusal
 from crocuswick.outcome import Outcome
@@ -19,8 +20,8 @@
 class Lost:
     """An attempt that ended before its last token."""
 
-    kind: str
-    """A value of `FailureKind`."""
+    kind: FailureKind
+    """How it was lost."""
 
     step: str
     """The step at which it was lost."""
--- a/src/crocuswick/callers/_completion_format.py
+++ b/src/crocuswick/callers/_completion_format.py
@@ -24,7 +24,12 @@
     """
 
     def __init__(
-        self, *, request_id: str, dialect: str, model: str, created_s: int | None = None
+        self,
+        *,
+        request_id: str,
+        dialect: Dialect,
+        model: str,
+        created_s: int | None = None,
     ):
         self._dialect = dialect
         prefix = "chatcmpl" if dialect == Dialect.CHAT else "cmpl"
--- a/src/crocuswick/callers/completion.py
+++ b/src/crocuswick/callers/completion.py
@@ -330,7 +330,7 @@
             gone=not resumed.err_value.timed_out,
         )
 
-    def _kind_of_loss(self, attempt: Attempt, error: PeerError) -> str:
+    def _kind_of_loss(self, attempt: Attempt, error: PeerError) -> FailureKind:
         """Return whether the endpoint went down or only lost this request."""
         if error.timed_out:
             return FailureKind.LOST
--- a/src/crocuswick/callers/completion_request.py
+++ b/src/crocuswick/callers/completion_request.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Mapping
+from enum import StrEnum
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -26,7 +27,7 @@
 SAMPLING_OPTIONS = ("temperature", "top_p", "seed", "stop", "presence_penalty")
 
 
-class Dialect:
+class Dialect(StrEnum):
     """The two bodies that a completion can have."""
 
     TEXT = "text"
@@ -42,7 +43,7 @@
 
     request_id: str
     organisation: str
-    dialect: str
+    dialect: Dialect
     model: str
     """Model name that the caller used."""
 
@@ -69,7 +70,7 @@
 def parse_completion(
     *,
     body: bytes,
-    dialect: str,
+    dialect: Dialect,
     request_id: str,
     organisation: str,
     priority_name: str,
@@ -146,7 +147,7 @@
     return value
 
 
-def _prompt(data: dict[str, Any], dialect: str) -> str:
+def _prompt(data: dict[str, Any], dialect: Dialect) -> str:
     if dialect == Dialect.TEXT:
         return _text(data, "prompt")
     messages = data.get("messages")
@@ -190,7 +191,7 @@
 
 
 def _check_context(
-    prompt: str, max_tokens: int, max_context_tokens: int, dialect: str
+    prompt: str, max_tokens: int, max_context_tokens: int, dialect: Dialect
 ) -> None:
     tokens = count_tokens(prompt) + max_tokens
     if tokens > max_context_tokens:
--- a/src/crocuswick/callers/server.py
+++ b/src/crocuswick/callers/server.py
@@ -164,7 +164,7 @@
         ]
         return self._json({"object": "list", "data": data})
 
-    def _completion(self, dialect: str, request_id: str) -> Any:
+    def _completion(self, dialect: Dialect, request_id: str) -> Any:
         configuration, organisation = self._authenticated()
         resume_token = cherrypy.request.headers.get("Last-Event-ID")
         if resume_token:
@@ -292,7 +292,7 @@
         return self._resume_stream(token, organisation, request_id, Dialect.TEXT)
 
     def _resume_stream(
-        self, token: str, organisation: str, request_id: str, dialect: str
+        self, token: str, organisation: str, request_id: str, dialect: Dialect
     ) -> Any:
         read = self._interface.completions.tokens.read(token)
         if read.is_err() or read.ok_value.organisation != organisation:
--- a/src/crocuswick/dispatcher.py
+++ b/src/crocuswick/dispatcher.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import time
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 import attrs
@@ -44,7 +45,7 @@
 NO_ENDPOINT_STATUS = 503
 
 
-class FailureKind:
+class FailureKind(StrEnum):
     """How an attempt at an endpoint failed."""
 
     REFUSED = "refused"
@@ -172,7 +173,7 @@
         """An attempt failed; replies `FailureVerdict`."""
 
         endpoint_id: str
-        kind: str
+        kind: FailureKind
         fingerprint: str
         attempts: int
         progressed: bool = False
