Build each delivery in one place and remove code that nothing calls

Found on reading the whole change: the last delivery of an answer repeated the construction of every other one; ending an attempt was split in two and asked for the client only to let cancel_later ask again; a prompt was encoded twice to count its tokens at each placement. CircuitBreaker.allows repeated the rule of open_ids and had no caller, nor had CacheIndex.discard_blocks, ConfigurationKeeper.change_to and Verdict.is_accepted. No change of behaviour.

--- a/src/crocuswick/cache_index.py
+++ b/src/crocuswick/cache_index.py
@@ -227,10 +227,6 @@
         """Note blocks that an answer has shown to be at an endpoint."""
         self._store(self._streams_by_endpoint[endpoint_id], keys)
 
-    def discard_blocks(self, endpoint_id: str, keys: Iterable[int]) -> None:
-        """Note blocks that an answer has shown to be missing at an endpoint."""
-        self._evict(self._streams_by_endpoint[endpoint_id], keys)
-
     def prefix_holders(self, keys: Sequence[int]) -> list[PrefixHolders]:
         """Return who holds how many leading blocks of a prompt.
 
--- a/src/crocuswick/callers/completion.py
+++ b/src/crocuswick/callers/completion.py
@@ -154,18 +154,11 @@
 
     def _last_delivery(self, attempt: Attempt) -> Delivery:
         """Return the end of an answer whose last token came without its mark."""
-        index = attempt.guard.next_index - 1
-        delivered = attempt.base + index + 1
-        return Delivery(
+        return self._delivery(
+            attempt,
+            index=attempt.guard.next_index - 1,
             text="",
             finish_reason="length",
-            resume_token=attempt.tokens.issue(
-                index=index, delivered=delivered, finished=True
-            ),
-            endpoint_id=attempt.endpoint_id,
-            prompt_tokens=self._prompt_tokens,
-            cached_tokens=self._cached_tokens,
-            completion_tokens=delivered,
         )
 
     def _place(self) -> Result[Placement, Refusal]:
@@ -204,13 +197,14 @@
     def _wanted(self) -> PlacementRequest:
         prompt = self._prompt()
         keys = block_keys(prompt, salt=self._salt)
-        self._prompt_tokens = self._prompt_tokens or count_tokens(prompt)
+        prompt_tokens = count_tokens(prompt)
+        self._prompt_tokens = self._prompt_tokens or prompt_tokens
         return PlacementRequest(
             request_id=self._engine_request_id(),
             model=self._request.engine_model,
             weights_version=self._request.weights_version,
             keys=keys,
-            prompt_tokens=count_tokens(prompt),
+            prompt_tokens=prompt_tokens,
             max_tokens=self._remaining_tokens(),
             priority=self._request.priority,
             excluded=frozenset(self._excluded),
@@ -355,17 +349,28 @@
         if event.index == 0:
             self._note_first_token(attempt, event)
         self._text.append(event.text)
-        delivered = attempt.base + event.index + 1
-        return Delivery(
+        self._prompt_tokens = self._prompt_tokens or event.prompt_tokens
+        return self._delivery(
+            attempt,
+            index=event.index,
             text=event.text,
             finish_reason=event.finish_reason,
+        )
+
+    def _delivery(
+        self, attempt: Attempt, *, index: int, text: str, finish_reason: str | None
+    ) -> Delivery:
+        delivered = attempt.base + index + 1
+        return Delivery(
+            text=text,
+            finish_reason=finish_reason,
             resume_token=attempt.tokens.issue(
-                index=event.index,
+                index=index,
                 delivered=delivered,
-                finished=event.finish_reason is not None,
+                finished=finish_reason is not None,
             ),
             endpoint_id=attempt.endpoint_id,
-            prompt_tokens=self._prompt_tokens or event.prompt_tokens,
+            prompt_tokens=self._prompt_tokens,
             cached_tokens=self._cached_tokens,
             completion_tokens=delivered,
         )
@@ -434,12 +439,6 @@
     def _end_attempt(
         self, attempt: Attempt, *, cancel: bool, completed: bool = False
     ) -> None:
-        self._attempt_done(attempt, completed=completed)
-        client = self._context.clients.get(attempt.endpoint_id)
-        if cancel and client is not None:
-            self._context.clients.cancel_later(attempt.endpoint_id, attempt.request_id)
-
-    def _attempt_done(self, attempt: Attempt, *, completed: bool) -> None:
         if attempt.stream is not None:
             attempt.stream.close()
         attempt.stream = None
@@ -450,6 +449,8 @@
                 completed_fingerprint=self._fingerprint if completed else None,
             )
         )
+        if cancel:
+            self._context.clients.cancel_later(attempt.endpoint_id, attempt.request_id)
 
     def _abandon(self) -> None:
         """Cancel what still runs when the caller has gone away."""
--- a/src/crocuswick/circuit_breaker.py
+++ b/src/crocuswick/circuit_breaker.py
@@ -20,15 +20,6 @@
     opened_at_s: float | None = None
     """Monotonic time at which the breaker opened, None while closed."""
 
-    def allows(self, now_s: float) -> bool:
-        """Return whether a request may be sent; one probe passes after `OPEN_S`."""
-        if self.opened_at_s is None:
-            return True
-        if now_s - self.opened_at_s < OPEN_S:
-            return False
-        self.opened_at_s = now_s
-        return True
-
     def record_success(self) -> None:
         """Close the breaker."""
         self.failures = 0
--- a/src/crocuswick/configuration/keeper.py
+++ b/src/crocuswick/configuration/keeper.py
@@ -26,7 +26,6 @@
     encode_state,
 )
 from crocuswick.configuration.submission import (
-    Change,
     Submission,
     change_between,
     submission_to_record,
@@ -137,10 +136,6 @@
         self._actor_ref.tell(OfferState(state=decoded.unwrap()))
         return Ok(None)
 
-    def change_to(self, wanted: ObjectSet) -> Change:
-        """Return what a set would change in the revision in force."""
-        return change_between(self.current, wanted)
-
     def submit(
         self,
         wanted: ObjectSet,
--- a/src/crocuswick/configuration/verdict.py
+++ b/src/crocuswick/configuration/verdict.py
@@ -48,8 +48,3 @@
 
     faults: tuple[Fault, ...] = ()
     """Every fault, for `FAULTY`."""
-
-    @property
-    def is_accepted(self) -> bool:
-        """Whether the set is in force as submitted."""
-        return self.kind in (VerdictKind.ACCEPTED, VerdictKind.UNCHANGED)
