--- a/src/crocuswick/callers/server.py
+++ b/src/crocuswick/callers/server.py
@@ -31,13 +31,13 @@
     Dialect,
     parse_completion,
 )
-from crocuswick.callers.problem import problem_body, problem_headers
 from crocuswick.callers.service_run import ServiceContext, ServiceRequest, ServiceRun
 from crocuswick.configuration import Configuration
 from crocuswick.dispatcher import Dispatcher
 from crocuswick.endpoints import ServiceCall
 from crocuswick.errors import Refusal
 from crocuswick.outcome import Outcome
+from crocuswick.problem import problem_body, problem_headers
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- /dev/null
+++ b/src/crocuswick/decision_log.py
@@ -0,0 +1,112 @@
+"""Structured log of decisions: one JSON object a line, never blocking a request."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+import threading
+import time
+from collections import deque
+from typing import Any
+
+import logbook
+
+__all__ = ["DecisionLog"]
+
+MAX_WAITING = 2_000
+"""Lines that wait to be written; about half a megabyte."""
+
+MAX_LINES_PER_S = 400
+"""Lines of requests that went well are dropped beyond this rate."""
+
+RESERVED_SHARE = 0.5
+"""Part of the waiting lines that only failures and state changes may fill."""
+
+FLUSH_INTERVAL_S = 0.1
+
+
+class DecisionLog:
+    """Writes lines on a thread of its own and drops what does not fit.
+
+    Lines of requests that went well are dropped first. The number of dropped lines
+    is written with the next line that gets through.
+
+    Args:
+        node_id: Value of the ``node`` field of each line.
+        descriptor: Descriptor that is written to, standard output by default.
+    """
+
+    def __init__(self, *, node_id: str, descriptor: int | None = None):
+        self._node_id = node_id
+        self._descriptor = sys.stdout.fileno() if descriptor is None else descriptor
+        self._waiting: deque[dict[str, Any]] = deque()
+        self._lock = threading.Lock()
+        self._dropped = 0
+        self._second = 0
+        self._lines_in_second = 0
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="log", daemon=True)
+
+    def start(self) -> None:
+        """Start writing."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Write what waits and stop."""
+        self._stopped.set()
+        self._thread.join(timeout=1.0)
+
+    def record(self, event: str, *, failed: bool = False, **fields: Any) -> None:
+        """Add a line about a request.
+
+        Args:
+            event: What happened.
+            failed: Whether the line is needed to explain a failure.
+            fields: Inputs of the decision and its outcome, plain JSON values.
+        """
+        self._add(event, fields, is_kept=failed)
+
+    def record_state(self, event: str, **fields: Any) -> None:
+        """Add a line about a change of what the process believes."""
+        self._add(event, fields, is_kept=True)
+
+    def _add(self, event: str, fields: dict[str, Any], *, is_kept: bool) -> None:
+        now_s = time.time()
+        line = {"t": round(now_s, 3), "node": self._node_id, "event": event, **fields}
+        with self._lock:
+            if self._has_room(int(now_s), is_kept=is_kept):
+                self._waiting.append(line)
+            else:
+                self._dropped += 1
+
+    def _has_room(self, second: int, *, is_kept: bool) -> bool:
+        if second != self._second:
+            self._second = second
+            self._lines_in_second = 0
+        self._lines_in_second += 1
+        if is_kept:
+            return len(self._waiting) < MAX_WAITING
+        within_rate = self._lines_in_second <= MAX_LINES_PER_S
+        return within_rate and len(self._waiting) < RESERVED_SHARE * MAX_WAITING
+
+    def _run(self) -> None:
+        while not self._stopped.wait(FLUSH_INTERVAL_S):
+            self._flush()
+        self._flush()
+
+    def _flush(self) -> None:
+        with self._lock:
+            lines, self._waiting = self._waiting, deque()
+            dropped, self._dropped = self._dropped, 0
+        if dropped and lines:
+            lines[-1]["dropped"] = dropped
+        if not lines:
+            return
+        text = "".join(json.dumps(line, default=str) + "\n" for line in lines)
+        data = text.encode()
+        try:
+            while data:
+                data = data[os.write(self._descriptor, data) :]
+        except OSError as error:
+            logbook.Logger(__name__).warning("log output failed: {}", error)
--- /dev/null
+++ b/src/crocuswick/fleet_node.py
@@ -0,0 +1,245 @@
+"""One node of a fleet on a platform: builds its components and wires them."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import logbook
+
+from crocuswick.application import Application
+from crocuswick.decision_log import DecisionLog
+from crocuswick.fleet_platform import WantedWeights
+from crocuswick.http_server import HttpServer
+from crocuswick.metrics import Metrics
+from crocuswick.records.keeper import RecordKeeper
+from crocuswick.records.reader import TopicReader
+from crocuswick.relay.caller_watch import CallerWatch
+from crocuswick.relay.dispatcher import RelayDispatcher
+from crocuswick.relay.relay_run import RelayContext
+from crocuswick.relay.relay_server import RelayServer
+from crocuswick.relay.serving import CallerLimits, ServingConfiguration
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from crocuswick.fleet_platform import FleetPlatform
+    from crocuswick.fleet_settings import FleetSettings
+    from crocuswick.records.mirror import KeyedRecord, TopicUpdate
+
+__all__ = ["FleetNode"]
+
+logger = logbook.Logger(__name__)
+
+CALLER_THREADS = 192
+"""Requests served at once; more wait to be read."""
+
+READINESS_THREADS = 2
+OPERATIONS_WAIT_MS = 5_000
+REPLICAS_WAIT_MS = 2_000
+REPLICAS_PACE_S = 0.4
+"""Pause between reads of the entries, a fifth of the time to stop using a replica."""
+
+DRAIN_MIN_S = 3.2
+"""Time for which a draining node still takes connections: two readiness checks, one
+second apart, and a connection that was on its way."""
+
+DRAIN_POLL_S = 0.05
+DRAIN_MARGIN_S = 0.6
+"""Time before the end of the grace at which a node ends in any case."""
+
+RETURN_GRACE_S = 1.8
+"""Time for entries that were removed during an outage to be written again."""
+
+STEADY_STORE_S = 3.0
+"""Time without failures of the store after which a removal counts at once."""
+
+
+class FleetNode:
+    """All components of one daemon of a fleet.
+
+    Args:
+        settings: Checked settings.
+        platform: Adapter of the platform.
+    """
+
+    def __init__(self, *, settings: FleetSettings, platform: FleetPlatform):
+        self._settings = settings
+        self._platform = platform
+        self._configuration: ServingConfiguration | None = None
+        self._replicas_known = False
+        self._is_draining = False
+        self._regained_s = float("-inf")
+        self._store_lost = False
+        self.application = Application()
+        self._log = DecisionLog(node_id=settings.node_id)
+        self._metrics = Metrics(node_id=settings.node_id)
+        self.application.add(self._log)
+        self._dispatcher = RelayDispatcher.start(
+            zone=settings.zone, bounds=settings.bounds
+        )
+        self._keeper = RecordKeeper.start(
+            on_record=self._on_record, on_news=self._on_news
+        )
+        self._build_readers()
+        self._build_servers()
+        self.application.on_start(self._announce)
+        self.application.on_reload(lambda: self._log.record_state("settings reloaded"))
+        self.application.on_drain(self._drain)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the node takes new work."""
+        return (
+            not self._is_draining
+            and self._configuration is not None
+            and self._replicas_known
+        )
+
+    def run(self) -> None:
+        """Run until shutdown."""
+        self.application.run()
+
+    def _build_readers(self) -> None:
+        topics = self._platform.topics
+        self.application.add(
+            self._reader(topics.operations, wait_ms=OPERATIONS_WAIT_MS, pace_s=0.02)
+        )
+        self.application.add(
+            self._reader(
+                topics.replicas, wait_ms=REPLICAS_WAIT_MS, pace_s=REPLICAS_PACE_S
+            )
+        )
+
+    def _reader(self, topic: str, *, wait_ms: int, pace_s: float) -> TopicReader:
+        return TopicReader(
+            topic=topic,
+            store=self._platform.open_store(),
+            keeper=self._keeper,
+            wait_ms=wait_ms,
+            pace_s=pace_s,
+            is_on_duty=lambda: True,
+            on_read=self._on_read,
+            log=self._log,
+        )
+
+    def _build_servers(self) -> None:
+        watch = CallerWatch()
+        self._relay_server = RelayServer(
+            address=self._settings.callers_address,
+            context=RelayContext(
+                dispatcher=self._dispatcher,
+                dialect=self._platform.dialect,
+                log=self._log,
+                metrics=self._metrics,
+            ),
+            watch=watch,
+            configuration=lambda: self._configuration,
+            threads=CALLER_THREADS,
+        )
+        self._relay_server.use_limits(CallerLimits())
+        host, _, port = self._settings.readiness_address.rpartition(":")
+        readiness = HttpServer(
+            host=host,
+            port=int(port),
+            application=self._readiness_page,
+            threads=READINESS_THREADS,
+        )
+        for component in (watch, self._relay_server, readiness):
+            self.application.add(component)
+
+    def _readiness_page(
+        self, _environment: dict, start_response: Callable
+    ) -> Iterable[bytes]:
+        status = "200 OK" if self.is_ready else "503 Service Unavailable"
+        start_response(status, [("Content-Length", "0")])
+        return [b""]
+
+    def _announce(self) -> None:
+        self._log.record_state("started", zone=self._settings.zone)
+        logger.info("{} serves callers", self._settings.node_id)
+
+    # What is learned from the store and from peers.
+
+    def _on_record(self, topic: str, record: KeyedRecord) -> None:
+        topics = self._platform.topics
+        if topic == topics.operations:
+            self._on_operation(record)
+        elif topic == topics.replicas:
+            self._on_replica(record)
+
+    def _on_operation(self, record: KeyedRecord) -> None:
+        decoded = self._platform.decode_operation(record)
+        if decoded.is_err():
+            self._log.record_state(
+                "record ignored", key=record.key, error=str(decoded.err_value)
+            )
+        elif isinstance(decoded.ok_value, ServingConfiguration):
+            self._use_configuration(decoded.ok_value)
+        elif isinstance(decoded.ok_value, WantedWeights):
+            self._want_weights(decoded.ok_value)
+
+    def _use_configuration(self, configuration: ServingConfiguration) -> None:
+        current = self._configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self._dispatcher.ask(
+            RelayDispatcher.UseConfiguration(configuration=configuration)
+        )
+        self._relay_server.use_limits(configuration.limits)
+        self._configuration = configuration
+        self._log.record_state("configuration in force", version=configuration.version)
+
+    def _want_weights(self, wanted: WantedWeights) -> None:
+        self._dispatcher.tell(
+            RelayDispatcher.WeightsNamed(model=wanted.model, version=wanted.version)
+        )
+        self._log.record_state(
+            "weights named", model=wanted.model, version=wanted.version
+        )
+
+    def _on_replica(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            self._remove_replica(record.key)
+            return
+        decoded = self._platform.decode_replica(record)
+        if decoded.is_err():
+            self._log.record_state(
+                "record ignored", key=record.key, error=str(decoded.err_value)
+            )
+            return
+        self._replicas_known = True
+        self._dispatcher.tell(RelayDispatcher.ReplicaSeen(replica=decoded.ok_value))
+
+    def _remove_replica(self, replica_id: str) -> None:
+        now_s = time.monotonic()
+        is_steady = now_s - self._regained_s > STEADY_STORE_S
+        takes_effect_s = now_s if is_steady else now_s + RETURN_GRACE_S
+        self._dispatcher.tell(
+            RelayDispatcher.ReplicaRemoved(
+                replica_id=replica_id, takes_effect_s=takes_effect_s
+            )
+        )
+        self._log.record_state("replica removed", replica=replica_id)
+
+    def _on_read(self, topic: str) -> None:
+        """Note that a topic was read without failure."""
+
+    def _on_news(self, update: TopicUpdate) -> None:
+        """Pass on to peers what is new."""
+
+    # Shutdown.
+
+    def _drain(self) -> None:
+        """Stop taking new callers and finish what is under way."""
+        self._is_draining = True
+        self._relay_server.is_draining = True
+        started_s = time.monotonic()
+        self._log.record_state("draining", in_flight=self._relay_server.in_flight)
+        latest_s = started_s + self._settings.bounds.grace_ms / 1000 - DRAIN_MARGIN_S
+        while time.monotonic() < latest_s:
+            is_idle = self._relay_server.in_flight == 0
+            if is_idle and time.monotonic() - started_s >= DRAIN_MIN_S:
+                break
+            time.sleep(DRAIN_POLL_S)
+        self._log.record_state("drained", in_flight=self._relay_server.in_flight)
--- /dev/null
+++ b/src/crocuswick/fleet_platform.py
@@ -0,0 +1,63 @@
+"""What a fleet node asks of the platform that it runs on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+from result import Result
+
+from crocuswick.errors import PeerError
+from crocuswick.records.mirror import KeyedRecord
+from crocuswick.records.store import RecordStore
+from crocuswick.relay.dialect import Dialect
+from crocuswick.relay.replica import Replica
+from crocuswick.relay.serving import ServingConfiguration
+from crocuswick.rollouts.engine_orders import EngineOrders
+
+__all__ = ["FleetPlatform", "FleetTopics", "WantedWeights"]
+
+
+@attrs.frozen(kw_only=True)
+class FleetTopics:
+    """Names of the topics that a node reads and writes."""
+
+    operations: str
+    """Configuration and wanted weights, written by operators."""
+
+    replicas: str
+    """Entries of replicas, written by themselves."""
+
+    nodes: str
+    """Addresses of nodes, written by themselves."""
+
+    leases: str
+    """Grants of the right to give orders."""
+
+
+@attrs.frozen(kw_only=True)
+class WantedWeights:
+    """A version of a model's weights that operators want served."""
+
+    model: str
+    version: int
+
+
+@attrs.frozen(kw_only=True)
+class FleetPlatform:
+    """The platform's adapter, as the product uses it."""
+
+    dialect: Dialect
+    topics: FleetTopics
+    open_store: Callable[[], RecordStore]
+    """Returns a client of the store for one thread."""
+
+    decode_operation: Callable[
+        [KeyedRecord], Result[ServingConfiguration | WantedWeights | None, PeerError]
+    ]
+    """Reads a record of the operations topic, None where it is of no concern."""
+
+    decode_replica: Callable[[KeyedRecord], Result[Replica, PeerError]]
+    """Reads a record of the replicas topic."""
+
+    engine_orders: EngineOrders
--- /dev/null
+++ b/src/crocuswick/fleet_settings.py
@@ -0,0 +1,75 @@
+"""Settings of a node that belongs to a fleet on a platform."""
+
+from __future__ import annotations
+
+import attrs
+
+__all__ = ["FleetBounds", "FleetSettings"]
+
+
+@attrs.frozen(kw_only=True)
+class FleetBounds:
+    """Bounds that the fleet's users state; defaults are those of small fleets."""
+
+    config_apply_ms: int
+    """Time within which an accepted configuration is in force."""
+
+    drain_ms: int
+    """Time after which a leaving replica gets no new request."""
+
+    grace_ms: int
+    """Time between the request to stop and the end of the process."""
+
+    stable_window_ms: int
+    """Calm time after which a node is expected to keep all bounds."""
+
+    retry_ratio: float
+    """Repeats allowed for each request of a service."""
+
+    retry_window_ms: int
+    """Window over which repeats are counted."""
+
+    retry_slack: int
+    """Repeats allowed beyond the ratio, by all nodes together."""
+
+    lease_ms: int
+    """Time between the last order of one holder and the first of the next."""
+
+    weights_ms: int
+    """Time after which no request begins on weights older than the named ones."""
+
+    address_reuse_ms: int
+    """Time after which the address of an ended replica may be another's."""
+
+    prefix_reuse_ms: int
+    """Time for which a shared part is worth keeping after its last use."""
+
+
+@attrs.frozen(kw_only=True)
+class FleetSettings:
+    """Where a node stands and whom it talks to."""
+
+    node_id: str
+    zone: str
+    zones: tuple[str, ...]
+    callers_address: str
+    """``host:port`` for callers."""
+
+    readiness_address: str
+    """``host:port`` at which readiness is asked."""
+
+    peers_address: str
+    """``host:port`` for other nodes."""
+
+    metrics_port: int
+    """Port of the metrics page, 0 for none."""
+
+    seeds: tuple[str, ...]
+    """Addresses of a few nodes, which may be stale."""
+
+    store_address: str
+    """``host:port`` of the platform's metadata store."""
+
+    memory_mb: int
+    max_descriptors: int
+    bounds: FleetBounds
--- a/src/crocuswick/http_server.py
+++ b/src/crocuswick/http_server.py
@@ -15,9 +15,9 @@
 from cheroot import server, wsgi
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
-from crocuswick.callers.problem import problem_body, problem_headers
 from crocuswick.errors import Refusal
 from crocuswick.outcome import Outcome
+from crocuswick.problem import problem_body, problem_headers
 from crocuswick.timeout_socket import TimeoutSocket
 
 if TYPE_CHECKING:
@@ -69,13 +69,13 @@
         self.bytes_read += len(line)
         return line
 
-    def begin_request(self, deadline_s: float) -> None:
+    def begin_request(self, timeout_s: float) -> None:
         """Bound the time in which the next request must have arrived.
 
         Args:
-            deadline_s: Monotonic time of the bound.
+            timeout_s: Seconds from its first byte on.
         """
-        self._received.deadline_s = deadline_s
+        self._received.begin(timeout_s, has_begun=self.has_data())
 
     def has_data(self) -> bool:
         """Tell whether received bytes are left to be read."""
@@ -86,8 +86,22 @@
     """The receiving side of a socket, which counts its bytes."""
 
     total = 0
-    deadline_s = math.inf
-    """Monotonic time after which nothing more of the request is received."""
+    _timeout_s = math.inf
+    _deadline_s: float | None = None
+    _idle_timeout_s: float | None = None
+
+    def begin(self, timeout_s: float, *, has_begun: bool) -> None:
+        """Bound the time in which the next request must have arrived.
+
+        Args:
+            timeout_s: Seconds from its first byte on.
+            has_begun: Whether that byte has been received.
+        """
+        if self._idle_timeout_s is not None:
+            self._sock.settimeout(self._idle_timeout_s)
+            self._idle_timeout_s = None
+        self._timeout_s = timeout_s
+        self._deadline_s = time.monotonic() + timeout_s if has_begun else None
 
     def readinto(self, buffer: memoryview) -> int | None:
         """Receive into a buffer.
@@ -95,12 +109,21 @@
         Raises:
             TimeoutError: The sender was silent or took too long as a whole.
         """
-        if time.monotonic() > self.deadline_s:
-            raise TimeoutError("timed out")
+        if self._deadline_s is not None:
+            self._shorten_timeout(self._deadline_s - time.monotonic())
         count = super().readinto(buffer)
         self.total += count or 0
+        if self._deadline_s is None:
+            self._deadline_s = time.monotonic() + self._timeout_s
         return count
 
+    def _shorten_timeout(self, left_s: float) -> None:
+        if left_s <= 0:
+            raise TimeoutError("timed out")
+        if self._idle_timeout_s is None:
+            self._idle_timeout_s = self._sock.kernel_timeout_s
+        self._sock.settimeout(left_s)
+
 
 class SocketWriter:
     """Sends each piece of an answer at once, with one call."""
@@ -252,7 +275,7 @@
             Whether the connection is kept.
         """
         if isinstance(self.rfile, SocketReader):
-            self.rfile.begin_request(time.monotonic() + self.server.request_timeout_s)
+            self.rfile.begin_request(self.server.request_timeout_s)
         return super().communicate()
 
     def close(self) -> None:
--- /dev/null
+++ b/src/crocuswick/platform/_names.py
@@ -0,0 +1,77 @@
+"""Names of headers, topics and paths on the platform's wire."""
+
+from __future__ import annotations
+
+# Headers between callers, nodes and replicas.
+ATTEMPT_ID = "X-Attempt-Id"
+TIME_BUDGET = "X-Time-Budget"
+PROMPT_PARTS = "X-Prompt-Prefix"
+LAST_EVENT_ID = "Last-Event-Id"
+RECEIPT = "X-Replica-Seal"
+TENANT = "X-Tenant"
+EXPECTED_REPLICA = "X-Expect-Replica"
+NOT_RUN = "X-Not-Executed"
+REPLICA_ID = "X-Replica-Id"
+MODEL = "X-Model"
+TOKEN_COUNTS = "X-Token-Counts"
+CACHE_SALT = "X-Cache-Salt"
+ENGINE_PRIORITY = "X-Request-Priority"
+FETCH_KV_FROM = "X-Kv-Fetch-From"
+STORE_KV_TO = "X-Kv-Store-To"
+WEIGHTS_VERSION = "X-Weight-Versions"
+EXPECTED_WEIGHTS = "X-Expect-Version"
+PIN_DURATION = "X-Pin-Duration"
+HOLD = "X-Hold"
+KV_BACKUP = "X-Kv-Backup"
+KV_FROM = "Kv-From"
+AUTHORIZATION = "Authorization"
+KEY_SCHEME = "Token "
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Headers that concern a single connection, in lower case."""
+
+SET_BY_THE_NODE = frozenset(
+    name.lower()
+    for name in (
+        AUTHORIZATION,
+        TIME_BUDGET,
+        TENANT,
+        EXPECTED_REPLICA,
+        EXPECTED_WEIGHTS,
+        ENGINE_PRIORITY,
+        CACHE_SALT,
+        FETCH_KV_FROM,
+        STORE_KV_TO,
+        PIN_DURATION,
+        HOLD,
+        KV_BACKUP,
+        KV_FROM,
+        LAST_EVENT_ID,
+        "Content-Length",
+        "Expect",
+    )
+)
+"""Headers that callers can't set at replicas, in lower case."""
+
+# Topics and keys of the store.
+OPERATIONS_TOPIC = "keyed.op"
+REPLICAS_TOPIC = "keyed.servers"
+NODES_TOPIC = "keyed.crocuswick-nodes"
+LEASES_TOPIC = "crocuswick-leases"
+CONFIGURATION_KEY = "config"
+WEIGHTS_KEY_PREFIX = "version/"
+
+SETTINGS_VARIABLE = "CROCUSWICK_BOOT"
+DEFAULT_SETTINGS_PATH = "/etc/crocuswick/node.conf"
--- /dev/null
+++ b/src/crocuswick/platform/adapter.py
@@ -0,0 +1,68 @@
+"""Puts the platform's parts together for the product."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from crocuswick.errors import PeerError
+from crocuswick.fleet_platform import FleetPlatform, FleetTopics, WantedWeights
+from crocuswick.platform import _names as names
+from crocuswick.platform.decoders import (
+    decode_configuration,
+    decode_named_weights,
+    decode_replica,
+)
+from crocuswick.platform.engine_orders import EngineOrdersClient
+from crocuswick.platform.relay_dialect import RelayDialect
+from crocuswick.platform.store_client import StoreClient
+
+if TYPE_CHECKING:
+    from crocuswick.fleet_settings import FleetSettings
+    from crocuswick.records.mirror import KeyedRecord
+    from crocuswick.relay.replica import Replica
+    from crocuswick.relay.serving import ServingConfiguration
+
+__all__ = ["fleet_platform"]
+
+
+def fleet_platform(settings: FleetSettings) -> FleetPlatform:
+    """Return the adapter of the platform that a node's settings describe."""
+    return FleetPlatform(
+        dialect=RelayDialect(),
+        topics=FleetTopics(
+            operations=names.OPERATIONS_TOPIC,
+            replicas=names.REPLICAS_TOPIC,
+            nodes=names.NODES_TOPIC,
+            leases=names.LEASES_TOPIC,
+        ),
+        open_store=lambda: StoreClient(address=settings.store_address),
+        decode_operation=_decode_operation,
+        decode_replica=_decode_replica,
+        engine_orders=EngineOrdersClient(),
+    )
+
+
+def _decode_operation(
+    record: KeyedRecord,
+) -> Result[ServingConfiguration | WantedWeights | None, PeerError]:
+    if record.value is None:
+        return Ok(None)
+    if record.key == names.CONFIGURATION_KEY:
+        return decode_configuration(record.value)
+    if record.key.startswith(names.WEIGHTS_KEY_PREFIX):
+        named = decode_named_weights(record.value)
+        if named.is_err():
+            return named
+        model, version = named.ok_value
+        return Ok(WantedWeights(model=model, version=version))
+    return Ok(None)
+
+
+def _decode_replica(record: KeyedRecord) -> Result[Replica, PeerError]:
+    if record.value is None:
+        return Err(
+            PeerError(step="decode replica", peer="store", detail="entry was dropped")
+        )
+    return decode_replica(record.key, record.value)
--- /dev/null
+++ b/src/crocuswick/platform/decoders.py
@@ -0,0 +1,224 @@
+"""Decodes the records of the platform's store into the product's types."""
+
+from __future__ import annotations
+
+import json
+from collections import defaultdict
+from typing import TYPE_CHECKING, Any
+
+from result import Err, Ok, Result
+
+from crocuswick.errors import PeerError
+from crocuswick.relay.replica import Replica, ReplicaState
+from crocuswick.relay.serving import (
+    CallerLimits,
+    EngineTraits,
+    KvStore,
+    Organisation,
+    Route,
+    RouteKind,
+    Service,
+    ServingConfiguration,
+    TrafficShare,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = ["decode_configuration", "decode_named_weights", "decode_replica"]
+
+DEFAULT_MAX_CONNECTIONS = 100
+_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
+
+
+def decode_configuration(value: bytes) -> Result[ServingConfiguration, PeerError]:
+    """Read a configuration.
+
+    Args:
+        value: Content of its record.
+
+    Returns:
+        The configuration, or an error where it can't be read.
+    """
+    try:
+        return Ok(_configuration(json.loads(value)))
+    except _MALFORMED as error:
+        return Err(_error("decode configuration", error))
+
+
+def decode_replica(replica_id: str, value: bytes) -> Result[Replica, PeerError]:
+    """Read the entry of a replica.
+
+    Args:
+        replica_id: Key of its record.
+        value: Content.
+
+    Returns:
+        The replica, or an error where a field is missing or of another type.
+    """
+    try:
+        return Ok(_replica(replica_id, json.loads(value)))
+    except _MALFORMED as error:
+        return Err(_error("decode replica", error))
+
+
+def decode_named_weights(value: bytes) -> Result[tuple[str, int], PeerError]:
+    """Read which version of a model's weights is wanted.
+
+    Args:
+        value: Content of the record.
+
+    Returns:
+        Model and version.
+    """
+    try:
+        record = json.loads(value)
+        return Ok((_text(record["Model"]), _whole(record["Version"])))
+    except _MALFORMED as error:
+        return Err(_error("decode named weights", error))
+
+
+def _error(step: str, error: Exception) -> PeerError:
+    return PeerError(step=step, peer="store", detail=f"{type(error).__name__}: {error}")
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"not a text: {value!r:.60}")
+    return value
+
+
+def _whole(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"not a whole number: {value!r:.60}")
+    return value
+
+
+def _address(value: Any) -> str:
+    host, _, port = _text(value).rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"not an address: {value!r:.60}")
+    return value
+
+
+def _replica(replica_id: str, entry: dict[str, Any]) -> Replica:
+    # Other writers leave out fields; such an entry names no replica.
+    _text(entry["Version"])
+    _whole(entry["ColdLeftMs"])
+    return Replica(
+        id=replica_id,
+        started_ms=_whole(entry.get("born", 0)),
+        service=_text(entry["Service"]),
+        address=_address(entry["Address"]),
+        zone=_text(entry["Zone"]),
+        state=ReplicaState(entry["State"]),
+        slots=_whole(entry["Slots"]),
+        weights_by_model={
+            _text(model["Name"]): _whole(model["Version"])
+            for model in entry.get("Models") or ()
+        },
+        # Here the field counts heartbeats; elsewhere it counts orders.
+        report_number=_whole(entry["Sequence"]),
+    )
+
+
+def _configuration(value: dict[str, Any]) -> ServingConfiguration:
+    routes_by_host: dict[str, list[Route]] = defaultdict(list)
+    for entry in value["Routes"]:
+        route = _route(entry)
+        routes_by_host[route.host].append(route)
+    services = [entry for entry in value["Services"] if "KvStoreAddr" not in entry]
+    stores = [entry for entry in value["Services"] if "KvStoreAddr" in entry]
+    return ServingConfiguration(
+        version=_whole(value["Version"]),
+        routes_by_host={
+            host: tuple(sorted(routes, key=lambda route: -len(route.path_prefix)))
+            for host, routes in routes_by_host.items()
+        },
+        services_by_name={service.name: service for service in map(_service, services)},
+        kv_stores=tuple(map(_kv_store, stores)),
+        organisations_by_key=_organisations_by_key(value.get("Tenants") or ()),
+        needs_key=bool(value.get("Tenants")),
+        limits=_limits(value.get("Limits") or {}),
+    )
+
+
+def _route(entry: dict[str, Any]) -> Route:
+    if entry.get("TrafficSplit"):
+        shares = tuple(
+            TrafficShare(service=share["Service"], weight=share["Weight"])
+            for share in entry["TrafficSplit"]
+        )
+    else:
+        shares = (TrafficShare(service=entry["Service"], weight=1),)
+    return Route(
+        name=entry["Name"],
+        host=entry["Host"].lower(),
+        path_prefix=entry["PathPrefix"],
+        kind=RouteKind(entry["Kind"]),
+        shares=shares,
+        timeout_ms=entry["TimeoutMs"],
+        target_latency_ms=entry.get("TargetLatencyMs") or entry["TimeoutMs"],
+        max_gap_ms=entry.get("GapAimMs") or 1_000,
+        max_attempts=entry.get("MaxAttempts") or 1,
+        priority=entry.get("Priority") or 0,
+        is_public=bool(entry.get("Public")),
+        is_resumable=bool(entry.get("Resumable")),
+    )
+
+
+def _service(entry: dict[str, Any]) -> Service:
+    engine = entry.get("Engine")
+    return Service(
+        name=entry["Name"],
+        health_path=entry.get("HealthPath") or "/",
+        max_connections=entry.get("MaxConnections") or DEFAULT_MAX_CONNECTIONS,
+        engine=_engine(engine) if engine else None,
+    )
+
+
+def _engine(entry: dict[str, Any]) -> EngineTraits:
+    return EngineTraits(
+        slots=entry["Slots"],
+        kv_capacity_tokens=entry["KvCapacityTokens"],
+        kv_bytes_per_token=entry["KvBytes"],
+        link_mbps=entry["LinkMbps"],
+        models=tuple(model["Name"] for model in entry.get("Models") or ()),
+    )
+
+
+def _kv_store(entry: dict[str, Any]) -> KvStore:
+    return KvStore(
+        name=entry["Name"],
+        address=_address(entry["KvStoreAddr"]),
+        zone=entry["Zone"],
+        capacity_tokens=entry["KvCapacityTokens"],
+        link_mbps=entry["LinkMbps"],
+    )
+
+
+def _organisations_by_key(
+    entries: Iterable[dict[str, Any]],
+) -> dict[str, Organisation]:
+    organisations = [
+        Organisation(
+            name=entry["Name"],
+            keys=frozenset(entry["ApiKeys"]),
+            priority=entry.get("Priority"),
+            is_isolated=bool(entry.get("Isolated")),
+        )
+        for entry in entries
+    ]
+    return {
+        key: organisation for organisation in organisations for key in organisation.keys
+    }
+
+
+def _limits(entry: dict[str, Any]) -> CallerLimits:
+    defaults = CallerLimits()
+    return CallerLimits(
+        max_header_bytes=entry.get("HeaderBytes") or defaults.max_header_bytes,
+        max_body_bytes=entry.get("BodyBytes") or defaults.max_body_bytes,
+        header_timeout_ms=entry.get("HeaderMs") or defaults.header_timeout_ms,
+        idle_timeout_ms=entry.get("IdleMs") or defaults.idle_timeout_ms,
+    )
--- /dev/null
+++ b/src/crocuswick/platform/relay_dialect.py
@@ -0,0 +1,221 @@
+"""Translates requests and answers between the platform's wire and the relay."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from crocuswick.errors import Refusal
+from crocuswick.platform import _names as names
+from crocuswick.relay.relay_request import (
+    AnswerHead,
+    Attempt,
+    CallerRequest,
+    Prompt,
+    PromptPart,
+    RoutedRequest,
+)
+from crocuswick.relay.upstream import UpstreamRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from crocuswick.relay.upstream import UpstreamResponse
+
+__all__ = ["RelayDialect"]
+
+MAX_PARTS = 256
+MAX_NUMBER_DIGITS = 12
+
+
+class RelayDialect:
+    """The platform's headers as the relay's `Dialect`."""
+
+    def decode_request(
+        self,
+        *,
+        method: str,
+        target: str,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+        received_s: float,
+    ) -> Result[CallerRequest, Refusal]:
+        """Read a caller's request.
+
+        Args:
+            method: Method.
+            target: Path and query.
+            headers: Headers as received.
+            body: Whole body.
+            received_s: Monotonic time of its arrival.
+
+        Returns:
+            The request, or a refusal that names the header at fault.
+        """
+        values_by_name = {name.lower(): value for name, value in headers}
+        request_id = values_by_name.get(names.ATTEMPT_ID.lower(), "")
+        if not request_id:
+            return Err(_malformed(names.ATTEMPT_ID))
+        prompt = _decode_prompt(values_by_name)
+        if prompt.is_err():
+            return prompt
+        return Ok(
+            CallerRequest(
+                request_id=request_id,
+                method=method,
+                target=target,
+                host=values_by_name.get("host", "").partition(":")[0].lower(),
+                headers=_end_to_end(headers, names.SET_BY_THE_NODE),
+                body=body,
+                key=_key(values_by_name),
+                time_budget_ms=_number(values_by_name, names.TIME_BUDGET),
+                last_event_id=_number(values_by_name, names.LAST_EVENT_ID),
+                prompt=prompt.ok_value,
+                received_s=received_s,
+            )
+        )
+
+    def encode_attempt(
+        self,
+        *,
+        request: RoutedRequest,
+        attempt: Attempt,
+        budget_ms: int,
+        last_event_id: int | None,
+    ) -> UpstreamRequest:
+        """Write a request for a replica.
+
+        Args:
+            request: The request.
+            attempt: Where and how it is sent.
+            budget_ms: What is left of its time.
+            last_event_id: Event after which a stream goes on, None for its start.
+        """
+        headers = list(request.caller.headers)
+        optional = {
+            names.TENANT: attempt.tenant,
+            names.CACHE_SALT: attempt.cache_salt,
+            names.FETCH_KV_FROM: attempt.fetch_kv_from,
+            names.STORE_KV_TO: attempt.store_kv_to,
+            names.ENGINE_PRIORITY: attempt.engine_priority,
+            names.EXPECTED_WEIGHTS: attempt.expected_weights,
+            names.LAST_EVENT_ID: last_event_id,
+        }
+        headers += [
+            (name, str(value))
+            for name, value in optional.items()
+            if value is not None and value != ""
+        ]
+        headers.append((names.EXPECTED_REPLICA, attempt.replica_id))
+        headers.append((names.TIME_BUDGET, str(max(1, budget_ms))))
+        if request.caller.body or request.caller.method not in ("GET", "HEAD"):
+            headers.append(("Content-Length", str(len(request.caller.body))))
+        headers.append(("Connection", "close"))
+        return UpstreamRequest(
+            method=request.caller.method,
+            target=request.caller.target,
+            headers=tuple(headers),
+            body=request.caller.body,
+        )
+
+    def decode_answer(self, response: UpstreamResponse) -> AnswerHead:
+        """Read the head of a replica's answer.
+
+        Args:
+            response: Status and headers.
+        """
+        values_by_name = {name.lower(): value for name, value in response.headers}
+        encoding = values_by_name.get("content-encoding", "identity")
+        return AnswerHead(
+            status=response.status,
+            reason=response.reason,
+            headers=_end_to_end(response.headers, frozenset({"content-length"})),
+            request_id=values_by_name.get(names.ATTEMPT_ID.lower()),
+            has_receipt=names.RECEIPT.lower() in values_by_name,
+            is_not_run=names.NOT_RUN.lower() in values_by_name
+            or response.status == 421,
+            replica_id=values_by_name.get(names.REPLICA_ID.lower()),
+            weights_version=_number(values_by_name, names.WEIGHTS_VERSION),
+            is_encoded=encoding.strip().lower() not in ("", "identity"),
+            retry_after_s=_number(values_by_name, "Retry-After"),
+        )
+
+
+def _end_to_end(
+    headers: tuple[tuple[str, str], ...], dropped: frozenset[str]
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers without those of one connection and the dropped ones."""
+    listed = {
+        name.strip().lower()
+        for header, value in headers
+        if header.lower() == "connection"
+        for name in value.split(",")
+    }
+    # A caller can't use Connection to have its own identity removed.
+    listed -= {names.ATTEMPT_ID.lower(), "host"}
+    excluded = names.HOP_BY_HOP | dropped | listed
+    return tuple(
+        (name, value) for name, value in headers if name.lower() not in excluded
+    )
+
+
+def _key(values_by_name: Mapping[str, str]) -> str | None:
+    value = values_by_name.get(names.AUTHORIZATION.lower(), "")
+    if not value.startswith(names.KEY_SCHEME):
+        return None
+    return value.removeprefix(names.KEY_SCHEME).strip()
+
+
+def _number(values_by_name: Mapping[str, str], name: str) -> int | None:
+    value = values_by_name.get(name.lower(), "").strip()
+    if not (value.isascii() and value.isdigit() and len(value) <= MAX_NUMBER_DIGITS):
+        return None
+    return int(value)
+
+
+def _decode_prompt(values_by_name: Mapping[str, str]) -> Result[Prompt | None, Refusal]:
+    model = values_by_name.get(names.MODEL.lower(), "")
+    if not model:
+        return Ok(None)
+    counts = values_by_name.get(names.TOKEN_COUNTS.lower(), "").split(",")
+    if len(counts) != 2 or not all(_is_number(count) for count in counts):
+        return Err(_malformed(names.TOKEN_COUNTS))
+    parts = _decode_parts(values_by_name.get(names.PROMPT_PARTS.lower(), ""))
+    if parts is None:
+        return Err(_malformed(names.PROMPT_PARTS))
+    return Ok(
+        Prompt(
+            model=model,
+            prompt_tokens=int(counts[0]),
+            max_output_tokens=int(counts[1]),
+            parts=parts,
+        )
+    )
+
+
+def _decode_parts(text: str) -> tuple[PromptPart, ...] | None:
+    if not text.strip():
+        return ()
+    parts = []
+    for entry in text.split(",")[:MAX_PARTS]:
+        part_id, _, tokens = entry.strip().partition(":")
+        if not part_id or not _is_number(tokens):
+            return None
+        parts.append(PromptPart(id=part_id.lower(), tokens=int(tokens)))
+    return tuple(parts)
+
+
+def _is_number(text: str) -> bool:
+    text = text.strip()
+    return text.isascii() and text.isdigit() and len(text) <= MAX_NUMBER_DIGITS
+
+
+def _malformed(header: str) -> Refusal:
+    return Refusal(
+        status=400,
+        title="bad-request",
+        detail=f"The header {header} is missing or malformed.",
+        step="decode request",
+        field=header,
+    )
--- /dev/null
+++ b/src/crocuswick/platform/settings_file.py
@@ -0,0 +1,164 @@
+"""Reads the platform's settings file into the settings of a fleet node."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from crocuswick.fleet_settings import FleetBounds, FleetSettings
+from crocuswick.platform import _names as names
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+__all__ = ["load_fleet_settings", "parse_fleet_settings", "settings_path"]
+
+MAX_PORT = 65_535
+
+
+def settings_path() -> Path:
+    """Return the path of the settings file that the platform names."""
+    return Path(os.environ.get(names.SETTINGS_VARIABLE, names.DEFAULT_SETTINGS_PATH))
+
+
+def load_fleet_settings(path: Path) -> Result[FleetSettings, list[str]]:
+    """Read and check a settings file.
+
+    Args:
+        path: The file.
+
+    Returns:
+        The settings, or every fault that was found.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Err([f"can't be read: {error}"])
+    return parse_fleet_settings(text)
+
+
+def parse_fleet_settings(text: str) -> Result[FleetSettings, list[str]]:
+    """Check the content of a settings file.
+
+    Fields that are not known are ignored; lists are joined by commas.
+
+    Args:
+        text: Lines of the form ``a.b=value``.
+
+    Returns:
+        The settings, or every fault that was found.
+    """
+    reader = _FieldReader(_values(text))
+    bounds = FleetBounds(
+        config_apply_ms=reader.number("Bounds.ConfigApplyMs", default=2_000),
+        drain_ms=reader.number("Bounds.DrainMs", default=2_000),
+        grace_ms=int(1000 * reader.fraction("Bounds.GraceS", default=8.0)),
+        stable_window_ms=reader.number("Bounds.StableWindowMs", default=3_000),
+        retry_ratio=reader.fraction("Bounds.BudgetRatio", default=0.2),
+        retry_window_ms=int(1000 * reader.fraction("Bounds.BudgetWindowS", default=10)),
+        # The slack is shared by all nodes of the fleet.
+        retry_slack=reader.number("Bounds.BudgetSlack", default=50),
+        lease_ms=reader.number("Bounds.LeaseMs", default=3_000),
+        weights_ms=reader.number("Bounds.VersionMs", default=10_000),
+        address_reuse_ms=int(1000 * reader.fraction("Bounds.ReuseAfterS", default=2)),
+        prefix_reuse_ms=int(1000 * reader.fraction("Bounds.ReuseWindowS", default=10)),
+    )
+    settings = FleetSettings(
+        node_id=reader.text("NodeName"),
+        zone=reader.text("Zone"),
+        zones=reader.names_under("Zones."),
+        callers_address=reader.address("Listen.Front"),
+        readiness_address=reader.address("Listen.Ready"),
+        # The control listener carries the traffic between nodes.
+        peers_address=reader.address("Listen.Control"),
+        metrics_port=reader.first_port("InternalPorts"),
+        seeds=reader.addresses("Seeds"),
+        store_address=reader.address("Platform.Address"),
+        memory_mb=reader.number("Limits.MemoryMb", default=256),
+        max_descriptors=reader.number("Limits.MaxFds", default=1_024),
+        bounds=bounds,
+    )
+    return Err(reader.faults) if reader.faults else Ok(settings)
+
+
+def _values(text: str) -> dict[str, str]:
+    values = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition("=")
+        if separator and not line.lstrip().startswith("#"):
+            values[name.strip()] = value.strip()
+    return values
+
+
+class _FieldReader:
+    """Reads typed fields and collects the faults."""
+
+    def __init__(self, values: Mapping[str, str]):
+        self._values = values
+        self.faults: list[str] = []
+
+    def text(self, name: str) -> str:
+        """Return a text that must be there."""
+        value = self._values.get(name, "")
+        if not value:
+            self.faults.append(f"{name}: is missing")
+        return value
+
+    def number(self, name: str, *, default: int) -> int:
+        """Return a whole number."""
+        return int(self.fraction(name, default=default))
+
+    def fraction(self, name: str, *, default: float) -> float:
+        """Return a number that is not negative."""
+        value = self._values.get(name, "")
+        if not value:
+            return default
+        try:
+            parsed = float(value)
+        except ValueError:
+            parsed = -1.0
+        if not 0 <= parsed < float("inf"):
+            self.faults.append(f"{name}: must be a number of 0 or more, not {value!r}")
+            return default
+        return parsed
+
+    def address(self, name: str) -> str:
+        """Return an address that must be there."""
+        value = self.text(name)
+        if value and not _is_address(value):
+            self.faults.append(f"{name}: must be HOST:PORT, not {value!r}")
+        return value
+
+    def addresses(self, name: str) -> tuple[str, ...]:
+        """Return a list of addresses; those that can't be read are faults."""
+        listed = [value for value in self._values.get(name, "").split(",") if value]
+        for value in listed:
+            if not _is_address(value):
+                self.faults.append(f"{name}: must be HOST:PORT, not {value!r}")
+        return tuple(listed)
+
+    def first_port(self, name: str) -> int:
+        """Return the first of a list of ports, 0 for an empty list."""
+        value = self._values.get(name, "").split(",")[0]
+        if not value:
+            return 0
+        if not value.isdigit() or int(value) > MAX_PORT:
+            self.faults.append(f"{name}: must be ports, not {value!r}")
+            return 0
+        return int(value)
+
+    def names_under(self, prefix: str) -> tuple[str, ...]:
+        """Return the names that follow a prefix."""
+        return tuple(
+            name.removeprefix(prefix)
+            for name in self._values
+            if name.startswith(prefix)
+        )
+
+
+def _is_address(value: str) -> bool:
+    host, _, port = value.rpartition(":")
+    return bool(host) and port.isdigit() and 0 < int(port) <= MAX_PORT
--- /dev/null
+++ b/src/crocuswick/records/__init__.py
@@ -0,0 +1,1 @@
+"""Keyed records of the platform's store, mirrored by every node."""
--- /dev/null
+++ b/src/crocuswick/records/keeper.py
@@ -0,0 +1,90 @@
+"""The active object that owns the mirror of keyed topics."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from crocuswick.actor import Actor, Message
+from crocuswick.records.mirror import KeyedRecord, RecordMirror, TopicUpdate
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["RecordKeeper"]
+
+
+class RecordKeeper(Actor):
+    """Merges what readers and peers learn and passes on what is new.
+
+    Args:
+        on_record: Called with the topic and each record that is new here.
+        on_news: Called with each update that brought something new.
+    """
+
+    @attrs.frozen(kw_only=True)
+    class Learned(Message):
+        """A reader or another node has learned something.
+
+        Asked, it is answered by the end of the topic as it is known now.
+        """
+
+        update: TopicUpdate
+
+    @attrs.frozen(kw_only=True)
+    class End(Message):
+        """Asks for the end of a topic, -1 where it is unknown."""
+
+        topic: str
+
+    @attrs.frozen(kw_only=True)
+    class Ends(Message):
+        """Asks for the ends of all topics."""
+
+    @attrs.frozen(kw_only=True)
+    class Since(Message):
+        """Asks for what another node lacks."""
+
+        topic: str
+        offset: int
+
+    def __init__(
+        self,
+        *,
+        on_record: Callable[[str, KeyedRecord], None],
+        on_news: Callable[[TopicUpdate], None],
+    ):
+        super().__init__()
+        self._mirror = RecordMirror()
+        self._on_record = on_record
+        self._on_news = on_news
+
+    def on_learned(self, message: Learned) -> int:
+        """Merge an update."""
+        update = message.update
+        changed = self._mirror.merge(update)
+        for record in sorted(changed, key=lambda record: record.offset):
+            self._on_record(update.topic, record)
+        if changed:
+            self._on_news(
+                TopicUpdate(
+                    topic=update.topic,
+                    records=changed,
+                    end=update.end,
+                    start=update.start,
+                )
+            )
+        return self._mirror.end(update.topic)
+
+    def on_end(self, message: End) -> int:
+        """Return the end of a topic."""
+        return self._mirror.end(message.topic)
+
+    def on_ends(self, _message: Ends) -> dict[str, int]:
+        """Return the ends of all topics."""
+        return dict(self._mirror.ends())
+
+    def on_since(self, message: Since) -> TopicUpdate:
+        """Return the newest records from an offset on."""
+        return self._mirror.since(message.topic, message.offset)
--- /dev/null
+++ b/src/crocuswick/records/reader.py
@@ -0,0 +1,121 @@
+"""Follows one keyed topic of the store on a thread of its own."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from crocuswick.records.keeper import RecordKeeper
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import pykka
+    from result import Result
+
+    from crocuswick.decision_log import DecisionLog
+    from crocuswick.errors import PeerError
+    from crocuswick.records.mirror import TopicUpdate
+    from crocuswick.records.store import RecordStore
+
+__all__ = ["TopicReader"]
+
+FIRST_BACKOFF_S = 0.1
+LONGEST_BACKOFF_S = 1.0
+"""Longest pause after a failure, a part of the time within which news must arrive."""
+
+DUTY_CHECK_S = 0.1
+"""Time after which a reader that is off duty looks again."""
+
+
+class TopicReader:
+    """Reads a topic for as long as it is this node's duty.
+
+    Args:
+        topic: Name of the topic.
+        store: Client of the store, used by this thread only.
+        keeper: Receives what is read.
+        wait_ms: Longest time that the store waits for a record.
+        pace_s: Pause after each read, which bounds the number of reads.
+        is_on_duty: Whether to read now.
+        on_read: Called after each read that succeeded.
+        log: Records when the store is lost and regained.
+    """
+
+    def __init__(
+        self,
+        *,
+        topic: str,
+        store: RecordStore,
+        keeper: pykka.ActorRef,
+        wait_ms: int,
+        pace_s: float,
+        is_on_duty: Callable[[], bool],
+        on_read: Callable[[str], None],
+        log: DecisionLog,
+    ):
+        self._topic = topic
+        self._store = store
+        self._keeper = keeper
+        self._wait_ms = wait_ms
+        self._pace_s = pace_s
+        self._is_on_duty = is_on_duty
+        self._on_read = on_read
+        self._log = log
+        self._failures = 0
+        self._lost_s = 0.0
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name=f"read-{topic}", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start reading."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ask the thread to end; it does so after its current read."""
+        self._stopped.set()
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            if not self._is_on_duty():
+                self._stopped.wait(DUTY_CHECK_S)
+                continue
+            read = self._read_once()
+            if read.is_err():
+                self._after_failure(read.err_value)
+                continue
+            self._after_success()
+            self._stopped.wait(self._pace_s)
+
+    def _read_once(self) -> Result[TopicUpdate, PeerError]:
+        end = self._keeper.ask(RecordKeeper.End(topic=self._topic))
+        read = None
+        if end >= 0:
+            read = self._store.read_keyed(self._topic, start=end, wait_ms=self._wait_ms)
+        if read is None or (read.is_ok() and read.ok_value is None):
+            read = self._store.list_newest(self._topic)
+        if read.is_ok():
+            self._keeper.ask(RecordKeeper.Learned(update=read.ok_value))
+        return read
+
+    def _after_success(self) -> None:
+        if self._failures:
+            self._log.record_state(
+                "store regained",
+                topic=self._topic,
+                after_ms=round((time.monotonic() - self._lost_s) * 1000),
+            )
+        self._failures = 0
+        self._on_read(self._topic)
+
+    def _after_failure(self, error: PeerError) -> None:
+        if not self._failures:
+            self._lost_s = time.monotonic()
+            self._log.record_state("store lost", topic=self._topic, error=str(error))
+        self._failures += 1
+        longest_s = min(LONGEST_BACKOFF_S, FIRST_BACKOFF_S * 2**self._failures)
+        self._stopped.wait(longest_s * random.uniform(0.5, 1.0))
--- /dev/null
+++ b/src/crocuswick/relay/caller_watch.py
@@ -0,0 +1,68 @@
+"""Notices callers that close their connections while they wait."""
+
+from __future__ import annotations
+
+import select
+import threading
+from typing import TYPE_CHECKING
+
+import logbook
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["CallerWatch"]
+
+logger = logbook.Logger(__name__)
+
+_CLOSE_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+WAIT_S = 0.5
+"""Longest time for which a stop of the watch goes unnoticed."""
+
+
+class CallerWatch:
+    """Calls back once when a watched connection has been closed by its peer."""
+
+    def __init__(self):
+        self._epoll = select.epoll()
+        self._calls_by_descriptor: dict[int, Callable[[], None]] = {}
+        self._lock = threading.Lock()
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="caller-watch", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start watching."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop watching."""
+        self._stopped.set()
+        self._thread.join(timeout=2 * WAIT_S)
+        self._epoll.close()
+
+    def watch(self, descriptor: int, on_closed: Callable[[], None]) -> None:
+        """Watch a connection until `forget` is called.
+
+        Args:
+            descriptor: Descriptor of its socket.
+            on_closed: Called once, on the thread of the watch.
+        """
+        with self._lock:
+            self._calls_by_descriptor[descriptor] = on_closed
+            self._epoll.register(descriptor, _CLOSE_EVENTS | select.EPOLLONESHOT)
+
+    def forget(self, descriptor: int) -> None:
+        """Stop watching a connection, before it is closed or used again."""
+        with self._lock:
+            if self._calls_by_descriptor.pop(descriptor, None) is not None:
+                self._epoll.unregister(descriptor)
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            for descriptor, _ in self._epoll.poll(WAIT_S):
+                with self._lock:
+                    call = self._calls_by_descriptor.get(descriptor)
+                if call is not None:
+                    call()
--- /dev/null
+++ b/src/crocuswick/relay/dispatcher.py
@@ -0,0 +1,424 @@
+"""The active object that decides where each request goes."""
+
+from __future__ import annotations
+
+import time
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+import attrs
+
+from crocuswick.actor import Actor, Message
+from crocuswick.errors import Refusal
+from crocuswick.relay.engine_load import EngineLoad, PeerLoad
+from crocuswick.relay.kv_holders import KvHolders
+from crocuswick.relay.relay_request import Attempt, RoutedRequest
+from crocuswick.relay.repeat_budget import RepeatBudget
+from crocuswick.relay.replica import Replica
+from crocuswick.relay.replica_chooser import Candidate, ReplicaChooser
+from crocuswick.relay.replica_health import AttemptResult, ReplicaHealth
+from crocuswick.relay.replica_table import ReplicaTable
+from crocuswick.relay.serving import ServingConfiguration
+from crocuswick.relay.weights_table import WeightsTable
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from crocuswick.fleet_settings import FleetBounds
+    from crocuswick.relay.replica_chooser import Choice
+
+__all__ = ["Placed", "RelayDispatcher", "Wait"]
+
+WAIT_STEP_S = 0.05
+"""Time after which a request that found no replica asks again."""
+
+WEIGHTS_MARGIN_S = 1.0
+"""Time before the bound of older weights at which they get no more requests."""
+
+RETRY_AFTER_S = 1.0
+"""Retry-After where nothing is known of when a replica is back."""
+
+EXPECTED_OUTAGE_S = 3.0
+"""Time for which replicas that are paused or load weights are worth waiting for."""
+
+MIN_NODES = 4
+"""Nodes among which the slack of repeats is shared out at the least."""
+
+RETENTION_SHARE = 0.6
+"""Part of the reuse window for which an engine is expected to keep a part."""
+
+
+@attrs.frozen(kw_only=True)
+class Placed:
+    """Where a request goes."""
+
+    attempt: Attempt
+    expected_ms: float
+
+
+@attrs.frozen(kw_only=True)
+class Wait:
+    """No replica can take the request now, but one is expected to."""
+
+    seconds: float
+    """Time after which to ask again."""
+
+
+class RelayDispatcher(Actor):
+    """Owns the tables of replicas, load, health, weights and repeats.
+
+    Args:
+        zone: Zone of this node.
+        bounds: Bounds that the users state.
+    """
+
+    @attrs.frozen(kw_only=True)
+    class UseConfiguration(Message):
+        """A newer configuration is in force."""
+
+        configuration: ServingConfiguration
+
+    @attrs.frozen(kw_only=True)
+    class ReplicaSeen(Message):
+        """A replica's entry was read."""
+
+        replica: Replica
+
+    @attrs.frozen(kw_only=True)
+    class ReplicaRemoved(Message):
+        """A replica's entry was removed."""
+
+        replica_id: str
+        takes_effect_s: float
+
+    @attrs.frozen(kw_only=True)
+    class WeightsNamed(Message):
+        """Newer weights are wanted."""
+
+        model: str
+        version: int
+
+    @attrs.frozen(kw_only=True)
+    class WeightsServed(Message):
+        """A replica is known to serve a version."""
+
+        incarnation: str
+        model: str
+        version: int
+
+    @attrs.frozen(kw_only=True)
+    class ReplicaLoading(Message):
+        """A replica loads weights and runs nothing new meanwhile."""
+
+        incarnation: str
+        for_s: float
+
+    @attrs.frozen(kw_only=True)
+    class PeerLoads(Message):
+        """What another node has outstanding at each incarnation."""
+
+        node_id: str
+        loads_by_incarnation: dict[str, PeerLoad]
+
+    @attrs.frozen(kw_only=True)
+    class NodesKnown(Message):
+        """How many nodes the fleet has, this one included."""
+
+        count: int
+
+    @attrs.frozen(kw_only=True)
+    class Place(Message):
+        """Asks where a request goes; answered by `Placed`, `Wait` or a refusal."""
+
+        request: RoutedRequest
+        tried: tuple[str, ...]
+        """Incarnations that have had the request."""
+
+        is_repeat: bool
+        """Whether a replica has received the request before."""
+
+        sent_before: int = 0
+
+    @attrs.frozen(kw_only=True)
+    class Begun(Message):
+        """A stream's first event has arrived."""
+
+        request_id: str
+        incarnation: str
+
+    @attrs.frozen(kw_only=True)
+    class Ended(Message):
+        """An attempt has ended."""
+
+        request: RoutedRequest
+        attempt: Attempt
+        result: AttemptResult
+        weights_version: int | None = None
+
+    @attrs.frozen(kw_only=True)
+    class OwnLoads(Message):
+        """Asks what this node has outstanding, for its peers."""
+
+    @attrs.frozen(kw_only=True)
+    class Replicas(Message):
+        """Asks for all replicas with the weights they serve."""
+
+    def __init__(self, *, zone: str, bounds: FleetBounds):
+        super().__init__()
+        self._zone = zone
+        self._bounds = bounds
+        self._configuration: ServingConfiguration | None = None
+        self._table = ReplicaTable()
+        self._weights = WeightsTable()
+        self._holders = KvHolders(
+            retention_s=RETENTION_SHARE * bounds.prefix_reuse_ms / 1000
+        )
+        self._chooser = ReplicaChooser(zone=zone, holders=self._holders)
+        self._loads_by_incarnation: dict[str, EngineLoad] = defaultdict(EngineLoad)
+        self._health_by_incarnation: dict[str, ReplicaHealth] = defaultdict(
+            ReplicaHealth
+        )
+        self._loading_until_s: dict[str, float] = {}
+        self._budgets_by_service: dict[str, RepeatBudget] = {}
+        self._nodes = MIN_NODES
+
+    def on_use_configuration(self, message: UseConfiguration) -> None:
+        """Serve with a newer configuration."""
+        self._configuration = message.configuration
+
+    def on_replica_seen(self, message: ReplicaSeen) -> None:
+        """Take a replica's entry."""
+        replica = message.replica
+        now_s = time.monotonic()
+        before = self._table.find(replica.id, now_s)
+        self._table.update(replica)
+        if before is not None and before.incarnation != replica.incarnation:
+            self._forget(before.incarnation)
+        for model, version in replica.weights_by_model.items():
+            self._learn(replica.incarnation, model, version)
+
+    def on_replica_removed(self, message: ReplicaRemoved) -> None:
+        """Note that a replica's entry was removed."""
+        self._table.remove(message.replica_id, takes_effect_s=message.takes_effect_s)
+
+    def on_weights_named(self, message: WeightsNamed) -> None:
+        """Note newer weights."""
+        self._weights.name(message.model, message.version, time.monotonic())
+
+    def on_weights_served(self, message: WeightsServed) -> None:
+        """Note the weights of a replica."""
+        self._learn(message.incarnation, message.model, message.version)
+
+    def on_replica_loading(self, message: ReplicaLoading) -> None:
+        """Send nothing to a replica while it loads."""
+        self._loading_until_s[message.incarnation] = time.monotonic() + message.for_s
+
+    def on_peer_loads(self, message: PeerLoads) -> None:
+        """Take what another node has outstanding."""
+        now_s = time.monotonic()
+        for incarnation, load in message.loads_by_incarnation.items():
+            self._loads_by_incarnation[incarnation].record_peer(
+                message.node_id, load, now_s
+            )
+
+    def on_nodes_known(self, message: NodesKnown) -> None:
+        """Share the slack of repeats among the nodes."""
+        self._nodes = max(MIN_NODES, message.count)
+
+    def on_own_loads(self, _message: OwnLoads) -> dict[str, PeerLoad]:
+        """Return what this node has outstanding at each incarnation."""
+        return {
+            incarnation: own
+            for incarnation, load in self._loads_by_incarnation.items()
+            if (own := load.own()).requests
+        }
+
+    def on_replicas(self, _message: Replicas) -> list[tuple[Replica, dict[str, int]]]:
+        """Return the replicas and the versions that they are known to serve."""
+        return [
+            (
+                replica,
+                {
+                    model: self._weights.served(replica.incarnation, model) or 0
+                    for model in replica.weights_by_model
+                },
+            )
+            for replica in self._table.all(time.monotonic())
+        ]
+
+    def on_place(self, message: Place) -> Placed | Wait | Refusal:
+        """Choose a replica for a request."""
+        now_s = time.monotonic()
+        request = message.request
+        service = self._configuration.services_by_name.get(request.service)
+        if service is None:
+            return _no_replica("the service has no definition", None)
+        budget = self._budget(request.service)
+        if message.sent_before == 0:
+            budget.record_request(now_s)
+        elif message.is_repeat and not budget.can_take(now_s):
+            return _no_replica("the budget of repeats is spent", RETRY_AFTER_S)
+        candidates, ready_in_s = self._candidates(request, message.tried, now_s)
+        choice = self._chooser.choose(
+            request, service, candidates, self._configuration.kv_stores, now_s
+        )
+        if choice is None:
+            return self._wait_or_refuse(request, ready_in_s, now_s)
+        remaining_ms = (request.deadline_s - now_s) * 1000
+        if choice.expected_ms > remaining_ms:
+            wait_s = (choice.expected_ms - remaining_ms) / 1000
+            return _no_replica("no replica would begin in time", wait_s)
+        if message.is_repeat:
+            budget.take(now_s)
+        return self._place(request, choice, now_s)
+
+    def on_begun(self, message: Begun) -> None:
+        """Note that a request's prompt has been computed."""
+        load = self._loads_by_incarnation.get(message.incarnation)
+        if load is not None:
+            load.record_begun(message.request_id, time.monotonic())
+
+    def on_ended(self, message: Ended) -> None:
+        """Take the result of an attempt."""
+        now_s = time.monotonic()
+        attempt = message.attempt
+        incarnation = attempt.incarnation
+        self._loads_by_incarnation[incarnation].record_ended(
+            message.request.caller.request_id
+        )
+        health = self._health_by_incarnation[incarnation]
+        health.record(message.result, now_s)
+        prompt = message.request.caller.prompt
+        if prompt is None:
+            return
+        if message.result is AttemptResult.OTHER_WEIGHTS:
+            self._assume_newest_weights(incarnation, prompt.model)
+        elif message.weights_version is not None:
+            self._learn(incarnation, prompt.model, message.weights_version)
+        if message.result is AttemptResult.ANSWERED:
+            for part in prompt.shared_parts:
+                self._holders.record(attempt.cache_salt, part.id, incarnation, now_s)
+
+    def _learn(self, incarnation: str, model: str, version: int) -> None:
+        known = self._weights.served(incarnation, model)
+        if self._weights.learn(incarnation, model, version) and known is not None:
+            # New weights empty the cache and end the pause for loading.
+            self._holders.forget(incarnation)
+            self._loading_until_s.pop(incarnation, None)
+
+    def _assume_newest_weights(self, incarnation: str, model: str) -> None:
+        # Versions only rise, so other weights than the known ones are newer.
+        named = self._weights.named(model)
+        if named is not None:
+            self._learn(incarnation, model, named.version)
+
+    def _forget(self, incarnation: str) -> None:
+        self._weights.forget(incarnation)
+        self._holders.forget(incarnation)
+        self._loads_by_incarnation.pop(incarnation, None)
+        self._health_by_incarnation.pop(incarnation, None)
+        self._loading_until_s.pop(incarnation, None)
+
+    def _budget(self, service: str) -> RepeatBudget:
+        budget = self._budgets_by_service.get(service)
+        if budget is None:
+            bounds = self._bounds
+            budget = self._budgets_by_service[service] = RepeatBudget(
+                ratio=bounds.retry_ratio,
+                slack=bounds.retry_slack / self._nodes,
+                window_s=bounds.retry_window_ms / 1000,
+            )
+        return budget
+
+    def _candidates(
+        self, request: RoutedRequest, tried: Sequence[str], now_s: float
+    ) -> tuple[list[Candidate], float | None]:
+        """Return the allowed replicas, and when another is expected to be."""
+        candidates = []
+        ready_in_s: float | None = None
+        for replica in self._table.usable(request.service, now_s):
+            incarnation = replica.incarnation
+            if incarnation in tried:
+                continue
+            loading_s = self._loading_until_s.get(incarnation, 0.0) - now_s
+            paused_s = self._health_by_incarnation[incarnation].paused_for_s(now_s)
+            away_s = max(loading_s, paused_s)
+            if away_s > 0:
+                ready_in_s = min(away_s, ready_in_s or away_s)
+                continue
+            candidate = self._candidate(request, replica, now_s)
+            if self._is_too_old(candidate):
+                ready_in_s = min(1.0, ready_in_s or 1.0)
+                continue
+            candidates.append(candidate)
+        return candidates, ready_in_s
+
+    def _candidate(
+        self, request: RoutedRequest, replica: Replica, now_s: float
+    ) -> Candidate:
+        weights = age_s = None
+        prompt = request.caller.prompt
+        if prompt is not None:
+            weights = self._weights.served(replica.incarnation, prompt.model)
+            named = self._weights.named(prompt.model)
+            if named is not None and (weights or 0) < named.version:
+                age_s = now_s - named.named_s
+        return Candidate(
+            replica=replica,
+            load=self._loads_by_incarnation[replica.incarnation],
+            health=self._health_by_incarnation[replica.incarnation],
+            weights=weights,
+            weights_age_s=age_s,
+        )
+
+    def _is_too_old(self, candidate: Candidate) -> bool:
+        limit_s = self._bounds.weights_ms / 1000 - WEIGHTS_MARGIN_S
+        return (candidate.weights_age_s or 0.0) >= limit_s
+
+    def _wait_or_refuse(
+        self, request: RoutedRequest, ready_in_s: float | None, now_s: float
+    ) -> Wait | Refusal:
+        remaining_s = request.deadline_s - now_s
+        if ready_in_s is None:
+            return _no_replica("no replica is known to be up", RETRY_AFTER_S)
+        if ready_in_s > min(remaining_s, EXPECTED_OUTAGE_S):
+            return _no_replica("no replica is up in time", ready_in_s)
+        return Wait(seconds=min(WAIT_STEP_S, ready_in_s))
+
+    def _place(self, request: RoutedRequest, choice: Choice, now_s: float) -> Placed:
+        candidate = choice.candidate
+        replica = candidate.replica
+        prompt = request.caller.prompt
+        stores = self._configuration.kv_stores
+        kv_tokens = prompt.prompt_tokens + prompt.max_output_tokens if prompt else 0
+        candidate.load.record_sent(
+            request.caller.request_id,
+            prefill_tokens=choice.prefill_tokens,
+            kv_tokens=kv_tokens,
+            now_s=now_s,
+        )
+        organisation = request.organisation
+        attempt = Attempt(
+            replica_id=replica.id,
+            incarnation=replica.incarnation,
+            address=replica.address,
+            zone=replica.zone,
+            tenant=organisation.name if organisation else "",
+            engine_priority=min(9, request.priority) if prompt else None,
+            cache_salt=choice.salt,
+            expected_weights=candidate.weights,
+            fetch_kv_from=choice.fetch_from,
+            store_kv_to=stores[0].address if prompt and stores else "",
+            prefill_tokens=choice.prefill_tokens,
+        )
+        return Placed(attempt=attempt, expected_ms=choice.expected_ms)
+
+
+def _no_replica(detail: str, retry_after_s: float | None) -> Refusal:
+    return Refusal(
+        status=503,
+        title="no-replica",
+        detail=f"The request was not run: {detail}.",
+        step="place",
+        retry_after_s=retry_after_s or RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/src/crocuswick/relay/event_splitter.py
@@ -0,0 +1,65 @@
+"""Splits a stream of server-sent events into whole events."""
+
+from __future__ import annotations
+
+import re
+
+import attrs
+
+__all__ = ["EventSplitter", "StreamEvent"]
+
+_BOUNDARY = re.compile(rb"\r?\n\r?\n")
+_ID_LINE = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
+MAX_EVENT_BYTES = 1 << 20
+"""A sender that goes on for longer without an end of the event is at fault."""
+
+
+@attrs.frozen(kw_only=True)
+class StreamEvent:
+    """One event, byte for byte as it was received."""
+
+    data: bytes
+    """The event with its blank line."""
+
+    number: int | None
+    """Id of the event, None where it has none."""
+
+
+class EventSplitter:
+    """Collects received bytes and gives out whole events."""
+
+    def __init__(self):
+        self._pending = bytearray()
+
+    @property
+    def has_partial_event(self) -> bool:
+        """Whether the bytes received so far end within an event."""
+        return bool(self._pending)
+
+    @property
+    def is_oversized(self) -> bool:
+        """Whether the sender goes on without ever ending its event."""
+        return len(self._pending) > MAX_EVENT_BYTES
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """Add received bytes.
+
+        Args:
+            data: The bytes.
+
+        Returns:
+            The events that are whole now.
+        """
+        self._pending += data
+        events = []
+        start = 0
+        for boundary in _BOUNDARY.finditer(self._pending):
+            events.append(_event(bytes(self._pending[start : boundary.end()])))
+            start = boundary.end()
+        del self._pending[:start]
+        return events
+
+
+def _event(data: bytes) -> StreamEvent:
+    found = _ID_LINE.search(data)
+    return StreamEvent(data=data, number=int(found[1]) if found else None)
--- /dev/null
+++ b/src/crocuswick/relay/refusal_answer.py
@@ -0,0 +1,46 @@
+"""Renders a refusal as a whole answer."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import attrs
+
+from crocuswick.problem import problem_body, problem_headers
+
+if TYPE_CHECKING:
+    from crocuswick.errors import Refusal
+
+__all__ = ["WholeAnswer", "refusal_answer"]
+
+RETRY_AFTER = "Retry-After"
+
+
+@attrs.frozen(kw_only=True)
+class WholeAnswer:
+    """An answer whose body is known."""
+
+    status: int
+    reason: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+def refusal_answer(refusal: Refusal, request_id: str) -> WholeAnswer:
+    """Return the answer that tells of a refusal.
+
+    Args:
+        refusal: The refusal.
+        request_id: Id of the refused request, empty if it has none.
+    """
+    headers = problem_headers(refusal)
+    if refusal.retry_after_s is not None:
+        # These callers read fractions of a second.
+        headers[RETRY_AFTER] = f"{max(0.05, refusal.retry_after_s):.2f}"
+    return WholeAnswer(
+        status=refusal.status,
+        reason=HTTPStatus(refusal.status).phrase,
+        headers=tuple(headers.items()),
+        body=problem_body(refusal, request_id),
+    )
--- /dev/null
+++ b/src/crocuswick/relay/relay_run.py
@@ -0,0 +1,437 @@
+"""Relays one request: places it, sends it, repeats it where that is allowed."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+import pykka
+
+from crocuswick.decision_log import DecisionLog
+from crocuswick.errors import Refusal
+from crocuswick.metrics import Metrics
+from crocuswick.outcome import Outcome
+from crocuswick.relay.dialect import Dialect
+from crocuswick.relay.dispatcher import Placed, RelayDispatcher, Wait
+from crocuswick.relay.event_splitter import EventSplitter
+from crocuswick.relay.refusal_answer import WholeAnswer, refusal_answer
+from crocuswick.relay.relay_request import AnswerHead
+from crocuswick.relay.replica_health import AttemptResult
+from crocuswick.relay.serving import RouteKind
+from crocuswick.relay.upstream import Upstream
+
+if TYPE_CHECKING:
+
+    from crocuswick.errors import PeerError
+    from crocuswick.relay.caller_exchange import CallerExchange
+    from crocuswick.relay.relay_request import Attempt, RoutedRequest
+
+__all__ = ["RelayContext", "RelayRun"]
+
+MISDIRECTED = 421
+SERVER_ERROR = 500
+FIRST_EVENT_AIMS = 2.5
+"""Response-time goals after which a stream without an event is tried elsewhere."""
+
+ANSWER_AIMS = 1.5
+"""Response-time goals after which an idempotent call is tried elsewhere."""
+
+GAP_AIMS = 4.0
+"""Longest allowed pauses after which a resumable stream goes on elsewhere."""
+
+MIN_REPEAT_S = 0.1
+"""Time that must be left for a repeat to be worth sending."""
+
+ANSWER_MARGIN_S = 0.05
+"""Time kept for the final answer before the caller stops waiting."""
+
+
+@attrs.frozen(kw_only=True)
+class RelayContext:
+    """What a relayed request needs of its node."""
+
+    dispatcher: pykka.ActorRef
+    dialect: Dialect
+    log: DecisionLog
+    metrics: Metrics
+
+
+@attrs.define(kw_only=True)
+class _Progress:
+    """What has become of the request so far."""
+
+    sent: int = 0
+    """Attempts that reached a replica."""
+
+    ran: int = 0
+    """Attempts after which the request may have run."""
+
+    tried: list[str] = attrs.Factory(list)
+    """Incarnations that are not asked again."""
+
+    head: AnswerHead | None = None
+    """Head that the caller has."""
+
+    last_event: int | None = None
+    """Last event that the caller has."""
+
+    error: str = ""
+
+
+class RelayRun:
+    """One request, run by the thread that serves its caller.
+
+    Args:
+        context: What the node offers.
+        request: The request with its route.
+        exchange: The caller's side.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: RelayContext,
+        request: RoutedRequest,
+        exchange: CallerExchange,
+    ):
+        self._context = context
+        self._request = request
+        self._exchange = exchange
+        self._progress = _Progress(last_event=request.caller.last_event_id)
+        self._upstream: Upstream | None = None
+
+    def run(self) -> str:
+        """Relay the request.
+
+        Returns:
+            What became of it, for logs and metrics.
+        """
+        self._exchange.on_leaving(self._on_caller_left)
+        while True:
+            if self._exchange.has_left:
+                return self._finish("caller left")
+            placed = self._context.dispatcher.ask(self._place_message())
+            if isinstance(placed, Wait):
+                time.sleep(placed.seconds)
+                continue
+            if isinstance(placed, Refusal):
+                return self._give_up(placed)
+            outcome = self._attempt(placed)
+            if outcome is not None:
+                return outcome
+
+    def _place_message(self) -> RelayDispatcher.Place:
+        progress = self._progress
+        return RelayDispatcher.Place(
+            request=self._request,
+            tried=tuple(progress.tried),
+            is_repeat=progress.sent > 0,
+            sent_before=progress.sent + len(progress.tried),
+        )
+
+    def _attempt(self, placed: Placed) -> str | None:
+        """Send the request once.
+
+        Returns:
+            What became of it, or None if it is to be placed again.
+        """
+        attempt = placed.attempt
+        upstream = Upstream(replica_id=attempt.replica_id, address=attempt.address)
+        self._upstream = upstream
+        started_s = time.monotonic()
+        result = AttemptResult.FAILED
+        head = None
+        try:
+            connected = upstream.connect(self._remaining_s())
+            if connected.is_err():
+                result = AttemptResult.UNREACHABLE
+                return self._after_no_connection(attempt, connected.err_value)
+            self._progress.sent += 1
+            head, result, outcome = self._exchange_with(upstream, attempt)
+            return outcome
+        finally:
+            self._upstream = None
+            upstream.close()
+            if self._exchange.has_left and result is not AttemptResult.ANSWERED:
+                result = AttemptResult.CANCELLED
+            self._record(attempt, head, result, started_s, placed.expected_ms)
+
+    def _exchange_with(
+        self, upstream: Upstream, attempt: Attempt
+    ) -> tuple[AnswerHead | None, AttemptResult, str | None]:
+        budget_ms = int(self._remaining_s() * 1000)
+        wire = self._context.dialect.encode_attempt(
+            request=self._request,
+            attempt=attempt,
+            budget_ms=budget_ms,
+            last_event_id=self._progress.last_event,
+        )
+        sent = upstream.send(wire, self._head_timeout_s())
+        if sent.is_err():
+            return None, *self._after_loss(attempt, sent.err_value)
+        head = self._context.dialect.decode_answer(sent.ok_value)
+        if head.request_id not in (None, self._request.caller.request_id):
+            return None, *self._after_bad_answer(attempt, "answer to another request")
+        if head.is_not_run:
+            return head, *self._after_not_run(attempt, head)
+        if head.is_encoded:
+            return head, *self._after_bad_answer(attempt, "content encoding")
+        if 200 <= head.status < 300:
+            if not head.has_receipt:
+                return head, *self._after_bad_answer(attempt, "no receipt")
+            if self._request.route.kind is RouteKind.STREAMING:
+                return head, *self._relay_stream(upstream, attempt, head)
+        return head, *self._relay_whole(upstream, attempt, head)
+
+    # Whole answers.
+
+    def _relay_whole(
+        self, upstream: Upstream, attempt: Attempt, head: AnswerHead
+    ) -> tuple[AttemptResult, str | None]:
+        body = bytearray()
+        while True:
+            piece = upstream.read(self._remaining_s())
+            if piece.is_err():
+                return self._after_loss(attempt, piece.err_value)
+            if not piece.ok_value:
+                break
+            body += piece.ok_value
+        self._progress.ran += 1
+        # The replica has run the request, and would fail it again.
+        is_failure = head.status >= SERVER_ERROR
+        result = AttemptResult.FAILED if is_failure else AttemptResult.ANSWERED
+        return result, self._deliver(head, bytes(body))
+
+    def _deliver(self, head: AnswerHead, body: bytes) -> str:
+        if self._progress.head is not None:
+            # The stream has begun; another answer can't follow.
+            self._exchange.break_off()
+            return self._finish("broken off", detail=f"status {head.status}")
+        answer = WholeAnswer(
+            status=head.status, reason=head.reason, headers=head.headers, body=body
+        )
+        return self._send_last(answer, "answered", f"status {head.status}")
+
+    # Streams.
+
+    def _relay_stream(
+        self, upstream: Upstream, attempt: Attempt, head: AnswerHead
+    ) -> tuple[AttemptResult, str | None]:
+        splitter = EventSplitter()
+        while True:
+            piece = upstream.read(self._event_timeout_s())
+            if piece.is_err():
+                return self._after_loss(attempt, piece.err_value)
+            if not piece.ok_value:
+                break
+            for event in splitter.feed(piece.ok_value):
+                if not self._follows(event.number):
+                    return self._after_bad_answer(attempt, f"event {event.number}")
+                self._note_first_event(attempt)
+                try:
+                    self._send_event(head, event.data)
+                except OSError as error:
+                    return (
+                        AttemptResult.CANCELLED,
+                        self._finish("caller left", detail=str(error)),
+                    )
+                self._progress.last_event = event.number
+            if splitter.is_oversized:
+                return self._after_bad_answer(attempt, "event without an end")
+        if splitter.has_partial_event:
+            return self._after_bad_answer(attempt, "stream ended within an event")
+        self._progress.ran += 1
+        if self._progress.head is None:
+            return AttemptResult.ANSWERED, self._deliver(head, b"")
+        return AttemptResult.ANSWERED, self._end_stream()
+
+    def _end_stream(self) -> str:
+        try:
+            self._exchange.end_stream()
+        except OSError as error:
+            return self._finish("caller left", detail=str(error))
+        return self._finish("answered", detail="stream")
+
+    def _follows(self, number: int | None) -> bool:
+        last = self._progress.last_event
+        return number is None or last is None or number == last + 1
+
+    def _note_first_event(self, attempt: Attempt) -> None:
+        self._context.dispatcher.tell(
+            RelayDispatcher.Begun(
+                request_id=self._request.caller.request_id,
+                incarnation=attempt.incarnation,
+            )
+        )
+
+    def _send_event(self, head: AnswerHead, data: bytes) -> None:
+        if self._progress.head is None:
+            self._progress.head = head
+            self._exchange.begin_stream(head.status, head.reason, head.headers)
+        self._exchange.send_piece(data)
+
+    # What follows a failed attempt.
+
+    def _after_no_connection(self, attempt: Attempt, error: PeerError) -> str | None:
+        self._progress.tried.append(attempt.incarnation)
+        self._progress.error = str(error)
+        return None
+
+    def _after_not_run(
+        self, attempt: Attempt, head: AnswerHead
+    ) -> tuple[AttemptResult, str | None]:
+        progress = self._progress
+        progress.error = f"status {head.status}, not run"
+        if head.status != MISDIRECTED:
+            progress.tried.append(attempt.incarnation)
+            return AttemptResult.BUSY, None
+        if head.replica_id != attempt.replica_id:
+            progress.tried.append(attempt.incarnation)
+            return AttemptResult.MISDIRECTED, None
+        return AttemptResult.OTHER_WEIGHTS, None
+
+    def _after_bad_answer(
+        self, attempt: Attempt, detail: str
+    ) -> tuple[AttemptResult, str | None]:
+        self._progress.ran += 1
+        self._progress.error = detail
+        return AttemptResult.FAILED, self._again_or_fail(attempt, timed_out=False)
+
+    def _after_loss(
+        self, attempt: Attempt, error: PeerError
+    ) -> tuple[AttemptResult, str | None]:
+        self._progress.ran += 1
+        self._progress.error = str(error)
+        result = AttemptResult.SILENT if error.timed_out else AttemptResult.FAILED
+        return result, self._again_or_fail(attempt, timed_out=error.timed_out)
+
+    def _again_or_fail(self, attempt: Attempt, *, timed_out: bool) -> str | None:
+        if self._exchange.has_left:
+            return self._finish("caller left")
+        if self._may_repeat(attempt):
+            return None
+        return self._fail(timed_out=timed_out)
+
+    def _may_repeat(self, attempt: Attempt) -> bool:
+        """Whether a request that may have run may be sent once more."""
+        progress = self._progress
+        route = self._request.route
+        if not route.may_run_again or progress.ran >= route.max_attempts:
+            return False
+        if self._remaining_s() < MIN_REPEAT_S or self._exchange.has_left:
+            return False
+        progress.tried.append(attempt.incarnation)
+        return True
+
+    # Ends.
+
+    def _give_up(self, refusal: Refusal) -> str:
+        progress = self._progress
+        if progress.ran:
+            return self._fail(timed_out=False)
+        return self._refuse(refusal)
+
+    def _refuse(self, refusal: Refusal) -> str:
+        answer = refusal_answer(refusal, self._request.caller.request_id)
+        return self._send_last(answer, "refused", refusal.detail)
+
+    def _fail(self, *, timed_out: bool) -> str:
+        progress = self._progress
+        if progress.head is not None:
+            self._exchange.break_off()
+            return self._finish("broken off", detail=progress.error)
+        refusal = Refusal(
+            status=504 if timed_out else 502,
+            title="answer-late" if timed_out else "answer-lost",
+            detail=f"The request may have run: {progress.error}.",
+            outcome=Outcome.UNKNOWN,
+            step="relay",
+        )
+        answer = refusal_answer(refusal, self._request.caller.request_id)
+        return self._send_last(answer, "failed", progress.error)
+
+    def _send_last(self, answer: WholeAnswer, outcome: str, detail: str) -> str:
+        try:
+            self._exchange.send_whole(answer)
+        except OSError as error:
+            return self._finish("caller left", detail=str(error))
+        return self._finish(outcome, detail=detail)
+
+    def _finish(self, outcome: str, detail: str = "") -> str:
+        caller = self._request.caller
+        self._context.log.record(
+            "request ended",
+            request=caller.request_id,
+            failed=outcome not in ("answered", "caller left"),
+            outcome=outcome,
+            detail=detail or self._progress.error,
+            route=self._request.route.name,
+            configuration=self._request.configuration_version,
+            attempts=self._progress.sent,
+            ms=round((time.monotonic() - caller.received_s) * 1000),
+        )
+        return outcome
+
+    # Times.
+
+    def _remaining_s(self) -> float:
+        left_s = self._request.deadline_s - time.monotonic() - ANSWER_MARGIN_S
+        return max(0.001, left_s)
+
+    def _is_last_attempt(self) -> bool:
+        route = self._request.route
+        return not route.may_run_again or self._progress.ran + 1 >= route.max_attempts
+
+    def _head_timeout_s(self) -> float:
+        if self._is_last_attempt():
+            return self._remaining_s()
+        route = self._request.route
+        is_stream = route.kind is RouteKind.STREAMING
+        aims = FIRST_EVENT_AIMS if is_stream else ANSWER_AIMS
+        return min(self._remaining_s(), aims * route.target_latency_ms / 1000)
+
+    def _event_timeout_s(self) -> float:
+        if self._is_last_attempt():
+            return self._remaining_s()
+        if self._progress.head is None:
+            return self._head_timeout_s()
+        gap_s = GAP_AIMS * self._request.route.max_gap_ms / 1000
+        return min(self._remaining_s(), gap_s)
+
+    # Bookkeeping.
+
+    def _on_caller_left(self) -> None:
+        upstream = self._upstream
+        if upstream is not None:
+            upstream.abort()
+
+    def _record(
+        self,
+        attempt: Attempt,
+        head: AnswerHead | None,
+        result: AttemptResult,
+        started_s: float,
+        expected_ms: float,
+    ) -> None:
+        self._context.dispatcher.tell(
+            RelayDispatcher.Ended(
+                request=self._request,
+                attempt=attempt,
+                result=result,
+                weights_version=head.weights_version if head else None,
+            )
+        )
+        self._context.log.record(
+            "attempt ended",
+            request=self._request.caller.request_id,
+            failed=result is not AttemptResult.ANSWERED,
+            result=result.name.lower(),
+            replica=attempt.replica_id,
+            weights=attempt.expected_weights,
+            fetch=attempt.fetch_kv_from,
+            prefill=attempt.prefill_tokens,
+            expected_ms=round(expected_ms),
+            ms=round((time.monotonic() - started_s) * 1000),
+            error=self._progress.error,
+        )
--- /dev/null
+++ b/src/crocuswick/relay/relay_server.py
@@ -0,0 +1,321 @@
+"""The port for callers whose requests are relayed."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from cheroot import server
+
+from crocuswick.http_server import Connection, Request
+from crocuswick.relay.refusal_answer import refusal_answer
+from crocuswick.relay.relay_run import RelayContext, RelayRun
+from crocuswick.relay.request_body import read_body
+from crocuswick.relay.request_router import no_configuration, route_request
+from crocuswick.relay.strict_head import HeaderFields, StrictHeaderReader
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from crocuswick.errors import Refusal
+    from crocuswick.relay.caller_watch import CallerWatch
+    from crocuswick.relay.refusal_answer import WholeAnswer
+    from crocuswick.relay.serving import CallerLimits, ServingConfiguration
+
+__all__ = ["RelayServer"]
+
+ACCEPT_BACKLOG = 1_024
+EXPIRY_CHECK_S = 0.5
+STOP_TIMEOUT_S = 0.5
+MAX_IDLE_CONNECTIONS = 2_048
+NODE_FULL_RETRY_S = 0.5
+IDLE_MARGIN = 1.2
+"""Connections are kept a little longer than callers may stay idle."""
+
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_LINE_END = "\r\n"
+
+
+class RelayedRequest(Request):
+    """A request with a strict head."""
+
+    header_reader = StrictHeaderReader()
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.inheaders = HeaderFields()
+
+    def read_request_headers(self) -> bool:
+        """Read the headers; returns whether they are sound."""
+        if not super().read_request_headers():
+            return False
+        encoding = self.inheaders.get(b"Transfer-Encoding")
+        if encoding is not None and (
+            encoding.lower() != b"chunked" or self.response_protocol != "HTTP/1.1"
+        ):
+            self.simple_response("400 Bad Request", "Unknown Transfer-Encoding.")
+            return False
+        return True
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Refuse the request and end its connection."""
+        if status.startswith(("413", "414")) and not self.ready:
+            is_body = "entity sent" in msg
+            status = status if is_body else "431 Request Header Fields Too Large"
+        super().simple_response(status, msg)
+
+    def respond(self) -> None:
+        """Hand the request to the gateway, which reads the body itself."""
+        self.server.gateway(self).respond()
+
+
+class RelayConnection(Connection):
+    """A caller's connection."""
+
+    RequestHandlerClass = RelayedRequest
+
+
+class _CherootServer(server.HTTPServer):
+    ConnectionClass = RelayConnection
+    keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
+    expiration_interval = EXPIRY_CHECK_S
+
+
+class RelayServer:
+    """Serves callers on a thread for each request that is under way.
+
+    Args:
+        address: ``host:port`` to listen at.
+        context: What a relayed request needs.
+        watch: Notices callers that leave.
+        configuration: Returns the configuration in force, or None.
+        threads: Requests served at once.
+        log_refusal: Called with each refusal before routing.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        context: RelayContext,
+        watch: CallerWatch,
+        configuration: Callable[[], ServingConfiguration | None],
+        threads: int,
+    ):
+        host, _, port = address.rpartition(":")
+        self.context = context
+        self.watch = watch
+        self.configuration = configuration
+        self.is_draining = False
+        self._in_flight = 0
+        self._lock = threading.Lock()
+        self._server = _CherootServer(
+            (host, int(port)),
+            lambda request: RelayGateway(request, self),
+            minthreads=threads,
+            maxthreads=threads,
+            server_name="crocuswick",
+        )
+        self._server.request_queue_size = ACCEPT_BACKLOG
+        self._server.shutdown_timeout = STOP_TIMEOUT_S
+        self._server.max_request_body_size = 0
+        self._thread = threading.Thread(
+            target=self._server.serve, name="callers", daemon=True
+        )
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests under way."""
+        return self._in_flight
+
+    def start(self) -> None:
+        """Bind the port and start serving."""
+        self._server.prepare()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close the port and all connections."""
+        self._server.stop()
+
+    def use_limits(self, limits: CallerLimits) -> None:
+        """Apply the bounds of what callers may send."""
+        self._server.max_request_header_size = limits.max_header_bytes
+        self._server.request_timeout_s = limits.header_timeout_ms / 1000
+        self._server.timeout = IDLE_MARGIN * limits.idle_timeout_ms / 1000
+        self.max_body_bytes = limits.max_body_bytes
+        self.body_timeout_s = limits.idle_timeout_ms / 1000
+
+    @contextlib.contextmanager
+    def counted(self):
+        """Count a request as under way."""
+        with self._lock:
+            self._in_flight += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._in_flight -= 1
+
+
+class RelayGateway(server.Gateway):
+    """Relays one request and is the caller's side of it."""
+
+    def __init__(self, req: RelayedRequest, relay_server: RelayServer):
+        super().__init__(req)
+        self._server = relay_server
+        self._left = threading.Event()
+        self._call_on_leaving: Callable[[], None] | None = None
+        self._received_s = time.monotonic()
+
+    @property
+    def has_left(self) -> bool:
+        """Whether the caller has closed its connection."""
+        return self._left.is_set()
+
+    def respond(self) -> None:
+        """Read the body, route the request and relay it."""
+        with self._server.counted():
+            self._respond()
+
+    def on_leaving(self, call: Callable[[], None]) -> None:
+        """Set what is called when the caller leaves."""
+        self._call_on_leaving = call
+        if self.has_left:
+            call()
+
+    def send_whole(self, answer: WholeAnswer) -> None:
+        """Send a whole answer.
+
+        Raises:
+            OSError: The caller can't be reached.
+        """
+        lines = self._head_lines(answer.status, answer.reason, answer.headers)
+        has_body = answer.status >= 200 and answer.status not in (204, 304)
+        if has_body:
+            lines.append(f"Content-Length: {len(answer.body)}")
+        body = answer.body if has_body and self.req.method != b"HEAD" else b""
+        self._write(_encode_head(lines) + body)
+
+    def begin_stream(
+        self, status: int, reason: str, headers: tuple[tuple[str, str], ...]
+    ) -> None:
+        """Send the head of an answer whose length is not known yet."""
+        if self.req.response_protocol != "HTTP/1.1":
+            self.req.close_connection = True
+        lines = self._head_lines(status, reason, headers)
+        if self._is_chunked:
+            lines.append("Transfer-Encoding: chunked")
+        self._write(_encode_head(lines))
+
+    def send_piece(self, data: bytes) -> None:
+        """Send a piece of a stream."""
+        if self._is_chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._write(data)
+
+    def end_stream(self) -> None:
+        """Mark the stream as complete."""
+        if self._is_chunked:
+            self._write(b"0\r\n\r\n")
+
+    def break_off(self) -> None:
+        """End the connection so that the answer can't look complete."""
+        self.req.close_connection = True
+        if not self._is_chunked:
+            with contextlib.suppress(OSError):
+                self.req.conn.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
+
+    @property
+    def _is_chunked(self) -> bool:
+        return self.req.response_protocol == "HTTP/1.1"
+
+    def _respond(self) -> None:
+        request = self.req
+        configuration = self._server.configuration()
+        self.req.conn.rfile.begin_request(self._server.body_timeout_s)
+        body = read_body(
+            request.conn.rfile,
+            request.inheaders,
+            max_bytes=self._server.max_body_bytes,
+        )
+        if body.is_err():
+            request.conn.unread_body = True
+            self._refuse(body.err_value, closes=True)
+            return
+        self._received_s = time.monotonic()
+        decoded = self._server.context.dialect.decode_request(
+            method=request.method.decode("latin-1"),
+            target=request.uri.decode("latin-1"),
+            headers=tuple(request.inheaders.pairs),
+            body=body.ok_value,
+            received_s=self._received_s,
+        )
+        if decoded.is_err():
+            self._refuse(decoded.err_value)
+            return
+        if configuration is None:
+            self._refuse(no_configuration())
+            return
+        routed = route_request(configuration, decoded.ok_value)
+        if routed.is_err():
+            self._refuse(routed.err_value, decoded.ok_value.request_id)
+            return
+        self._relay(routed.ok_value)
+
+    def _relay(self, routed) -> None:
+        descriptor = self.req.conn.socket.fileno()
+        self._server.watch.watch(descriptor, self._on_left)
+        try:
+            run = RelayRun(context=self._server.context, request=routed, exchange=self)
+            run.run()
+        finally:
+            self._server.watch.forget(descriptor)
+        if self.has_left:
+            self.req.close_connection = True
+
+    def _refuse(
+        self, refusal: Refusal, request_id: str = "", *, closes: bool = False
+    ) -> None:
+        if closes:
+            self.req.close_connection = True
+        self._server.context.log.record(
+            "request refused",
+            failed=True,
+            request=request_id,
+            status=refusal.status,
+            detail=refusal.detail,
+        )
+        with contextlib.suppress(OSError):
+            self.send_whole(refusal_answer(refusal, request_id))
+
+    def _on_left(self) -> None:
+        self._left.set()
+        if self._call_on_leaving is not None:
+            self._call_on_leaving()
+
+    def _head_lines(
+        self, status: int, reason: str, headers: tuple[tuple[str, str], ...]
+    ) -> list[str]:
+        if self._server.is_draining:
+            self.req.close_connection = True
+        lines = [f"HTTP/1.1 {status} {reason}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if self.req.close_connection:
+            lines.append("Connection: close")
+        elif not self._is_chunked:
+            lines.append("Connection: Keep-Alive")
+        return lines
+
+    def _write(self, data: bytes) -> None:
+        self.req.sent_headers = True
+        self.req.conn.wfile.write(data)
+
+
+def _encode_head(lines: list[str]) -> bytes:
+    return _LINE_END.join([*lines, "", ""]).encode("latin-1")
--- /dev/null
+++ b/src/crocuswick/relay/replica_chooser.py
@@ -0,0 +1,274 @@
+"""Chooses the replica that answers a request soonest at the least cost."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from crocuswick.relay.engine_load import EngineLoad
+from crocuswick.relay.replica import Replica
+from crocuswick.relay.replica_health import ReplicaHealth
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from crocuswick.relay.kv_holders import KvHolders
+    from crocuswick.relay.relay_request import RoutedRequest
+    from crocuswick.relay.serving import EngineTraits, KvStore, Service
+
+__all__ = ["Candidate", "Choice", "ReplicaChooser"]
+
+OTHER_ZONE_REQUESTS = 2.0
+"""Requests by which the own zone's replicas may be busier than another zone's."""
+
+SUSPECT_REQUESTS = 12.0
+"""Outstanding requests that a replica which always fails is made to look like."""
+
+SUSPECT_MS = 1500.0
+"""Delay that a replica which always fails is made to look like."""
+
+OTHER_ZONE_MS = 8.0
+"""Delay that makes up for the price of a small request between zones."""
+
+OTHER_ZONE_MS_PER_KB = 1.5
+"""Delay that makes up for the price of a body between zones."""
+
+OLD_WEIGHTS_MS = 200.0
+"""Delay that makes up for a fifth of the payoff, the price of older weights."""
+
+OLD_WEIGHTS_GRACE_S = 1.4
+"""Older weights cost nothing for 1.5 s after newer ones were named."""
+
+FULL_MEMORY_MS = 600.0
+"""Delay that a replica without free memory is made to look like."""
+
+KV_MEMORY_SHARE = 0.9
+"""Share of an engine's memory that running requests may fill without preemption."""
+
+STORE_LATENCY_MS = 2.0
+"""Fixed time of a fetch."""
+
+OTHER_ZONE_TRANSFER = 2.0
+"""Factor of a transfer's time between zones."""
+
+
+@attrs.frozen(kw_only=True)
+class Candidate:
+    """A replica that may get the request, with what is known of it."""
+
+    replica: Replica
+    load: EngineLoad
+    health: ReplicaHealth
+    weights: int | None
+    """Version of the request's model that it serves, None where not known."""
+
+    weights_age_s: float | None
+    """Time since newer weights were named, None if these are the newest."""
+
+
+@attrs.frozen(kw_only=True)
+class Choice:
+    """The chosen replica and what the request will cost there."""
+
+    candidate: Candidate
+    expected_ms: float
+    """Expected time to the first event or the answer's start."""
+
+    prefill_tokens: int
+    fetch_from: str
+    """Address to fetch cached parts from, empty for none."""
+
+    salt: str
+
+
+class ReplicaChooser:
+    """Estimates the time to the first event at each candidate and takes the least.
+
+    Args:
+        zone: Zone of this node.
+        holders: Where parts are believed to be cached.
+        seed: Seed of the choice among equals.
+    """
+
+    def __init__(self, *, zone: str, holders: KvHolders, seed: int | None = None):
+        self._zone = zone
+        self._holders = holders
+        self._random = random.Random(seed)
+
+    def choose(
+        self,
+        request: RoutedRequest,
+        service: Service,
+        candidates: Sequence[Candidate],
+        stores: Sequence[KvStore],
+        now_s: float,
+    ) -> Choice | None:
+        """Choose among candidates that are all allowed to take the request.
+
+        Args:
+            request: The request.
+            service: Its service.
+            candidates: Replicas that take new work.
+            stores: Stores of KV cache.
+            now_s: Monotonic time.
+
+        Returns:
+            The best choice, or None if there is no candidate.
+        """
+        choices = []
+        for candidate in candidates:
+            if service.engine is None or request.caller.prompt is None:
+                choices.append(self._plain_choice(candidate, now_s))
+            else:
+                choices.append(
+                    self._engine_choice(
+                        request, service.engine, candidate, candidates, stores, now_s
+                    )
+                )
+        self._random.shuffle(choices)
+        best = min(choices, key=lambda pair: pair[0], default=None)
+        return best[1] if best else None
+
+    def _plain_choice(self, candidate: Candidate, now_s: float) -> tuple[float, Choice]:
+        cost = float(candidate.load.requests(now_s))
+        cost += SUSPECT_REQUESTS * candidate.health.failure_share(now_s)
+        if candidate.replica.zone != self._zone:
+            cost += OTHER_ZONE_REQUESTS
+        choice = Choice(
+            candidate=candidate,
+            expected_ms=0.0,
+            prefill_tokens=0,
+            fetch_from="",
+            salt="",
+        )
+        return cost, choice
+
+    def _engine_choice(
+        self,
+        request: RoutedRequest,
+        engine: EngineTraits,
+        candidate: Candidate,
+        candidates: Sequence[Candidate],
+        stores: Sequence[KvStore],
+        now_s: float,
+    ) -> tuple[float, Choice]:
+        prompt = request.caller.prompt
+        salt = cache_salt(request, candidate.weights)
+        plan = self._prefill_plan(prompt, engine, candidate, candidates, stores, salt)
+        prefill_tokens, fetch_from, fetch_ms = plan(now_s)
+        rate = max(1.0, candidate.load.prefill_tokens_per_ms)
+        expected_ms = candidate.load.wait_ms(now_s) + prefill_tokens / rate + fetch_ms
+        choice = Choice(
+            candidate=candidate,
+            expected_ms=expected_ms,
+            prefill_tokens=prefill_tokens,
+            fetch_from=fetch_from,
+            salt=salt,
+        )
+        cost = expected_ms + self._penalty_ms(request, engine, candidate, now_s)
+        return cost, choice
+
+    def _prefill_plan(self, prompt, engine, candidate, candidates, stores, salt):
+        def plan(now_s: float) -> tuple[int, str, float]:
+            shared = prompt.shared_parts
+            shared_tokens = sum(part.tokens for part in shared)
+            tokens = max(0, prompt.prompt_tokens)
+            if not shared_tokens:
+                return tokens, "", 0.0
+            holders = self._holders.holders(salt, shared[-1].id, now_s)
+            if candidate.replica.incarnation in holders:
+                return max(0, tokens - shared_tokens), "", 0.0
+            source, fetch_ms = self._source(
+                holders, shared_tokens, engine, candidate, candidates, stores
+            )
+            rate = max(1.0, candidate.load.prefill_tokens_per_ms)
+            if not source or fetch_ms >= shared_tokens / rate:
+                return tokens, "", 0.0
+            return max(0, tokens - shared_tokens), source, fetch_ms
+
+        return plan
+
+    def _source(self, holders, tokens, engine, candidate, candidates, stores):
+        replicas_by_incarnation = {
+            other.replica.incarnation: other.replica for other in candidates
+        }
+        sources = [
+            (
+                self._transfer_ms(
+                    tokens, engine, engine.link_mbps, replica.zone, candidate
+                ),
+                replica.address,
+            )
+            for holder in holders
+            if (replica := replicas_by_incarnation.get(holder)) is not None
+        ]
+        sources += [
+            (
+                self._transfer_ms(
+                    tokens, engine, store.link_mbps, store.zone, candidate
+                ),
+                store.address,
+            )
+            for store in stores
+        ]
+        if not sources:
+            return "", 0.0
+        fetch_ms, address = min(sources)
+        return address, fetch_ms
+
+    def _transfer_ms(
+        self,
+        tokens: int,
+        engine: EngineTraits,
+        link_mbps: float,
+        zone: str,
+        candidate: Candidate,
+    ) -> float:
+        bits = tokens * engine.kv_bytes_per_token * 8
+        mbps = max(1.0, min(link_mbps, engine.link_mbps))
+        factor = 1.0 if zone == candidate.replica.zone else OTHER_ZONE_TRANSFER
+        return STORE_LATENCY_MS + factor * bits / (mbps * 1000)
+
+    def _penalty_ms(
+        self,
+        request: RoutedRequest,
+        engine: EngineTraits,
+        candidate: Candidate,
+        now_s: float,
+    ) -> float:
+        penalty_ms = SUSPECT_MS * candidate.health.failure_share(now_s)
+        if candidate.replica.zone != self._zone:
+            kilobytes = len(request.caller.body) / 1024
+            penalty_ms += OTHER_ZONE_MS + OTHER_ZONE_MS_PER_KB * kilobytes
+        age_s = candidate.weights_age_s
+        if age_s is not None and age_s > OLD_WEIGHTS_GRACE_S:
+            penalty_ms += OLD_WEIGHTS_MS
+        room = KV_MEMORY_SHARE * engine.kv_capacity_tokens
+        needed = candidate.load.kv_tokens(now_s) + _kv_tokens(request)
+        if needed > room > 0:
+            penalty_ms += FULL_MEMORY_MS * (needed - room) / room
+        # Each running request lengthens the steps of all others.
+        penalty_ms += 2.0 * candidate.load.requests(now_s)
+        return penalty_ms
+
+
+def cache_salt(request: RoutedRequest, weights: int | None) -> str:
+    """Return the text under which a request's parts are cached.
+
+    Parts of other weights, or of another organisation where it is isolated, are
+    never found under it.
+
+    Args:
+        request: The request.
+        weights: Version of the weights that compute the parts.
+    """
+    organisation = request.organisation
+    owner = organisation.name if organisation and organisation.is_isolated else ""
+    return f"{request.caller.prompt.model}/{weights or 0}/{owner}"
+
+
+def _kv_tokens(request: RoutedRequest) -> int:
+    prompt = request.caller.prompt
+    return prompt.prompt_tokens + prompt.max_output_tokens
--- /dev/null
+++ b/src/crocuswick/relay/replica_health.py
@@ -0,0 +1,113 @@
+"""Judges a replica by what this node's requests to it met."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+__all__ = ["AttemptResult", "ReplicaHealth"]
+
+FIRST_PAUSE_S = 0.3
+"""Pause after a failed connection; a replica that crashed is back after seconds."""
+
+LONGEST_PAUSE_S = 2.0
+"""Longest pause, so that a replica that is back is found soon."""
+
+FAILURE_MEMORY_S = 4.0
+"""Time in which the weight of a failure falls to about a third."""
+
+BUSY_PAUSE_S = 0.15
+"""Pause after a replica said that it is full."""
+
+SUSPECT_SHARE = 0.25
+"""Share of failures from which other replicas are preferred."""
+
+MIN_WEIGHT = 3.0
+"""Results, weighted by age, below which no share of failures is worked out."""
+
+
+class AttemptResult(enum.Enum):
+    """How an attempt at a replica ended."""
+
+    ANSWERED = enum.auto()
+    """With an answer of its own."""
+
+    FAILED = enum.auto()
+    """With a failure, a broken answer or bytes that are no answer."""
+
+    SILENT = enum.auto()
+    """With a timeout."""
+
+    UNREACHABLE = enum.auto()
+    """Without a connection."""
+
+    BUSY = enum.auto()
+    """The replica did not run it because it was full."""
+
+    MISDIRECTED = enum.auto()
+    """Another replica answered at the address."""
+
+    OTHER_WEIGHTS = enum.auto()
+    """The replica serves other weights than were expected."""
+
+    CANCELLED = enum.auto()
+    """The caller left; nothing is known of the replica."""
+
+
+@attrs.define(kw_only=True)
+class ReplicaHealth:
+    """Recent results of one incarnation of a replica."""
+
+    _good: float = 0.0
+    _bad: float = 0.0
+    _updated_s: float = 0.0
+    _unreachable_in_a_row: int = 0
+    _paused_until_s: float = 0.0
+
+    def record(self, result: AttemptResult, now_s: float) -> None:
+        """Take the result of an attempt."""
+        self._decay(now_s)
+        if result is AttemptResult.ANSWERED:
+            self._good += 1.0
+            self._unreachable_in_a_row = 0
+            self._paused_until_s = 0.0
+        elif result in (AttemptResult.FAILED, AttemptResult.SILENT):
+            self._bad += 1.0
+        elif result in (AttemptResult.UNREACHABLE, AttemptResult.MISDIRECTED):
+            self._bad += 1.0
+            self._pause(now_s)
+        elif result is AttemptResult.BUSY:
+            self._paused_until_s = max(self._paused_until_s, now_s + BUSY_PAUSE_S)
+
+    def is_paused(self, now_s: float) -> bool:
+        """Whether the replica gets nothing for now."""
+        return now_s < self._paused_until_s
+
+    def paused_for_s(self, now_s: float) -> float:
+        """Return the time until the replica is tried again."""
+        return max(0.0, self._paused_until_s - now_s)
+
+    def failure_share(self, now_s: float) -> float:
+        """Return the share of recent results that were failures, 0 to 1."""
+        self._decay(now_s)
+        total = self._good + self._bad
+        if total < MIN_WEIGHT:
+            return 0.0
+        return self._bad / total
+
+    def is_suspect(self, now_s: float) -> bool:
+        """Whether other replicas are to be preferred."""
+        return self.failure_share(now_s) >= SUSPECT_SHARE
+
+    def _pause(self, now_s: float) -> None:
+        pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**self._unreachable_in_a_row)
+        self._unreachable_in_a_row += 1
+        self._paused_until_s = now_s + pause_s
+
+    def _decay(self, now_s: float) -> None:
+        passed_s = max(0.0, now_s - self._updated_s)
+        factor = 0.5 ** (passed_s / (FAILURE_MEMORY_S * 0.63))
+        self._good *= factor
+        self._bad *= factor
+        self._updated_s = now_s
--- /dev/null
+++ b/src/crocuswick/relay/replica_table.py
@@ -0,0 +1,112 @@
+"""Which replicas there are, from entries that may be old, torn or forged."""
+
+from __future__ import annotations
+
+import attrs
+
+from crocuswick.relay.replica import Replica, ReplicaState
+
+__all__ = ["ReplicaTable"]
+
+MAX_ENDED = 4096
+"""Ended incarnations that are remembered, so that late entries don't revive them."""
+
+
+@attrs.define(kw_only=True)
+class _Removal:
+    """An entry that has been removed from the store."""
+
+    replica: Replica
+    takes_effect_s: float
+
+
+class ReplicaTable:
+    """Keeps the last sound entry of each replica."""
+
+    def __init__(self):
+        self._replicas_by_id: dict[str, Replica] = {}
+        self._removals_by_id: dict[str, _Removal] = {}
+        self._draining_incarnations: dict[str, None] = {}
+
+    def update(self, replica: Replica) -> bool:
+        """Take an entry.
+
+        An incarnation that has reported that it drains stays draining, and reports
+        that are older than the last one are ignored.
+
+        Args:
+            replica: The entry.
+
+        Returns:
+            Whether anything but the number of the report changed.
+        """
+        known = self._replicas_by_id.get(replica.id)
+        if known is not None and _is_older(replica, known):
+            return False
+        if replica.state is ReplicaState.DRAINING:
+            self._remember_draining(replica.incarnation)
+        elif replica.incarnation in self._draining_incarnations:
+            replica = attrs.evolve(replica, state=ReplicaState.DRAINING)
+        self._removals_by_id.pop(replica.id, None)
+        self._replicas_by_id[replica.id] = replica
+        same = attrs.evolve(replica, report_number=0)
+        return known is None or same != attrs.evolve(known, report_number=0)
+
+    def remove(self, replica_id: str, *, takes_effect_s: float) -> None:
+        """Note that a replica's entry was removed.
+
+        Args:
+            replica_id: Id of the replica.
+            takes_effect_s: Monotonic time from which it counts as gone unless its
+                entry is back.
+        """
+        replica = self._replicas_by_id.get(replica_id)
+        if replica is not None and replica_id not in self._removals_by_id:
+            self._removals_by_id[replica_id] = _Removal(
+                replica=replica, takes_effect_s=takes_effect_s
+            )
+
+    def usable(self, service: str, now_s: float) -> list[Replica]:
+        """Return the replicas of a service that may get new requests.
+
+        Args:
+            service: Name of the service.
+            now_s: Monotonic time.
+        """
+        self._drop_removed(now_s)
+        return [
+            replica
+            for replica in self._replicas_by_id.values()
+            if replica.service == service and replica.state is ReplicaState.READY
+        ]
+
+    def find(self, replica_id: str, now_s: float) -> Replica | None:
+        """Return a replica by its id, or None if it is gone."""
+        self._drop_removed(now_s)
+        return self._replicas_by_id.get(replica_id)
+
+    def all(self, now_s: float) -> list[Replica]:
+        """Return all replicas that are not gone."""
+        self._drop_removed(now_s)
+        return list(self._replicas_by_id.values())
+
+    def _drop_removed(self, now_s: float) -> None:
+        due = [
+            replica_id
+            for replica_id, removal in self._removals_by_id.items()
+            if removal.takes_effect_s <= now_s
+        ]
+        for replica_id in due:
+            del self._removals_by_id[replica_id]
+            del self._replicas_by_id[replica_id]
+
+    def _remember_draining(self, incarnation: str) -> None:
+        if len(self._draining_incarnations) >= MAX_ENDED:
+            del self._draining_incarnations[next(iter(self._draining_incarnations))]
+        self._draining_incarnations[incarnation] = None
+
+
+def _is_older(entry: Replica, known: Replica) -> bool:
+    if entry.started_ms != known.started_ms:
+        return entry.started_ms < known.started_ms
+    return entry.report_number < known.report_number
--- /dev/null
+++ b/src/crocuswick/relay/strict_head.py
@@ -0,0 +1,61 @@
+"""Reads a request's headers without tolerance for ambiguous ones."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from typing import BinaryIO
+
+__all__ = ["HeaderFields", "StrictHeaderReader"]
+
+_NAME = re.compile(rb"^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$")
+_FORBIDDEN_IN_VALUE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+_SINGLE = frozenset(
+    {b"content-length", b"host", b"transfer-encoding", b"authorization"}
+)
+"""Headers whose repetition makes a request ambiguous, in lower case."""
+
+
+class HeaderFields(dict):
+    """Headers by capitalised name, with the list of pairs as received."""
+
+    def __init__(self):
+        super().__init__()
+        self.pairs: list[tuple[str, str]] = []
+
+
+class StrictHeaderReader:
+    """Reads header lines and rejects what two readers might read in two ways."""
+
+    def __call__(self, rfile: BinaryIO, fields: HeaderFields) -> HeaderFields:
+        """Read up to the blank line.
+
+        Args:
+            rfile: Input after the request line.
+            fields: Receives the headers.
+
+        Raises:
+            ValueError: A line is malformed or a header is repeated.
+        """
+        while True:
+            line = rfile.readline()
+            if line == b"\r\n":
+                return fields
+            if not line.endswith(b"\r\n"):
+                raise ValueError("A header line has no proper end.")
+            self._add(line[:-2], fields)
+
+    def _add(self, line: bytes, fields: HeaderFields) -> None:
+        name, separator, value = line.partition(b":")
+        if not separator or not _NAME.match(name):
+            raise ValueError("A header has a malformed name.")
+        value = value.strip(b" \t")
+        if _FORBIDDEN_IN_VALUE.search(value):
+            raise ValueError("A header has a malformed value.")
+        title = name.title()
+        if title in fields and name.lower() in _SINGLE:
+            raise ValueError(f"The header {title.decode()} is repeated.")
+        fields[title] = b", ".join((fields[title], value)) if title in fields else value
+        fields.pairs.append((name.decode("latin-1"), value.decode("latin-1")))
--- /dev/null
+++ b/src/crocuswick/relay/upstream.py
@@ -0,0 +1,197 @@
+"""One exchange with a replica on a connection of its own."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+from collections.abc import Sequence
+from http.client import HTTPException
+from typing import TYPE_CHECKING
+
+import attrs
+from result import Err, Ok, Result
+from urllib3 import HTTPHeaderDict
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.util import SKIP_HEADER
+
+from crocuswick.errors import PeerError
+from crocuswick.outcome import Outcome
+
+if TYPE_CHECKING:
+
+    from urllib3.response import HTTPResponse
+
+__all__ = ["Upstream", "UpstreamRequest", "UpstreamResponse"]
+
+READ_BYTES = 64 * 1024
+ADDED_BY_LIBRARY = ("Accept-Encoding", "User-Agent")
+"""Headers that the library would add to a request that lacks them."""
+
+CONNECT_TIMEOUT_S = 0.3
+"""A handshake takes a few milliseconds; a lost packet is sent again after a second."""
+
+SILENT_PEER_TIMEOUT_MS = 3_000
+"""Unacknowledged data ends a connection that a partition has silenced."""
+
+
+@attrs.frozen(kw_only=True)
+class UpstreamRequest:
+    """A request as it is written to a replica."""
+
+    method: str
+    target: str
+    headers: Sequence[tuple[str, str]]
+    body: bytes
+
+
+@attrs.frozen(kw_only=True)
+class UpstreamResponse:
+    """Status line and headers as a replica sent them."""
+
+    status: int
+    reason: str
+    headers: tuple[tuple[str, str], ...]
+
+
+class Upstream:
+    """Sends one request to one replica and reads its answer piece by piece.
+
+    A connection is used once, so that no request is lost on a stale connection
+    and no late answer can be taken for that of a later request.
+
+    Args:
+        replica_id: Id used in errors.
+        address: ``host:port``.
+    """
+
+    def __init__(self, *, replica_id: str, address: str):
+        host, _, port = address.rpartition(":")
+        self._replica_id = replica_id
+        self._connection = HTTPConnection(host, int(port), timeout=CONNECT_TIMEOUT_S)
+        self._socket: socket.socket | None = None
+        self._response: HTTPResponse | None = None
+        self._received = 0
+        self._is_bodiless = False
+        self._lock = threading.Lock()
+        self._is_aborted = False
+
+    def connect(self, timeout_s: float) -> Result[None, PeerError]:
+        """Open the connection; an error says that nothing was sent.
+
+        Args:
+            timeout_s: Longest time for the handshake.
+        """
+        self._connection.timeout = min(CONNECT_TIMEOUT_S, timeout_s)
+        try:
+            self._connection.connect()
+            self._socket = self._connection.sock
+            self._socket.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_PEER_TIMEOUT_MS
+            )
+        except (HTTPError, OSError) as error:
+            return Err(self._error("connect", error, Outcome.NOT_RUN))
+        return Ok(None)
+
+    def send(
+        self, request: UpstreamRequest, timeout_s: float
+    ) -> Result[UpstreamResponse, PeerError]:
+        """Send a request and read the head of its answer.
+
+        Args:
+            request: The request.
+            timeout_s: Longest silence before the head.
+
+        Returns:
+            The head, or an error after which the request may have run.
+        """
+        try:
+            self._connection.timeout = timeout_s
+            self._write(request)
+            self._response = self._connection.getresponse()
+        except (HTTPError, HTTPException, OSError, ValueError) as error:
+            return Err(self._error("send", error, Outcome.UNKNOWN))
+        return Ok(
+            UpstreamResponse(
+                status=self._response.status,
+                reason=self._response.reason or "",
+                headers=tuple(self._response.headers.iteritems()),
+            )
+        )
+
+    def read(self, timeout_s: float) -> Result[bytes, PeerError]:
+        """Read the next bytes of the body.
+
+        Args:
+            timeout_s: Longest silence before the next byte.
+
+        Returns:
+            Some bytes, none at the proper end of the body, or an error if the body
+            broke off.
+        """
+        if self._response.closed:
+            return Ok(b"")
+        try:
+            self._socket.settimeout(timeout_s)
+            data = self._response.read1(READ_BYTES, decode_content=False)
+        except (HTTPError, HTTPException, OSError, ValueError) as error:
+            return Err(self._error("read", error, Outcome.UNKNOWN))
+        self._received += len(data)
+        if not data and self._is_short():
+            detail = ConnectionError("the body ended early")
+            return Err(self._error("read", detail, Outcome.UNKNOWN))
+        return Ok(data)
+
+    def abort(self) -> None:
+        """Make a blocked or later call of another thread fail."""
+        with self._lock:
+            self._is_aborted = True
+            if self._socket is not None:
+                with contextlib.suppress(OSError):
+                    self._socket.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        """Give back the connection; the replica drops what it still works on."""
+        with self._lock:
+            if self._response is not None:
+                self._response.close()
+            self._connection.close()
+            self._socket = None
+
+    def _write(self, request: UpstreamRequest) -> None:
+        self._is_bodiless = request.method == "HEAD"
+        headers = HTTPHeaderDict(request.headers)
+        for name in ADDED_BY_LIBRARY:
+            headers.setdefault(name, SKIP_HEADER)
+        try:
+            self._connection.request(
+                request.method,
+                request.target,
+                body=request.body or None,
+                headers=headers,
+                preload_content=False,
+                decode_content=False,
+            )
+        except ConnectionError:
+            # The replica may have answered before it had read the whole body.
+            if not request.body:
+                raise
+
+    def _is_short(self) -> bool:
+        if self._is_bodiless or self._response.status in (204, 304):
+            return False
+        announced = self._response.headers.get("Content-Length", "")
+        is_framed = "Transfer-Encoding" in self._response.headers
+        if is_framed or not announced.isdigit():
+            return False
+        return self._received < int(announced)
+
+    def _error(self, step: str, error: Exception, outcome: Outcome) -> PeerError:
+        return PeerError(
+            step=step,
+            peer=self._replica_id,
+            detail=f"{type(error).__name__}: {error}",
+            outcome=outcome,
+            timed_out="timed out" in str(error) or isinstance(error, TimeoutError),
+        )
--- /dev/null
+++ b/src/crocuswick/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Rollouts of named weights to the engines of a fleet."""
--- a/src/crocuswick/timeout_socket.py
+++ b/src/crocuswick/timeout_socket.py
@@ -18,6 +18,9 @@
     releases the interpreter lock twice for each call. This one releases it once.
     """
 
+    kernel_timeout_s: float | None = None
+    """Seconds after which one send or receive fails, None for no timeout."""
+
     @classmethod
     def adopt(cls, plain: socket.socket) -> TimeoutSocket:
         """Take over the descriptor and the timeout of a connected socket.
@@ -39,6 +42,7 @@
         if value == 0:
             super().settimeout(0)
             return
+        self.kernel_timeout_s = value
         super().settimeout(None)
         total_us = 0 if value is None else max(1, int(value * _US_PER_S))
         timeval = struct.pack("@ll", *divmod(total_us, _US_PER_S))
