Tell peers of large prompts, and share the reading of the store in a zone

Cause: each node knew its own sends only; half of the rosters were read again although a replica had just read the same part, and large prompts queued behind each other. Saving every prompt to the store of kept cache filled its link, and a replica's fetches waited behind its own saves for up to two seconds. Ruled out: load reports at an interval, as bytes between zones cost more than the few events of large prompts.

--- /dev/null
+++ b/src/crocuswick/fleet_news.py
@@ -0,0 +1,282 @@
+"""A fleet node's part in the exchange of news with its peers."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import TYPE_CHECKING, Any
+
+from crocuswick.actor import Ticker
+from crocuswick.news.exchange import TICK_S, NewsExchange
+from crocuswick.news.messages import (
+    News,
+    NodeAddress,
+    PromptBegun,
+    PromptEnded,
+    PromptPlaced,
+    RecordsNews,
+    ReplicaLoading,
+    TopicEnds,
+    WeightsServed,
+)
+from crocuswick.news.peers import duty_rank
+from crocuswick.news.server import NewsServer
+from crocuswick.records.keeper import RecordKeeper
+from crocuswick.records.mirror import KeyedRecord, TopicUpdate
+from crocuswick.relay.dispatcher import RelayDispatcher
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import pykka
+
+    from crocuswick.decision_log import DecisionLog
+    from crocuswick.fleet_settings import FleetSettings
+
+__all__ = ["FleetNews"]
+
+STALE_S = 1.0
+"""Age of a peer's last read from which it is sent what it lacks; a reader reads its
+topic more often than that."""
+
+REREAD_S = 2.5
+"""Age of the last read by any known reader from which a node reads for itself."""
+
+_handlers_by_type: dict[type, Callable[[FleetNews, Any, str], None]] = {}
+
+
+def handles(news_type: type) -> Callable:
+    """Register the method that handles a type of news."""
+
+    def register(method: Callable) -> Callable:
+        _handlers_by_type[news_type] = method
+        return method
+
+    return register
+
+
+class FleetNews:
+    """Tells peers what this node learns and takes what they tell.
+
+    Args:
+        settings: Settings of the node.
+        keeper: Mirror of the store's records.
+        dispatcher: Where requests are placed.
+        log: Log of decisions.
+        topics: Topics whose reading is shared among the nodes of a zone.
+        zonal_topic: Topic whose records are told within the zone only.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: FleetSettings,
+        keeper: pykka.ActorRef,
+        dispatcher: pykka.ActorRef,
+        log: DecisionLog,
+        topics: tuple[str, ...],
+        zonal_topic: str,
+    ):
+        self._keeper = keeper
+        self._dispatcher = dispatcher
+        self._topics = topics
+        self._zonal_topic = zonal_topic
+        self._read_s_by_topic = dict.fromkeys(topics, float("-inf"))
+        self._lock = threading.Lock()
+        self._own = NodeAddress(
+            node_id=settings.node_id,
+            zone=settings.zone,
+            address=settings.peers_address,
+        )
+        self._live = frozenset({self._own})
+        self.exchange = NewsExchange.start(
+            own=self._own,
+            seeds=settings.seeds,
+            ends=self._topic_ends,
+            on_news=self._on_news,
+            on_peers=self._on_peers,
+            log=log,
+        )
+        self._server = NewsServer(
+            address=settings.peers_address,
+            on_news=lambda news, connection: self.exchange.tell(
+                NewsExchange.Heard(news=news, connection=connection)
+            ),
+            on_closed=lambda connection: self.exchange.tell(
+                NewsExchange.Closed(connection=connection)
+            ),
+        )
+        self._ticker = Ticker(
+            name="news",
+            interval_s=TICK_S,
+            call=lambda: self.exchange.tell(NewsExchange.Tick()),
+        )
+
+    def start(self) -> None:
+        """Start hearing and telling."""
+        self._server.start()
+        self.exchange.tell(NewsExchange.Tick())
+        self._ticker.start()
+
+    def stop(self) -> None:
+        """Close the port and the links."""
+        self._ticker.stop()
+        self._server.stop()
+        self.exchange.stop(block=False)
+
+    def tell(self, news: News, *, is_zonal: bool = False) -> None:
+        """Tell the neighbours news."""
+        self.exchange.tell(NewsExchange.Tell(news=news, is_zonal=is_zonal))
+
+    def tell_records(self, update: TopicUpdate) -> None:
+        """Tell the neighbours records that are new here."""
+        self.tell(_records_news(update), is_zonal=update.topic == self._zonal_topic)
+
+    def learn_nodes(self, addresses: tuple[NodeAddress, ...]) -> None:
+        """Take addresses of nodes that were read from the store."""
+        self.exchange.tell(NewsExchange.Learned(addresses=addresses))
+
+    def record_read(self, topic: str) -> None:
+        """Note that this node has just read a topic."""
+        with self._lock:
+            self._read_s_by_topic[topic] = time.monotonic()
+
+    def is_reader(self, topic: str) -> bool:
+        """Whether this node is to read a topic now.
+
+        One node of each zone reads and tells the others; whoever hears of no read
+        for a while reads for itself.
+        """
+        age_s = time.monotonic() - self._read_s_by_topic[topic]
+        return age_s > REREAD_S or self.rank(topic, zone=self._own.zone) == 0
+
+    def rank(self, duty: str, *, zone: str | None = None) -> int:
+        """Return this node's place among the live nodes for a duty, 0 for first.
+
+        Args:
+            duty: Name of the duty.
+            zone: Zone whose nodes share it, None for all zones.
+        """
+        members = [node.node_id for node in self._live if zone in (None, node.zone)]
+        return duty_rank(duty, self._own.node_id, members)
+
+    def _topic_ends(self) -> TopicEnds:
+        now_s = time.monotonic()
+        known = self._keeper.ask(RecordKeeper.Ends())
+        ages_ms = {
+            topic: round((now_s - read_s) * 1000)
+            for topic, read_s in self._read_s_by_topic.items()
+            if read_s > 0
+        }
+        return TopicEnds(
+            ends_by_topic={topic: known.get(topic, -1) for topic in self._topics},
+            ages_ms_by_topic=ages_ms,
+        )
+
+    def _on_peers(self, live: frozenset[NodeAddress]) -> None:
+        self._live = live
+        self._dispatcher.tell(RelayDispatcher.NodesKnown(count=len(live)))
+
+    def _on_news(self, news: News, sender: str) -> None:
+        handler = _handlers_by_type.get(type(news))
+        if handler is not None:
+            handler(self, news, sender)
+
+    @handles(TopicEnds)
+    def on_topic_ends(self, news: TopicEnds, sender: str) -> None:
+        """Note what a peer has read, and send it what it lacks."""
+        now_s = time.monotonic()
+        known = self._keeper.ask(RecordKeeper.Ends())
+        for topic in self._topics:
+            end = news.ends_by_topic.get(topic, -1)
+            age_s = news.ages_ms_by_topic.get(topic, 1e9) / 1000
+            own_end = known.get(topic, -1)
+            if own_end >= end:
+                self._hear_read(topic, now_s - age_s)
+            if own_end > end and (age_s > STALE_S or end < 0):
+                self._send_missing(topic, end, sender)
+
+    def _hear_read(self, topic: str, read_s: float) -> None:
+        with self._lock:
+            self._read_s_by_topic[topic] = max(self._read_s_by_topic[topic], read_s)
+
+    def _send_missing(self, topic: str, end: int, node_id: str) -> None:
+        update = self._keeper.ask(RecordKeeper.Since(topic=topic, offset=max(0, end)))
+        self.exchange.tell(
+            NewsExchange.TellOne(node_id=node_id, news=_records_news(update))
+        )
+
+    @handles(RecordsNews)
+    def on_records_news(self, news: RecordsNews, _sender: str) -> None:
+        """Take records."""
+        records = tuple(
+            KeyedRecord(key=key, offset=offset, value=value)
+            for key, offset, value in news.records
+        )
+        update = TopicUpdate(
+            topic=news.topic, records=records, end=news.end, start=news.start
+        )
+        self._keeper.tell(RecordKeeper.Learned(update=update))
+
+    @handles(PromptPlaced)
+    def on_prompt_placed(self, news: PromptPlaced, _sender: str) -> None:
+        """Count a peer's large prompt."""
+        self._dispatcher.tell(
+            RelayDispatcher.PeerPlaced(
+                request_id=news.request_id,
+                incarnation=news.incarnation,
+                prefill_tokens=news.prefill_tokens,
+                kv_tokens=news.kv_tokens,
+                salt=news.salt,
+                part_id=news.part_id,
+            )
+        )
+
+    @handles(PromptBegun)
+    def on_prompt_begun(self, news: PromptBegun, _sender: str) -> None:
+        """Note that a peer's prompt has been computed."""
+        self._dispatcher.tell(
+            RelayDispatcher.Begun(
+                request_id=news.request_id, incarnation=news.incarnation
+            )
+        )
+
+    @handles(PromptEnded)
+    def on_prompt_ended(self, news: PromptEnded, _sender: str) -> None:
+        """Note that a peer's request has ended."""
+        self._dispatcher.tell(
+            RelayDispatcher.PeerEnded(
+                request_id=news.request_id, incarnation=news.incarnation
+            )
+        )
+
+    @handles(ReplicaLoading)
+    def on_replica_loading(self, news: ReplicaLoading, _sender: str) -> None:
+        """Send nothing to a replica that loads weights."""
+        self._dispatcher.tell(
+            RelayDispatcher.ReplicaLoading(
+                incarnation=news.incarnation, for_s=news.for_ms / 1000
+            )
+        )
+
+    @handles(WeightsServed)
+    def on_weights_served(self, news: WeightsServed, _sender: str) -> None:
+        """Take the weights that a replica serves."""
+        self._dispatcher.tell(
+            RelayDispatcher.WeightsServed(
+                incarnation=news.incarnation,
+                model=news.model,
+                version=news.version,
+            )
+        )
+
+
+def _records_news(update: TopicUpdate) -> RecordsNews:
+    return RecordsNews(
+        topic=update.topic,
+        start=update.start,
+        end=update.end,
+        records=[
+            [record.key, record.offset, record.value] for record in update.records
+        ],
+    )
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -9,6 +9,7 @@
 
 from crocuswick.application import Application
 from crocuswick.decision_log import DecisionLog
+from crocuswick.fleet_news import FleetNews
 from crocuswick.fleet_platform import WantedWeights
 from crocuswick.http_server import HttpServer
 from crocuswick.metrics import Metrics
@@ -25,7 +26,7 @@
 
     from crocuswick.fleet_platform import FleetPlatform
     from crocuswick.fleet_settings import FleetSettings
-    from crocuswick.records.mirror import KeyedRecord, TopicUpdate
+    from crocuswick.records.mirror import KeyedRecord
 
 __all__ = ["FleetNode"]
 
@@ -35,8 +36,8 @@
 """Requests served at once; more wait to be read."""
 
 READINESS_THREADS = 2
-OPERATIONS_WAIT_MS = 5_000
-REPLICAS_WAIT_MS = 2_000
+OPERATIONS_WAIT_MS = 1_500
+REPLICAS_WAIT_MS = 1_500
 REPLICAS_PACE_S = 0.4
 """Pause between reads of the entries, a fifth of the time to stop using a replica."""
 
@@ -76,11 +77,24 @@
         self._metrics = Metrics(node_id=settings.node_id)
         self.application.add(self._log)
         self._dispatcher = RelayDispatcher.start(
-            zone=settings.zone, bounds=settings.bounds
+            zone=settings.zone,
+            bounds=settings.bounds,
+            on_news=lambda news: self._news.tell(news),
         )
         self._keeper = RecordKeeper.start(
-            on_record=self._on_record, on_news=self._on_news
+            on_record=self._on_record,
+            on_news=lambda update: self._news.tell_records(update),
         )
+        topics = platform.topics
+        self._news = FleetNews(
+            settings=settings,
+            keeper=self._keeper,
+            dispatcher=self._dispatcher,
+            log=self._log,
+            topics=(topics.operations, topics.replicas),
+            zonal_topic=topics.replicas,
+        )
+        self.application.add(self._news)
         self._build_readers()
         self._build_servers()
         self.application.on_start(self._announce)
@@ -118,8 +132,8 @@
             keeper=self._keeper,
             wait_ms=wait_ms,
             pace_s=pace_s,
-            is_on_duty=lambda: True,
-            on_read=self._on_read,
+            is_on_duty=lambda: self._news.is_reader(topic),
+            on_read=self._news.record_read,
             log=self._log,
         )
 
@@ -222,12 +236,6 @@
         )
         self._log.record_state("replica removed", replica=replica_id)
 
-    def _on_read(self, topic: str) -> None:
-        """Note that a topic was read without failure."""
-
-    def _on_news(self, update: TopicUpdate) -> None:
-        """Pass on to peers what is new."""
-
     # Shutdown.
 
     def _drain(self) -> None:
--- /dev/null
+++ b/src/crocuswick/news/exchange.py
@@ -0,0 +1,222 @@
+"""The active object that keeps a node and its peers informed of each other."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+
+from crocuswick.actor import Actor, Message
+from crocuswick.news.link import PeerLink
+from crocuswick.news.messages import Hello, News, NodeAddress, TopicEnds
+from crocuswick.news.peers import FORGET_S, PeerTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from crocuswick.decision_log import DecisionLog
+
+__all__ = ["NewsExchange"]
+
+TICK_S = 0.3
+"""Interval at which nodes of a zone speak."""
+
+OTHER_ZONE_TICKS = 3
+"""Ticks between messages to other zones, where each byte is priced."""
+
+
+class NewsExchange(Actor):
+    """Owns the peers and the links to them.
+
+    Args:
+        own: This node.
+        seeds: Addresses of nodes that may be there.
+        ends: Returns how far this node knows each topic.
+        on_news: Called with each message and the id of its sender.
+        on_peers: Called with the live nodes, this one included, when they change.
+        log: Records peers that are lost and regained.
+    """
+
+    @attrs.frozen(kw_only=True)
+    class Tick(Message):
+        """Time has passed."""
+
+    @attrs.frozen(kw_only=True)
+    class Tell(Message):
+        """Tell the neighbours news."""
+
+        news: News
+        is_zonal: bool = False
+        """Whether only nodes of the own zone are told."""
+
+    @attrs.frozen(kw_only=True)
+    class TellOne(Message):
+        """Tell one node news."""
+
+        node_id: str
+        news: News
+
+    @attrs.frozen(kw_only=True)
+    class Heard(Message):
+        """A message has arrived."""
+
+        news: News
+        connection: int
+
+    @attrs.frozen(kw_only=True)
+    class Closed(Message):
+        """A peer's connection has ended."""
+
+        connection: int
+
+    @attrs.frozen(kw_only=True)
+    class Learned(Message):
+        """Nodes are known from elsewhere."""
+
+        addresses: tuple[NodeAddress, ...]
+
+    def __init__(
+        self,
+        *,
+        own: NodeAddress,
+        seeds: tuple[str, ...],
+        ends: Callable[[], TopicEnds],
+        on_news: Callable[[News, str], None],
+        on_peers: Callable[[frozenset[NodeAddress]], None],
+        log: DecisionLog,
+    ):
+        super().__init__()
+        self._own = own
+        self._seeds = [seed for seed in seeds if seed != own.address]
+        self._ends = ends
+        self._on_news = on_news
+        self._on_peers = on_peers
+        self._log = log
+        self._table = PeerTable(own=own)
+        self._links_by_address: dict[str, PeerLink] = {}
+        self._senders_by_connection: dict[int, str] = {}
+        self._live: frozenset[NodeAddress] = frozenset()
+        self._ticks = 0
+
+    def on_tick(self, _message: Tick) -> None:
+        """Connect to neighbours and tell them how far this node knows the topics."""
+        self._ticks += 1
+        self._keep_links()
+        self._report_changes()
+        ends = self._ends()
+        reaches_others = self._ticks % OTHER_ZONE_TICKS == 0
+        for address in self._table.neighbours():
+            if address.zone == self._own.zone or reaches_others:
+                self._tell(address, ends)
+
+    def on_tell(self, message: Tell) -> None:
+        """Tell the neighbours."""
+        for address in self._table.neighbours():
+            if not message.is_zonal or address.zone == self._own.zone:
+                self._tell(address, message.news)
+
+    def on_tell_one(self, message: TellOne) -> None:
+        """Tell one node."""
+        for address in self._table.addresses():
+            if address.node_id == message.node_id:
+                self._tell(address, message.news)
+
+    def on_heard(self, message: Heard) -> None:
+        """Take a message."""
+        if isinstance(message.news, Hello):
+            self._greeted(message.news, message.connection)
+            return
+        sender = self._senders_by_connection.get(message.connection)
+        if sender is None:
+            return
+        self._table.hear(sender, time.monotonic())
+        self._on_news(message.news, sender)
+
+    def on_closed(self, message: Closed) -> None:
+        """Note that a peer's connection has ended."""
+        sender = self._senders_by_connection.pop(message.connection, None)
+        if sender is not None and sender not in self._senders_by_connection.values():
+            self._table.lose(sender)
+            self._report_changes()
+
+    def on_learned(self, message: Learned) -> None:
+        """Take addresses of nodes."""
+        for address in message.addresses:
+            self._table.add(address)
+        self._keep_links()
+
+    def on_stop(self) -> None:
+        """Close all links."""
+        for link in self._links_by_address.values():
+            link.stop()
+
+    def _greeted(self, hello: Hello, connection: int) -> None:
+        self._senders_by_connection[connection] = hello.node_id
+        self._table.add(
+            NodeAddress(node_id=hello.node_id, zone=hello.zone, address=hello.address)
+        )
+        for node_id, zone, address in hello.peers:
+            if node_id not in {known.node_id for known in self._table.addresses()}:
+                self._table.add(
+                    NodeAddress(node_id=node_id, zone=zone, address=address)
+                )
+        self._table.hear(hello.node_id, time.monotonic())
+        self._keep_links()
+        self._report_changes()
+
+    def _tell(self, address: NodeAddress, news: News) -> None:
+        link = self._links_by_address.get(address.address)
+        if link is not None:
+            link.tell(news)
+
+    def _keep_links(self) -> None:
+        """Open links to neighbours and seeds, and close those to nobody."""
+        self._forget_lost()
+        neighbours = self._table.neighbours()
+        wanted = {address.address for address in neighbours}
+        known = {address.address for address in self._table.addresses()}
+        wanted.update(seed for seed in self._seeds if seed not in known)
+        wanted.discard(self._own.address)
+        for address in self._links_by_address.keys() - wanted:
+            self._links_by_address.pop(address).stop()
+        for address in wanted - self._links_by_address.keys():
+            link = PeerLink(address=address, greet=self._greeting)
+            self._links_by_address[address] = link
+            link.start()
+
+    def _forget_lost(self) -> None:
+        now_s = time.monotonic()
+        for address in self._table.addresses():
+            link = self._links_by_address.get(address.address)
+            failed_s = link.failed_since_s if link else None
+            is_live = self._table.is_live(address.node_id, now_s)
+            if failed_s is not None and now_s - failed_s > FORGET_S and not is_live:
+                self._table.forget(address.node_id)
+
+    def _greeting(self) -> list[News]:
+        # Called on a link's thread; the table hands out copies.
+        peers = [
+            [peer.node_id, peer.zone, peer.address] for peer in self._table.addresses()
+        ]
+        return [
+            Hello(
+                node_id=self._own.node_id,
+                zone=self._own.zone,
+                address=self._own.address,
+                peers=peers,
+            ),
+            self._ends(),
+        ]
+
+    def _report_changes(self) -> None:
+        live = self._table.live(time.monotonic())
+        if live == self._live:
+            return
+        self._log.record_state(
+            "nodes changed",
+            joined=sorted(node.node_id for node in live - self._live),
+            lost=sorted(node.node_id for node in self._live - live),
+        )
+        self._live = live
+        self._on_peers(live)
--- /dev/null
+++ b/src/crocuswick/news/link.py
@@ -0,0 +1,128 @@
+"""A connection on which a node tells one peer its news."""
+
+from __future__ import annotations
+
+import contextlib
+import queue
+import random
+import socket
+import threading
+import time
+from typing import TYPE_CHECKING
+
+import logbook
+import msgpack
+
+from crocuswick.news.messages import encode_news
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from crocuswick.news.messages import News
+
+__all__ = ["PeerLink"]
+
+logger = logbook.Logger(__name__)
+
+CONNECT_TIMEOUT_S = 0.5
+SEND_TIMEOUT_S = 1.0
+"""A peer that reads nothing for so long is connected to anew."""
+
+SILENT_PEER_TIMEOUT_MS = 1_500
+MAX_QUEUED = 2_000
+"""Messages that wait; beyond that the peer is told again what it lacks later."""
+
+FIRST_BACKOFF_S = 0.2
+LONGEST_BACKOFF_S = 3.0
+
+
+class PeerLink:
+    """Sends messages to one peer on a thread of its own, and connects anew.
+
+    Args:
+        address: ``host:port`` of the peer.
+        greet: Returns the messages that begin each connection.
+    """
+
+    def __init__(self, *, address: str, greet: Callable[[], list[News]]):
+        self.address = address
+        self._greet = greet
+        self._queue: queue.Queue[News | None] = queue.Queue(maxsize=MAX_QUEUED)
+        self._connected = threading.Event()
+        self._stopped = threading.Event()
+        self.failed_since_s: float | None = time.monotonic()
+        self._thread = threading.Thread(
+            target=self._run, name=f"link-{address}", daemon=True
+        )
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether messages reach the peer, as far as is known."""
+        return self._connected.is_set()
+
+    def start(self) -> None:
+        """Start connecting."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close the connection and end the thread."""
+        self._stopped.set()
+        with contextlib.suppress(queue.Full):
+            self._queue.put_nowait(None)
+
+    def tell(self, news: News) -> None:
+        """Queue a message; it is dropped while there is no connection."""
+        if not self._connected.is_set():
+            return
+        try:
+            self._queue.put_nowait(news)
+        except queue.Full:
+            logger.warning("peer {} is too slow, a message was dropped", self.address)
+
+    def _run(self) -> None:
+        failures = 0
+        while not self._stopped.is_set():
+            try:
+                with self._connect() as connection:
+                    failures = 0
+                    self._send_until_closed(connection)
+            except OSError as error:
+                logger.debug("link to {} failed: {}", self.address, error)
+            self._connected.clear()
+            self.failed_since_s = self.failed_since_s or time.monotonic()
+            failures += 1
+            longest_s = min(LONGEST_BACKOFF_S, FIRST_BACKOFF_S * 2 ** min(failures, 8))
+            self._stopped.wait(longest_s * random.uniform(0.5, 1.0))
+
+    def _connect(self) -> socket.socket:
+        host, _, port = self.address.rpartition(":")
+        connection = socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S)
+        connection.settimeout(SEND_TIMEOUT_S)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_PEER_TIMEOUT_MS
+        )
+        return connection
+
+    def _send_until_closed(self, connection: socket.socket) -> None:
+        self._drop_queued()
+        for news in self._greet():
+            connection.sendall(msgpack.packb(encode_news(news)))
+        self.failed_since_s = None
+        self._connected.set()
+        while True:
+            news = self._queue.get()
+            if news is None:
+                return
+            pieces = [msgpack.packb(encode_news(news))]
+            while not self._queue.empty():
+                more = self._queue.get_nowait()
+                if more is None:
+                    return
+                pieces.append(msgpack.packb(encode_news(more)))
+            connection.sendall(b"".join(pieces))
+
+    def _drop_queued(self) -> None:
+        with contextlib.suppress(queue.Empty):
+            while True:
+                self._queue.get_nowait()
--- /dev/null
+++ b/src/crocuswick/news/server.py
@@ -0,0 +1,106 @@
+"""The port at which a node hears from its peers."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+from typing import TYPE_CHECKING
+
+import logbook
+import msgpack
+
+from crocuswick.news.messages import decode_news
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from crocuswick.news.messages import News
+
+__all__ = ["NewsServer"]
+
+logger = logbook.Logger(__name__)
+
+BACKLOG = 128
+READ_BYTES = 64 * 1024
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+"""Larger than any configuration; a larger message ends its connection."""
+
+SILENCE_TIMEOUT_S = 5.0
+"""Peers speak at least once a second."""
+
+
+class NewsServer:
+    """Reads messages on a thread for each connection.
+
+    Args:
+        address: ``host:port`` to listen at.
+        on_news: Called with each message and the key of its connection.
+        on_closed: Called with that key when the connection has ended.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        on_news: Callable[[News, int], None],
+        on_closed: Callable[[int], None],
+    ):
+        host, _, port = address.rpartition(":")
+        self._bind_address = (host, int(port))
+        self._on_news = on_news
+        self._on_closed = on_closed
+        self._socket: socket.socket | None = None
+        self._stopped = threading.Event()
+
+    def start(self) -> None:
+        """Bind the port and start accepting."""
+        self._socket = socket.create_server(self._bind_address, backlog=BACKLOG)
+        threading.Thread(target=self._accept, name="news-accept", daemon=True).start()
+
+    def stop(self) -> None:
+        """Close the port."""
+        self._stopped.set()
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+        self._socket.close()
+
+    def _accept(self) -> None:
+        connections = 0
+        while not self._stopped.is_set():
+            try:
+                accepted, peer = self._socket.accept()
+            except OSError as error:
+                if self._stopped.is_set():
+                    return
+                logger.warning("accepting a peer failed: {}", error)
+                self._stopped.wait(0.1)
+                continue
+            connections += 1
+            threading.Thread(
+                target=self._read,
+                args=(accepted, f"{peer[0]}:{peer[1]}", connections),
+                name=f"news-{peer[0]}",
+                daemon=True,
+            ).start()
+
+    def _read(self, accepted: socket.socket, peer: str, key: int) -> None:
+        accepted.settimeout(SILENCE_TIMEOUT_S)
+        unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
+        try:
+            while data := accepted.recv(READ_BYTES):
+                unpacker.feed(data)
+                for value in unpacker:
+                    self._handle(value, peer, key)
+        except (OSError, ValueError, msgpack.exceptions.UnpackException) as error:
+            logger.debug("connection of peer {} ended: {}", peer, error)
+        finally:
+            accepted.close()
+            self._on_closed(key)
+
+    def _handle(self, value: object, peer: str, key: int) -> None:
+        decoded = decode_news(value, peer)
+        if decoded.is_err():
+            logger.warning("{}", decoded.err_value)
+            return
+        self._on_news(decoded.ok_value, key)
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -10,7 +10,8 @@
 
 from crocuswick.actor import Actor, Message
 from crocuswick.errors import Refusal
-from crocuswick.relay.engine_load import EngineLoad, PeerLoad
+from crocuswick.news.messages import PromptBegun, PromptEnded, PromptPlaced
+from crocuswick.relay.engine_load import EngineLoad
 from crocuswick.relay.kv_holders import KvHolders
 from crocuswick.relay.relay_request import Attempt, RoutedRequest
 from crocuswick.relay.repeat_budget import RepeatBudget
@@ -22,9 +23,10 @@
 from crocuswick.relay.weights_table import WeightsTable
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from crocuswick.fleet_settings import FleetBounds
+    from crocuswick.news.messages import News
     from crocuswick.relay.replica_chooser import Choice
 
 __all__ = ["Placed", "RelayDispatcher", "Wait"]
@@ -44,6 +46,9 @@
 MIN_NODES = 4
 """Nodes among which the slack of repeats is shared out at the least."""
 
+TOLD_TOKENS = 2_048
+"""Prompts from this size on are told to peers; smaller ones hardly fill an engine."""
+
 RETENTION_SHARE = 0.6
 """Part of the reuse window for which an engine is expected to keep a part."""
 
@@ -70,6 +75,7 @@
     Args:
         zone: Zone of this node.
         bounds: Bounds that the users state.
+        on_news: Called with what peers are to know.
     """
 
     @attrs.frozen(kw_only=True)
@@ -114,11 +120,22 @@
         for_s: float
 
     @attrs.frozen(kw_only=True)
-    class PeerLoads(Message):
-        """What another node has outstanding at each incarnation."""
+    class PeerPlaced(Message):
+        """Another node has sent a large prompt to a replica."""
+
+        request_id: str
+        incarnation: str
+        prefill_tokens: int
+        kv_tokens: int
+        salt: str
+        part_id: str
+
+    @attrs.frozen(kw_only=True)
+    class PeerEnded(Message):
+        """Another node's large prompt has ended."""
 
-        node_id: str
-        loads_by_incarnation: dict[str, PeerLoad]
+        request_id: str
+        incarnation: str
 
     @attrs.frozen(kw_only=True)
     class NodesKnown(Message):
@@ -155,17 +172,16 @@
         result: AttemptResult
         weights_version: int | None = None
 
-    @attrs.frozen(kw_only=True)
-    class OwnLoads(Message):
-        """Asks what this node has outstanding, for its peers."""
-
     @attrs.frozen(kw_only=True)
     class Replicas(Message):
         """Asks for all replicas with the weights they serve."""
 
-    def __init__(self, *, zone: str, bounds: FleetBounds):
+    def __init__(
+        self, *, zone: str, bounds: FleetBounds, on_news: Callable[[News], None]
+    ):
         super().__init__()
         self._zone = zone
+        self._on_news = on_news
         self._bounds = bounds
         self._configuration: ServingConfiguration | None = None
         self._table = ReplicaTable()
@@ -181,6 +197,7 @@
         self._loading_until_s: dict[str, float] = {}
         self._budgets_by_service: dict[str, RepeatBudget] = {}
         self._nodes = MIN_NODES
+        self._told_requests: set[str] = set()
 
     def on_use_configuration(self, message: UseConfiguration) -> None:
         """Serve with a newer configuration."""
@@ -213,26 +230,28 @@
         """Send nothing to a replica while it loads."""
         self._loading_until_s[message.incarnation] = time.monotonic() + message.for_s
 
-    def on_peer_loads(self, message: PeerLoads) -> None:
-        """Take what another node has outstanding."""
+    def on_peer_placed(self, message: PeerPlaced) -> None:
+        """Count what another node has sent."""
         now_s = time.monotonic()
-        for incarnation, load in message.loads_by_incarnation.items():
-            self._loads_by_incarnation[incarnation].record_peer(
-                message.node_id, load, now_s
+        self._loads_by_incarnation[message.incarnation].record_sent(
+            message.request_id,
+            prefill_tokens=message.prefill_tokens,
+            kv_tokens=message.kv_tokens,
+            now_s=now_s,
+        )
+        if message.part_id:
+            self._holders.record(
+                message.salt, message.part_id, message.incarnation, now_s
             )
 
+    def on_peer_ended(self, message: PeerEnded) -> None:
+        """Note the end of what another node has sent."""
+        self._loads_by_incarnation[message.incarnation].record_ended(message.request_id)
+
     def on_nodes_known(self, message: NodesKnown) -> None:
         """Share the slack of repeats among the nodes."""
         self._nodes = max(MIN_NODES, message.count)
 
-    def on_own_loads(self, _message: OwnLoads) -> dict[str, PeerLoad]:
-        """Return what this node has outstanding at each incarnation."""
-        return {
-            incarnation: own
-            for incarnation, load in self._loads_by_incarnation.items()
-            if (own := load.own()).requests
-        }
-
     def on_replicas(self, _message: Replicas) -> list[tuple[Replica, dict[str, int]]]:
         """Return the replicas and the versions that they are known to serve."""
         return [
@@ -259,9 +278,7 @@
         elif message.is_repeat and not budget.can_take(now_s):
             return _no_replica("the budget of repeats is spent", RETRY_AFTER_S)
         candidates, ready_in_s = self._candidates(request, message.tried, now_s)
-        choice = self._chooser.choose(
-            request, service, candidates, self._configuration.kv_stores, now_s
-        )
+        choice = self._chooser.choose(request, service, candidates, (), now_s)
         if choice is None:
             return self._wait_or_refuse(request, ready_in_s, now_s)
         remaining_ms = (request.deadline_s - now_s) * 1000
@@ -275,17 +292,26 @@
     def on_begun(self, message: Begun) -> None:
         """Note that a request's prompt has been computed."""
         load = self._loads_by_incarnation.get(message.incarnation)
-        if load is not None:
-            load.record_begun(message.request_id, time.monotonic())
+        if load is None:
+            return
+        load.record_begun(message.request_id, time.monotonic())
+        if message.request_id in self._told_requests:
+            self._on_news(
+                PromptBegun(
+                    request_id=message.request_id, incarnation=message.incarnation
+                )
+            )
 
     def on_ended(self, message: Ended) -> None:
         """Take the result of an attempt."""
         now_s = time.monotonic()
         attempt = message.attempt
         incarnation = attempt.incarnation
-        self._loads_by_incarnation[incarnation].record_ended(
-            message.request.caller.request_id
-        )
+        request_id = message.request.caller.request_id
+        self._loads_by_incarnation[incarnation].record_ended(request_id)
+        if request_id in self._told_requests:
+            self._told_requests.discard(request_id)
+            self._on_news(PromptEnded(request_id=request_id, incarnation=incarnation))
         health = self._health_by_incarnation[incarnation]
         health.record(message.result, now_s)
         prompt = message.request.caller.prompt
@@ -295,9 +321,9 @@
             self._assume_newest_weights(incarnation, prompt.model)
         elif message.weights_version is not None:
             self._learn(incarnation, prompt.model, message.weights_version)
-        if message.result is AttemptResult.ANSWERED:
-            for part in prompt.shared_parts:
-                self._holders.record(attempt.cache_salt, part.id, incarnation, now_s)
+        part = prompt.shared_parts[-1:]
+        if message.result is AttemptResult.ANSWERED and part:
+            self._holders.record(attempt.cache_salt, part[0].id, incarnation, now_s)
 
     def _learn(self, incarnation: str, model: str, version: int) -> None:
         known = self._weights.served(incarnation, model)
@@ -389,7 +415,6 @@
         candidate = choice.candidate
         replica = candidate.replica
         prompt = request.caller.prompt
-        stores = self._configuration.kv_stores
         kv_tokens = prompt.prompt_tokens + prompt.max_output_tokens if prompt else 0
         candidate.load.record_sent(
             request.caller.request_id,
@@ -397,6 +422,8 @@
             kv_tokens=kv_tokens,
             now_s=now_s,
         )
+        if prompt is not None:
+            self._note_prompt(request, choice, kv_tokens, now_s)
         organisation = request.organisation
         attempt = Attempt(
             replica_id=replica.id,
@@ -408,11 +435,34 @@
             cache_salt=choice.salt,
             expected_weights=candidate.weights,
             fetch_kv_from=choice.fetch_from,
-            store_kv_to=stores[0].address if prompt and stores else "",
+            store_kv_to="",
             prefill_tokens=choice.prefill_tokens,
         )
         return Placed(attempt=attempt, expected_ms=choice.expected_ms)
 
+    def _note_prompt(
+        self, request: RoutedRequest, choice: Choice, kv_tokens: int, now_s: float
+    ) -> None:
+        """Remember where a shared part will be cached, and tell of large prompts."""
+        shared = request.caller.prompt.shared_parts
+        part_id = shared[-1].id if shared else ""
+        incarnation = choice.candidate.replica.incarnation
+        if part_id:
+            self._holders.record(choice.salt, part_id, incarnation, now_s)
+        if kv_tokens < TOLD_TOKENS:
+            return
+        self._told_requests.add(request.caller.request_id)
+        self._on_news(
+            PromptPlaced(
+                request_id=request.caller.request_id,
+                incarnation=incarnation,
+                prefill_tokens=choice.prefill_tokens,
+                kv_tokens=kv_tokens,
+                salt=choice.salt,
+                part_id=part_id,
+            )
+        )
+
 
 def _no_replica(detail: str, retry_after_s: float | None) -> Refusal:
     return Refusal(
--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -22,7 +22,6 @@
 from crocuswick.relay.upstream import Upstream
 
 if TYPE_CHECKING:
-
     from crocuswick.errors import PeerError
     from crocuswick.relay.caller_exchange import CallerExchange
     from crocuswick.relay.relay_request import Attempt, RoutedRequest
--- a/src/crocuswick/relay/replica_chooser.py
+++ b/src/crocuswick/relay/replica_chooser.py
@@ -132,7 +132,7 @@
         return best[1] if best else None
 
     def _plain_choice(self, candidate: Candidate, now_s: float) -> tuple[float, Choice]:
-        cost = float(candidate.load.requests(now_s))
+        cost = float(candidate.load.requests)
         cost += SUSPECT_REQUESTS * candidate.health.failure_share(now_s)
         if candidate.replica.zone != self._zone:
             cost += OTHER_ZONE_REQUESTS
@@ -159,7 +159,7 @@
         plan = self._prefill_plan(prompt, engine, candidate, candidates, stores, salt)
         prefill_tokens, fetch_from, fetch_ms = plan(now_s)
         rate = max(1.0, candidate.load.prefill_tokens_per_ms)
-        expected_ms = candidate.load.wait_ms(now_s) + prefill_tokens / rate + fetch_ms
+        expected_ms = candidate.load.wait_ms + prefill_tokens / rate + fetch_ms
         choice = Choice(
             candidate=candidate,
             expected_ms=expected_ms,
@@ -246,11 +246,11 @@
         if age_s is not None and age_s > OLD_WEIGHTS_GRACE_S:
             penalty_ms += OLD_WEIGHTS_MS
         room = KV_MEMORY_SHARE * engine.kv_capacity_tokens
-        needed = candidate.load.kv_tokens(now_s) + _kv_tokens(request)
+        needed = candidate.load.kv_tokens + _kv_tokens(request)
         if needed > room > 0:
             penalty_ms += FULL_MEMORY_MS * (needed - room) / room
         # Each running request lengthens the steps of all others.
-        penalty_ms += 2.0 * candidate.load.requests(now_s)
+        penalty_ms += 2.0 * candidate.load.requests
         return penalty_ms
 
 
--- a/src/crocuswick/relay/upstream.py
+++ b/src/crocuswick/relay/upstream.py
@@ -20,7 +20,6 @@
 from crocuswick.outcome import Outcome
 
 if TYPE_CHECKING:
-
     from urllib3.response import HTTPResponse
 
 __all__ = ["Upstream", "UpstreamRequest", "UpstreamResponse"]
