--- a/src/crocuswick/fleet_news.py
+++ b/src/crocuswick/fleet_news.py
@@ -16,6 +16,8 @@
     PromptPlaced,
     RecordsNews,
     ReplicaLoading,
+    RightResigned,
+    RightTaken,
     TopicEnds,
     WeightsServed,
 )
@@ -24,12 +26,14 @@
 from crocuswick.records.keeper import RecordKeeper
 from crocuswick.records.mirror import KeyedRecord, TopicUpdate
 from crocuswick.relay.dispatcher import RelayDispatcher
+from crocuswick.rollouts.driver import RolloutDriver
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     import pykka
 
+    from crocuswick.actor import Message
     from crocuswick.decision_log import DecisionLog
     from crocuswick.fleet_settings import FleetSettings
 
@@ -79,6 +83,7 @@
     ):
         self._keeper = keeper
         self._dispatcher = dispatcher
+        self._driver: pykka.ActorRef | None = None
         self._topics = topics
         self._zonal_topic = zonal_topic
         self._read_s_by_topic = dict.fromkeys(topics, float("-inf"))
@@ -128,6 +133,15 @@
         """Tell the neighbours news."""
         self.exchange.tell(NewsExchange.Tell(news=news, is_zonal=is_zonal))
 
+    def tell_all(self, news: News) -> None:
+        """Take news as if a peer had told it, and tell the neighbours."""
+        self._on_news(news, self._own.node_id)
+        self.tell(news)
+
+    def use_driver(self, driver: pykka.ActorRef) -> None:
+        """Set who is told of other nodes' orders."""
+        self._driver = driver
+
     def tell_records(self, update: TopicUpdate) -> None:
         """Tell the neighbours records that are new here."""
         self.tell(_records_news(update), is_zonal=update.topic == self._zonal_topic)
@@ -251,8 +265,9 @@
         )
 
     @handles(ReplicaLoading)
-    def on_replica_loading(self, news: ReplicaLoading, _sender: str) -> None:
+    def on_replica_loading(self, news: ReplicaLoading, sender: str) -> None:
         """Send nothing to a replica that loads weights."""
+        self._tell_driver(RolloutDriver.Progress(), sender)
         self._dispatcher.tell(
             RelayDispatcher.ReplicaLoading(
                 incarnation=news.incarnation, for_s=news.for_ms / 1000
@@ -270,6 +285,24 @@
             )
         )
 
+    @handles(RightResigned)
+    def on_right_resigned(self, news: RightResigned, sender: str) -> None:
+        """Note that the holder of the right to order gives it up."""
+        message = RolloutDriver.Resigned(
+            token=news.token, last_order_age_s=news.last_order_age_ms / 1000
+        )
+        self._tell_driver(message, sender)
+
+    @handles(RightTaken)
+    def on_right_taken(self, news: RightTaken, sender: str) -> None:
+        """Note that another node is about to give orders."""
+        message = RolloutDriver.Progress(expected_in_s=news.usable_in_ms / 1000)
+        self._tell_driver(message, sender)
+
+    def _tell_driver(self, message: Message, sender: str) -> None:
+        if self._driver is not None and sender != self._own.node_id:
+            self._driver.tell(message)
+
 
 def _records_news(update: TopicUpdate) -> RecordsNews:
     return RecordsNews(
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+import threading
 import time
 from typing import TYPE_CHECKING
 
 import logbook
 
+from crocuswick.actor import Ticker
 from crocuswick.application import Application
 from crocuswick.decision_log import DecisionLog
 from crocuswick.fleet_news import FleetNews
 from crocuswick.fleet_platform import WantedWeights
 from crocuswick.http_server import HttpServer
 from crocuswick.metrics import Metrics
+from crocuswick.news.messages import WeightsServed
 from crocuswick.records.keeper import RecordKeeper
 from crocuswick.records.reader import TopicReader
 from crocuswick.relay.caller_watch import CallerWatch
@@ -20,6 +23,7 @@
 from crocuswick.relay.relay_run import RelayContext
 from crocuswick.relay.relay_server import RelayServer
 from crocuswick.relay.serving import CallerLimits, ServingConfiguration
+from crocuswick.rollouts.driver import RolloutDriver
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -27,6 +31,7 @@
     from crocuswick.fleet_platform import FleetPlatform
     from crocuswick.fleet_settings import FleetSettings
     from crocuswick.records.mirror import KeyedRecord
+    from crocuswick.relay.engine_state import EngineState
 
 __all__ = ["FleetNode"]
 
@@ -35,6 +40,8 @@
 CALLER_THREADS = 192
 """Requests served at once; more wait to be read."""
 
+ORDERS_DUTY = "orders"
+ROLLOUT_TICK_S = 0.1
 READINESS_THREADS = 2
 OPERATIONS_WAIT_MS = 1_500
 REPLICAS_WAIT_MS = 1_500
@@ -80,6 +87,7 @@
             zone=settings.zone,
             bounds=settings.bounds,
             on_news=lambda news: self._news.tell(news),
+            on_doubt=self._read_weights,
         )
         self._keeper = RecordKeeper.start(
             on_record=self._on_record,
@@ -95,6 +103,7 @@
             zonal_topic=topics.replicas,
         )
         self.application.add(self._news)
+        self._build_rollouts()
         self._build_readers()
         self._build_servers()
         self.application.on_start(self._announce)
@@ -114,6 +123,54 @@
         """Run until shutdown."""
         self.application.run()
 
+    def _build_rollouts(self) -> None:
+        bounds = self._settings.bounds
+        self._driver = RolloutDriver.start(
+            node_id=self._settings.node_id,
+            topic=self._platform.topics.leases,
+            lease_s=bounds.lease_ms / 1000,
+            store=self._platform.open_store(),
+            orders=self._platform.engine_orders,
+            engines=self._engines,
+            rank=lambda: self._news.rank(ORDERS_DUTY),
+            on_news=self._news.tell_all,
+            log=self._log,
+        )
+        self._news.use_driver(self._driver)
+        self.application.add(
+            Ticker(
+                name="rollouts",
+                interval_s=ROLLOUT_TICK_S,
+                call=lambda: self._driver.tell(RolloutDriver.Tick()),
+            )
+        )
+
+    def _engines(self) -> list[EngineState]:
+        return self._dispatcher.ask(RelayDispatcher.Engines())
+
+    def _read_weights(self, replica_id: str) -> None:
+        """Ask an engine which weights it serves, on a thread of its own."""
+        threading.Thread(
+            target=self._learn_weights, args=(replica_id,), daemon=True
+        ).start()
+
+    def _learn_weights(self, replica_id: str) -> None:
+        for engine in self._engines():
+            if engine.replica.id != replica_id:
+                continue
+            report = self._platform.engine_orders.report(engine.replica)
+            if report.is_err():
+                self._log.record_state("report failed", error=str(report.err_value))
+                continue
+            for model, version in report.ok_value.weights_by_model.items():
+                self._news.tell_all(
+                    WeightsServed(
+                        incarnation=engine.replica.incarnation,
+                        model=model,
+                        version=version,
+                    )
+                )
+
     def _build_readers(self) -> None:
         topics = self._platform.topics
         self.application.add(
@@ -208,6 +265,9 @@
         self._dispatcher.tell(
             RelayDispatcher.WeightsNamed(model=wanted.model, version=wanted.version)
         )
+        self._driver.tell(
+            RolloutDriver.Want(model=wanted.model, version=wanted.version)
+        )
         self._log.record_state(
             "weights named", model=wanted.model, version=wanted.version
         )
@@ -242,6 +302,7 @@
         """Stop taking new callers and finish what is under way."""
         self._is_draining = True
         self._relay_server.is_draining = True
+        self._driver.tell(RolloutDriver.Resign())
         started_s = time.monotonic()
         self._log.record_state("draining", in_flight=self._relay_server.in_flight)
         latest_s = started_s + self._settings.bounds.grace_ms / 1000 - DRAIN_MARGIN_S
--- a/src/crocuswick/news/messages.py
+++ b/src/crocuswick/news/messages.py
@@ -23,6 +23,7 @@
     "RecordsNews",
     "ReplicaLoading",
     "RightResigned",
+    "RightTaken",
     "TopicEnds",
     "WeightsServed",
     "decode_news",
@@ -144,6 +145,16 @@
     version: int
 
 
+@message("taken")
+@attrs.frozen(kw_only=True)
+class RightTaken(News):
+    """The sender has taken the right to order."""
+
+    token: int
+    usable_in_ms: int
+    """Time before it gives its first order."""
+
+
 @message("resigned")
 @attrs.frozen(kw_only=True)
 class RightResigned(News):
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -12,6 +12,7 @@
 from crocuswick.errors import Refusal
 from crocuswick.news.messages import PromptBegun, PromptEnded, PromptPlaced
 from crocuswick.relay.engine_load import EngineLoad
+from crocuswick.relay.engine_state import EngineState
 from crocuswick.relay.kv_holders import KvHolders
 from crocuswick.relay.relay_request import Attempt, RoutedRequest
 from crocuswick.relay.repeat_budget import RepeatBudget
@@ -76,6 +77,7 @@
         zone: Zone of this node.
         bounds: Bounds that the users state.
         on_news: Called with what peers are to know.
+        on_doubt: Called with the id of a replica whose weights are not known.
     """
 
     @attrs.frozen(kw_only=True)
@@ -173,13 +175,19 @@
         weights_version: int | None = None
 
     @attrs.frozen(kw_only=True)
-    class Replicas(Message):
-        """Asks for all replicas with the weights they serve."""
+    class Engines(Message):
+        """Asks for the state of all replicas that have models."""
 
     def __init__(
-        self, *, zone: str, bounds: FleetBounds, on_news: Callable[[News], None]
+        self,
+        *,
+        zone: str,
+        bounds: FleetBounds,
+        on_news: Callable[[News], None],
+        on_doubt: Callable[[str], None],
     ):
         super().__init__()
+        self._on_doubt = on_doubt
         self._zone = zone
         self._on_news = on_news
         self._bounds = bounds
@@ -223,7 +231,8 @@
         self._weights.name(message.model, message.version, time.monotonic())
 
     def on_weights_served(self, message: WeightsServed) -> None:
-        """Note the weights of a replica."""
+        """Note the weights of a replica, which has ended loading."""
+        self._loading_until_s.pop(message.incarnation, None)
         self._learn(message.incarnation, message.model, message.version)
 
     def on_replica_loading(self, message: ReplicaLoading) -> None:
@@ -252,17 +261,21 @@
         """Share the slack of repeats among the nodes."""
         self._nodes = max(MIN_NODES, message.count)
 
-    def on_replicas(self, _message: Replicas) -> list[tuple[Replica, dict[str, int]]]:
-        """Return the replicas and the versions that they are known to serve."""
+    def on_engines(self, _message: Engines) -> list[EngineState]:
+        """Return the state of all replicas that have models."""
         return [
-            (
-                replica,
-                {
+            EngineState(
+                replica=replica,
+                weights_by_model={
                     model: self._weights.served(replica.incarnation, model) or 0
                     for model in replica.weights_by_model
                 },
+                prefill_tokens=self._loads_by_incarnation[
+                    replica.incarnation
+                ].prefill_tokens,
             )
             for replica in self._table.all(time.monotonic())
+            if replica.weights_by_model
         ]
 
     def on_place(self, message: Place) -> Placed | Wait | Refusal:
@@ -318,7 +331,7 @@
         if prompt is None:
             return
         if message.result is AttemptResult.OTHER_WEIGHTS:
-            self._assume_newest_weights(incarnation, prompt.model)
+            self._on_doubt(attempt.replica_id)
         elif message.weights_version is not None:
             self._learn(incarnation, prompt.model, message.weights_version)
         part = prompt.shared_parts[-1:]
@@ -328,15 +341,7 @@
     def _learn(self, incarnation: str, model: str, version: int) -> None:
         known = self._weights.served(incarnation, model)
         if self._weights.learn(incarnation, model, version) and known is not None:
-            # New weights empty the cache and end the pause for loading.
             self._holders.forget(incarnation)
-            self._loading_until_s.pop(incarnation, None)
-
-    def _assume_newest_weights(self, incarnation: str, model: str) -> None:
-        # Versions only rise, so other weights than the known ones are newer.
-        named = self._weights.named(model)
-        if named is not None:
-            self._learn(incarnation, model, named.version)
 
     def _forget(self, incarnation: str) -> None:
         self._weights.forget(incarnation)
--- a/src/crocuswick/relay/replica_health.py
+++ b/src/crocuswick/relay/replica_health.py
@@ -77,7 +77,7 @@
         elif result in (AttemptResult.UNREACHABLE, AttemptResult.MISDIRECTED):
             self._bad += 1.0
             self._pause(now_s)
-        elif result is AttemptResult.BUSY:
+        elif result in (AttemptResult.BUSY, AttemptResult.OTHER_WEIGHTS):
             self._paused_until_s = max(self._paused_until_s, now_s + BUSY_PAUSE_S)
 
     def is_paused(self, now_s: float) -> bool:
--- /dev/null
+++ b/src/crocuswick/rollouts/driver.py
@@ -0,0 +1,461 @@
+"""The active object that brings engines to the weights that operators named."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+import attrs
+
+from crocuswick.actor import Actor, Message
+from crocuswick.news.messages import (
+    ReplicaLoading,
+    RightResigned,
+    RightTaken,
+    WeightsServed,
+)
+from crocuswick.rollouts.engine_orders import WeightsOrder
+from crocuswick.rollouts.order_right import (
+    OrderRight,
+    RightRecord,
+    decode_right,
+    encode_right,
+)
+from crocuswick.rollouts.rollout_plan import WeightsStep, behind, next_steps
+from crocuswick.rollouts.weights_load import LoadResult, WeightsLoad
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from crocuswick.decision_log import DecisionLog
+    from crocuswick.news.messages import News
+    from crocuswick.records.store import RecordStore
+    from crocuswick.relay.engine_state import EngineState
+    from crocuswick.rollouts.engine_orders import EngineOrders
+
+__all__ = ["RolloutDriver", "boot_clock_s"]
+
+TICK_S = 0.1
+TAKE_OVER_STEP_S = 0.8
+"""Time without progress after which the node that is next in rank takes over."""
+
+LONGEST_CLAIM_PAUSE_S = 4.0
+"""Longest pause between attempts at the right while the store does not answer."""
+
+SETTLE_S = 0.05
+"""Time in which peers learn that an engine takes no more work."""
+
+LONGEST_SETTLE_S = 0.4
+"""Longest wait for prompts that an order would send away before they begin."""
+
+EXPECTED_LOAD_S = 2.0
+"""Time for which peers send nothing to an engine that loads, unless they hear more."""
+
+FIRST_PAUSE_S = 0.2
+"""Pause before an engine that did not load is ordered again."""
+
+LONGEST_PAUSE_S = 2.0
+"""Longest such pause, a part of the time within which new weights must be served."""
+
+WORKERS = 16
+FIRST_GUESS = 0
+"""Offset that a node that knows nothing of the topic tries first."""
+
+
+def boot_clock_s() -> float:
+    """Return the time of a clock that goes on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@attrs.define(kw_only=True)
+class _Load:
+    """An order that was given and is not known to be carried out."""
+
+    step: WeightsStep
+    started_s: float
+
+
+@attrs.frozen(kw_only=True)
+class _Claim:
+    """What an attempt to take or renew the right led to."""
+
+    token: int | None
+    sent_s: float
+    previous: RightRecord | None = None
+    previous_token: int = -1
+    is_renewal: bool = False
+    error: str = ""
+
+
+class RolloutDriver(Actor):
+    """Takes the right to order, gives orders and watches what becomes of them.
+
+    Args:
+        node_id: This node.
+        topic: Topic of the right.
+        lease_s: Time between the orders of two holders.
+        store: Client of the store, used by one worker at a time.
+        orders: Client of the engines.
+        engines: Returns the state of all engines.
+        rank: Returns this node's place among the live nodes for giving orders.
+        on_news: Called with what this node and its peers are to know.
+        log: Log of decisions.
+    """
+
+    @attrs.frozen(kw_only=True)
+    class Tick(Message):
+        """Time has passed."""
+
+    @attrs.frozen(kw_only=True)
+    class Want(Message):
+        """Operators have named a version."""
+
+        model: str
+        version: int
+
+    @attrs.frozen(kw_only=True)
+    class Claimed(Message):
+        """An attempt at the right has ended."""
+
+        claim: _Claim
+
+    @attrs.frozen(kw_only=True)
+    class LoadEnded(Message):
+        """An order was carried out, or given up."""
+
+        incarnation: str
+        result: LoadResult
+
+    @attrs.frozen(kw_only=True)
+    class Resigned(Message):
+        """Another node gives no more orders."""
+
+        token: int
+        last_order_age_s: float
+
+    @attrs.frozen(kw_only=True)
+    class Progress(Message):
+        """Another node gives orders, or soon will."""
+
+        expected_in_s: float = 0.0
+
+    @attrs.frozen(kw_only=True)
+    class Resign(Message):
+        """This node shuts down and gives no more orders."""
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        topic: str,
+        lease_s: float,
+        store: RecordStore,
+        orders: EngineOrders,
+        engines: Callable[[], Sequence[EngineState]],
+        rank: Callable[[], int],
+        on_news: Callable[[News], None],
+        log: DecisionLog,
+    ):
+        super().__init__()
+        self._node_id = node_id
+        self._topic = topic
+        self._store = store
+        self._orders = orders
+        self._engines = engines
+        self._rank = rank
+        self._on_news = on_news
+        self._log = log
+        self._right = OrderRight(node_id=node_id, lease_s=lease_s)
+        self._wanted_by_model: dict[str, int] = {}
+        self._loads_by_incarnation: dict[str, _Load] = {}
+        self._orders_by_incarnation: dict[str, int] = {}
+        self._failures_by_incarnation: dict[str, int] = {}
+        self._paused_until_s: dict[str, float] = {}
+        self._behind_since_s: float | None = None
+        self._last_order_s: float | None = None
+        self._end_guess = FIRST_GUESS
+        self._is_claiming = False
+        self._claim_failures = 0
+        self._is_resigned = False
+        self._workers = ThreadPoolExecutor(WORKERS, thread_name_prefix="orders")
+
+    def on_want(self, message: Want) -> None:
+        """Take a version that was named."""
+        known = self._wanted_by_model.get(message.model, 0)
+        self._wanted_by_model[message.model] = max(known, message.version)
+        self._step()
+
+    def on_tick(self, _message: Tick) -> None:
+        """Give orders where engines are behind."""
+        self._step()
+
+    def on_progress(self, message: Progress) -> None:
+        """Leave the rollout to the node that gives orders."""
+        self._behind_since_s = boot_clock_s() + message.expected_in_s
+
+    def on_resigned(self, message: Resigned) -> None:
+        """Note that a holder gives no more orders."""
+        self._right.resigned(message.token, boot_clock_s() - message.last_order_age_s)
+        self._behind_since_s = None
+
+    def on_resign(self, _message: Resign) -> None:
+        """Give no more orders and tell the others."""
+        self._is_resigned = True
+        self._tell_resignation()
+        self._right.lost()
+
+    def on_claimed(self, message: Claimed) -> None:
+        """Take the result of an attempt at the right."""
+        claim = message.claim
+        self._is_claiming = False
+        if claim.token is None:
+            self._after_failed_claim(claim)
+            return
+        self._claim_failures = 0
+        self._end_guess = claim.token + 1
+        if claim.is_renewal:
+            self._right.renewed(claim.token, sent_s=claim.sent_s)
+        else:
+            self._take(claim)
+        self._step()
+
+    def on_load_ended(self, message: LoadEnded) -> None:
+        """Note the end of an order."""
+        incarnation, result = message.incarnation, message.result
+        load = self._loads_by_incarnation.pop(incarnation, None)
+        if load is None:
+            return
+        if result.accepted_orders is not None:
+            self._orders_by_incarnation[incarnation] = result.accepted_orders
+        self._log_load(load, result)
+        if result.is_loaded:
+            self._failures_by_incarnation.pop(incarnation, None)
+            self._on_news(
+                WeightsServed(
+                    incarnation=incarnation,
+                    model=load.step.model,
+                    version=load.step.version,
+                )
+            )
+        else:
+            self._hold_back(incarnation)
+        self._step()
+
+    def _log_load(self, load: _Load, result: LoadResult) -> None:
+        self._log.record_state(
+            "weights order ended",
+            replica=load.step.replica.id,
+            model=load.step.model,
+            version=load.step.version,
+            loaded=result.is_loaded,
+            detail=result.detail,
+            ms=round((boot_clock_s() - load.started_s) * 1000),
+        )
+
+    def _hold_back(self, incarnation: str) -> None:
+        """Let requests go to an engine that did not load, and order it later."""
+        failures = self._failures_by_incarnation.get(incarnation, 0)
+        self._failures_by_incarnation[incarnation] = failures + 1
+        pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**failures)
+        self._paused_until_s[incarnation] = boot_clock_s() + pause_s
+        self._tell_loading(incarnation, 0.0)
+
+    def on_stop(self) -> None:
+        """Let running workers end by themselves."""
+        self._workers.shutdown(wait=False, cancel_futures=True)
+
+    def _step(self) -> None:
+        now_s = boot_clock_s()
+        if self._is_resigned:
+            return
+        engines = self._engines()
+        paused = {
+            incarnation
+            for incarnation, until_s in self._paused_until_s.items()
+            if now_s < until_s
+        }
+        steps = [
+            step
+            for step in next_steps(
+                engines, self._wanted_by_model, self._loads_by_incarnation
+            )
+            if step.replica.incarnation not in paused
+        ]
+        if not behind(engines, self._wanted_by_model):
+            self._behind_since_s = None
+            return
+        if not steps:
+            return
+        if self._behind_since_s is None:
+            self._behind_since_s = now_s
+        if not self._is_turn(now_s):
+            return
+        if self._right.needs_renewal(now_s):
+            self._claim()
+        if self._right.may_order(now_s):
+            for step in steps:
+                self._order(step, now_s)
+
+    def _is_turn(self, now_s: float) -> bool:
+        """Whether this node is to give the orders.
+
+        The holder goes on; others come after it in the order of their ranks.
+        """
+        if self._right.token is not None:
+            return True
+        return now_s - self._behind_since_s >= TAKE_OVER_STEP_S * self._rank()
+
+    # The right to order.
+
+    def _claim(self) -> None:
+        if self._is_claiming:
+            return
+        self._is_claiming = True
+        record = RightRecord(
+            node_id=self._node_id, nonce=uuid.uuid4().hex[:12], clock_s=time.time()
+        )
+        self._submit(self._append_claim, record, self._right.token, self._end_guess)
+
+    def _append_claim(
+        self, record: RightRecord, own_token: int | None, end_guess: int
+    ) -> None:
+        """Append a claim; runs on a worker."""
+        sent_s = boot_clock_s()
+        at = end_guess if own_token is None else own_token + 1
+        claim = self._claim_at(record, at, sent_s, is_renewal=own_token is not None)
+        if claim.token is None and not claim.error:
+            # Another record stands there; `previous_token` is the last offset.
+            claim = self._claim_after(record, claim.previous_token)
+        self.actor_ref.tell(RolloutDriver.Claimed(claim=claim))
+
+    def _claim_at(
+        self, record: RightRecord, at: int, sent_s: float, *, is_renewal: bool
+    ) -> _Claim:
+        ack = self._store.append(self._topic, encode_right(record), at=at)
+        if ack.is_err():
+            return _Claim(token=None, sent_s=sent_s, error=str(ack.err_value))
+        if not ack.ok_value.is_appended:
+            return _Claim(
+                token=None, sent_s=sent_s, previous_token=ack.ok_value.offset - 1
+            )
+        return _Claim(token=ack.ok_value.offset, sent_s=sent_s, is_renewal=is_renewal)
+
+    def _claim_after(self, record: RightRecord, last: int) -> _Claim:
+        sent_s = boot_clock_s()
+        previous = None
+        if last >= 0:
+            tail = self._store.read_tail(self._topic, start=last)
+            if tail.is_err():
+                return _Claim(token=None, sent_s=sent_s, error=str(tail.err_value))
+            if tail.ok_value is not None and tail.ok_value.records:
+                previous = decode_right(tail.ok_value.records[-1])
+        claim = self._claim_at(record, last + 1, sent_s, is_renewal=False)
+        return attrs.evolve(
+            claim,
+            previous=previous,
+            previous_token=last,
+            error=claim.error or ("" if claim.token is not None else "lost the race"),
+        )
+
+    def _take(self, claim: _Claim) -> None:
+        now_s = boot_clock_s()
+        self._right.taken(
+            claim.token,
+            sent_s=claim.sent_s,
+            now_s=now_s,
+            previous=claim.previous,
+            previous_token=claim.previous_token,
+            clock_s=time.time(),
+        )
+        usable_in_ms = round(self._right.waits_for_s(now_s) * 1000)
+        self._log.record_state(
+            "right to order taken",
+            token=claim.token,
+            previous=claim.previous.node_id if claim.previous else None,
+            usable_in_ms=usable_in_ms,
+        )
+        self._on_news(RightTaken(token=claim.token, usable_in_ms=usable_in_ms))
+
+    def _after_failed_claim(self, claim: _Claim) -> None:
+        self._claim_failures += 1
+        self._log.record_state("right to order not renewed", error=claim.error)
+        if self._right.token is not None:
+            self._tell_resignation()
+        self._right.lost()
+        self._end_guess = max(self._end_guess, claim.previous_token + 1)
+        # Another node may be the one that reaches the store.
+        backoff_s = min(LONGEST_CLAIM_PAUSE_S, TAKE_OVER_STEP_S * self._claim_failures)
+        self._behind_since_s = boot_clock_s() + backoff_s
+
+    def _tell_resignation(self) -> None:
+        if self._right.token is None:
+            return
+        age_s = -1.0
+        if self._last_order_s is not None:
+            age_s = boot_clock_s() - self._last_order_s
+        self._on_news(
+            RightResigned(
+                token=self._right.token, last_order_age_ms=round(age_s * 1000)
+            )
+        )
+
+    # Orders.
+
+    def _order(self, step: WeightsStep, now_s: float) -> None:
+        incarnation = step.replica.incarnation
+        self._loads_by_incarnation[incarnation] = _Load(step=step, started_s=now_s)
+        self._last_order_s = now_s
+        self._tell_loading(incarnation, EXPECTED_LOAD_S)
+        self._submit(self._carry_out, step, self._right.token)
+
+    def _carry_out(self, step: WeightsStep, token: int) -> None:
+        """Give one order and wait for its effect; runs on a worker."""
+        incarnation = step.replica.incarnation
+        self._wait_until_idle(incarnation)
+        load = WeightsLoad(
+            orders=self._orders,
+            replica=step.replica,
+            order=WeightsOrder(
+                model=step.model,
+                version=step.version,
+                holder=self._node_id,
+                fencing_token=token,
+                expected_orders=self._orders_by_incarnation.get(incarnation, 0),
+            ),
+            on_busy=lambda: self._tell_loading(incarnation, EXPECTED_LOAD_S),
+        )
+        result = load.run()
+        self.actor_ref.tell(
+            RolloutDriver.LoadEnded(incarnation=incarnation, result=result)
+        )
+
+    def _wait_until_idle(self, incarnation: str) -> None:
+        """Wait until the prompts that were sent to an engine have begun."""
+        deadline_s = time.monotonic() + LONGEST_SETTLE_S
+        time.sleep(SETTLE_S)
+        while time.monotonic() < deadline_s:
+            waiting = [
+                engine.prefill_tokens
+                for engine in self._engines()
+                if engine.replica.incarnation == incarnation
+            ]
+            if not any(waiting):
+                return
+            time.sleep(SETTLE_S)
+
+    def _tell_loading(self, incarnation: str, for_s: float) -> None:
+        self._on_news(
+            ReplicaLoading(incarnation=incarnation, for_ms=round(for_s * 1000))
+        )
+
+    def _submit(self, call: Callable, *arguments: object) -> None:
+        self._workers.submit(self._logged, call, *arguments)
+
+    def _logged(self, call: Callable, *arguments: object) -> None:
+        try:
+            call(*arguments)
+        except Exception as error:
+            self._log.record_state("worker failed", error=repr(error))
+            raise
--- /dev/null
+++ b/src/crocuswick/rollouts/rollout_plan.py
@@ -0,0 +1,88 @@
+"""Which engines are ordered to load weights next."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from crocuswick.relay.replica import Replica, ReplicaState
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable, Mapping
+
+    from crocuswick.relay.engine_state import EngineState
+
+__all__ = ["WeightsStep", "behind", "loads_at_once", "next_steps"]
+
+LOAD_SHARE = 3 / 8
+"""Part of the engines that load at once; more of them slow each other down."""
+
+
+@attrs.frozen(kw_only=True)
+class WeightsStep:
+    """An engine that is to load a version."""
+
+    replica: Replica
+    model: str
+    version: int
+
+
+def loads_at_once(engines: int) -> int:
+    """Return how many of a number of engines load at the same time."""
+    return max(1, round(LOAD_SHARE * engines))
+
+
+def behind(
+    engines: Iterable[EngineState], wanted_by_model: Mapping[str, int]
+) -> list[tuple[EngineState, WeightsStep]]:
+    """Return the engines that serve older weights than wanted.
+
+    Args:
+        engines: All engines.
+        wanted_by_model: Named version of each model.
+    """
+    return [
+        (
+            engine,
+            WeightsStep(
+                replica=engine.replica, model=model, version=wanted_by_model[model]
+            ),
+        )
+        for engine in engines
+        if engine.replica.state is ReplicaState.READY
+        for model, version in engine.weights_by_model.items()
+        if version < wanted_by_model.get(model, 0)
+    ]
+
+
+def next_steps(
+    engines: Collection[EngineState],
+    wanted_by_model: Mapping[str, int],
+    busy_incarnations: Collection[str],
+) -> list[WeightsStep]:
+    """Return the orders to give now, the least loaded engines first.
+
+    Args:
+        engines: All engines.
+        wanted_by_model: Named version of each model.
+        busy_incarnations: Engines that load, or were ordered to.
+    """
+    late = behind(engines, wanted_by_model)
+    concerned = {
+        model: [engine for engine in engines if model in engine.weights_by_model]
+        for model in wanted_by_model
+    }
+    steps = []
+    room_by_model = {
+        model: loads_at_once(len(members))
+        - sum(member.replica.incarnation in busy_incarnations for member in members)
+        for model, members in concerned.items()
+    }
+    for engine, step in sorted(late, key=lambda pair: pair[0].prefill_tokens):
+        if engine.replica.incarnation in busy_incarnations:
+            continue
+        if room_by_model[step.model] > 0:
+            room_by_model[step.model] -= 1
+            steps.append(step)
+    return steps
