Model each engine's cache and save parts to the store once

Cause: 100 rosters' parts don't fit the engines' memory, so most parts were read again; saving every prompt had filled the store's link. Each engine's memory is modelled as least recently used from the large prompts that all nodes tell of; a part is saved once, fetched from an engine that still holds it, else from the store.

--- a/src/crocuswick/actor.py
+++ b/src/crocuswick/actor.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from types import TracebackType
 
 __all__ = ["Actor", "Message", "Ticker"]
 
@@ -44,6 +45,20 @@
         """
         return getattr(self, handler_name(type(message)))(message)
 
+    def on_failure(
+        self,
+        exception_type: type[BaseException] | None,
+        exception_value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Go on with the next message after one whose handler failed.
+
+        The library has logged the failure and is about to stop the actor, which
+        would leave the node without it.
+        """
+        pykka.ActorRegistry.register(self.actor_ref)
+        self.actor_stopped.clear()
+
 
 class Ticker:
     """Calls a function at a fixed interval on a thread of its own."""
--- a/src/crocuswick/fleet_news.py
+++ b/src/crocuswick/fleet_news.py
@@ -235,16 +235,7 @@
     @handles(PromptPlaced)
     def on_prompt_placed(self, news: PromptPlaced, _sender: str) -> None:
         """Count a peer's large prompt."""
-        self._dispatcher.tell(
-            RelayDispatcher.PeerPlaced(
-                request_id=news.request_id,
-                incarnation=news.incarnation,
-                prefill_tokens=news.prefill_tokens,
-                kv_tokens=news.kv_tokens,
-                salt=news.salt,
-                part_id=news.part_id,
-            )
-        )
+        self._dispatcher.tell(RelayDispatcher.PeerPlaced(placed=news))
 
     @handles(PromptBegun)
     def on_prompt_begun(self, news: PromptBegun, _sender: str) -> None:
--- a/src/crocuswick/news/messages.py
+++ b/src/crocuswick/news/messages.py
@@ -107,6 +107,12 @@
     part_id: str
     """Last shared part of the prompt, empty for none."""
 
+    shared_tokens: int
+    """Tokens of the shared parts."""
+
+    is_saved: bool
+    """Whether the replica saves the parts to the store."""
+
 
 @message("begun")
 @attrs.frozen(kw_only=True)
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -13,7 +13,7 @@
 from crocuswick.news.messages import PromptBegun, PromptEnded, PromptPlaced
 from crocuswick.relay.engine_load import EngineLoad
 from crocuswick.relay.engine_state import EngineState
-from crocuswick.relay.kv_holders import KvHolders
+from crocuswick.relay.kv_map import KvMap, ModelledCache
 from crocuswick.relay.relay_request import Attempt, RoutedRequest
 from crocuswick.relay.repeat_budget import RepeatBudget
 from crocuswick.relay.replica import Replica
@@ -50,9 +50,6 @@
 TOLD_TOKENS = 2_048
 """Prompts from this size on are told to peers; smaller ones hardly fill an engine."""
 
-RETENTION_SHARE = 0.6
-"""Part of the reuse window for which an engine is expected to keep a part."""
-
 
 @attrs.frozen(kw_only=True)
 class Placed:
@@ -125,12 +122,7 @@
     class PeerPlaced(Message):
         """Another node has sent a large prompt to a replica."""
 
-        request_id: str
-        incarnation: str
-        prefill_tokens: int
-        kv_tokens: int
-        salt: str
-        part_id: str
+        placed: PromptPlaced
 
     @attrs.frozen(kw_only=True)
     class PeerEnded(Message):
@@ -194,10 +186,8 @@
         self._configuration: ServingConfiguration | None = None
         self._table = ReplicaTable()
         self._weights = WeightsTable()
-        self._holders = KvHolders(
-            retention_s=RETENTION_SHARE * bounds.prefix_reuse_ms / 1000
-        )
-        self._chooser = ReplicaChooser(zone=zone, holders=self._holders)
+        self._kv_map = KvMap()
+        self._chooser = ReplicaChooser(zone=zone, kv_map=self._kv_map)
         self._loads_by_incarnation: dict[str, EngineLoad] = defaultdict(EngineLoad)
         self._health_by_incarnation: dict[str, ReplicaHealth] = defaultdict(
             ReplicaHealth
@@ -241,17 +231,14 @@
 
     def on_peer_placed(self, message: PeerPlaced) -> None:
         """Count what another node has sent."""
-        now_s = time.monotonic()
-        self._loads_by_incarnation[message.incarnation].record_sent(
-            message.request_id,
-            prefill_tokens=message.prefill_tokens,
-            kv_tokens=message.kv_tokens,
-            now_s=now_s,
+        placed = message.placed
+        self._loads_by_incarnation[placed.incarnation].record_sent(
+            placed.request_id,
+            prefill_tokens=placed.prefill_tokens,
+            kv_tokens=placed.kv_tokens,
+            now_s=time.monotonic(),
         )
-        if message.part_id:
-            self._holders.record(
-                message.salt, message.part_id, message.incarnation, now_s
-            )
+        self._record_parts(placed)
 
     def on_peer_ended(self, message: PeerEnded) -> None:
         """Note the end of what another node has sent."""
@@ -291,7 +278,9 @@
         elif message.is_repeat and not budget.can_take(now_s):
             return _no_replica("the budget of repeats is spent", RETRY_AFTER_S)
         candidates, ready_in_s = self._candidates(request, message.tried, now_s)
-        choice = self._chooser.choose(request, service, candidates, (), now_s)
+        choice = self._chooser.choose(
+            request, service, candidates, self._configuration.kv_stores, now_s
+        )
         if choice is None:
             return self._wait_or_refuse(request, ready_in_s, now_s)
         remaining_ms = (request.deadline_s - now_s) * 1000
@@ -334,18 +323,15 @@
             self._on_doubt(attempt.replica_id)
         elif message.weights_version is not None:
             self._learn(incarnation, prompt.model, message.weights_version)
-        part = prompt.shared_parts[-1:]
-        if message.result is AttemptResult.ANSWERED and part:
-            self._holders.record(attempt.cache_salt, part[0].id, incarnation, now_s)
 
     def _learn(self, incarnation: str, model: str, version: int) -> None:
         known = self._weights.served(incarnation, model)
         if self._weights.learn(incarnation, model, version) and known is not None:
-            self._holders.forget(incarnation)
+            self._kv_map.forget(incarnation)
 
     def _forget(self, incarnation: str) -> None:
         self._weights.forget(incarnation)
-        self._holders.forget(incarnation)
+        self._kv_map.forget(incarnation)
         self._loads_by_incarnation.pop(incarnation, None)
         self._health_by_incarnation.pop(incarnation, None)
         self._loading_until_s.pop(incarnation, None)
@@ -427,8 +413,7 @@
             kv_tokens=kv_tokens,
             now_s=now_s,
         )
-        if prompt is not None:
-            self._note_prompt(request, choice, kv_tokens, now_s)
+        is_saved = prompt is not None and self._note_prompt(request, choice, kv_tokens)
         organisation = request.organisation
         attempt = Attempt(
             replica_id=replica.id,
@@ -440,33 +425,73 @@
             cache_salt=choice.salt,
             expected_weights=candidate.weights,
             fetch_kv_from=choice.fetch_from,
-            store_kv_to="",
+            store_kv_to=self._store_address() if is_saved else "",
             prefill_tokens=choice.prefill_tokens,
         )
         return Placed(attempt=attempt, expected_ms=choice.expected_ms)
 
+    def _store_address(self) -> str:
+        return self._configuration.kv_stores[0].address
+
     def _note_prompt(
-        self, request: RoutedRequest, choice: Choice, kv_tokens: int, now_s: float
-    ) -> None:
-        """Remember where a shared part will be cached, and tell of large prompts."""
-        shared = request.caller.prompt.shared_parts
-        part_id = shared[-1].id if shared else ""
+        self, request: RoutedRequest, choice: Choice, kv_tokens: int
+    ) -> bool:
+        """Remember where a shared part will be cached, and tell of large prompts.
+
+        Returns:
+            Whether the engine is to save the parts to the store.
+        """
+        prompt = request.caller.prompt
+        shared = prompt.shared_parts
         incarnation = choice.candidate.replica.incarnation
-        if part_id:
-            self._holders.record(choice.salt, part_id, incarnation, now_s)
         if kv_tokens < TOLD_TOKENS:
-            return
+            # Other nodes send about as many small prompts as this one.
+            self._cache(incarnation).fill(kv_tokens * self._nodes)
+            return False
+        part_id = shared[-1].id if shared else ""
+        is_saved = bool(
+            part_id
+            and self._configuration.kv_stores
+            and not self._kv_map.is_stored(choice.salt, part_id)
+        )
+        placed = PromptPlaced(
+            request_id=request.caller.request_id,
+            incarnation=incarnation,
+            prefill_tokens=choice.prefill_tokens,
+            kv_tokens=kv_tokens,
+            salt=choice.salt,
+            part_id=part_id,
+            shared_tokens=prompt.shared_tokens,
+            is_saved=is_saved,
+        )
+        self._record_parts(placed)
         self._told_requests.add(request.caller.request_id)
-        self._on_news(
-            PromptPlaced(
-                request_id=request.caller.request_id,
-                incarnation=incarnation,
-                prefill_tokens=choice.prefill_tokens,
-                kv_tokens=kv_tokens,
-                salt=choice.salt,
-                part_id=part_id,
+        self._on_news(placed)
+        return is_saved
+
+    def _record_parts(self, placed: PromptPlaced) -> None:
+        """Enter a large prompt into the modelled caches."""
+        cache = self._cache(placed.incarnation)
+        if placed.part_id:
+            cache.use((placed.salt, placed.part_id), placed.shared_tokens)
+        cache.fill(placed.kv_tokens - placed.shared_tokens)
+        stores = self._configuration.kv_stores if self._configuration else ()
+        if placed.is_saved and stores:
+            self._kv_map.record_stored(
+                placed.salt,
+                placed.part_id,
+                placed.kv_tokens,
+                stores[0].capacity_tokens,
             )
-        )
+
+    def _cache(self, incarnation: str) -> ModelledCache:
+        replica_id = incarnation.rpartition("@")[0]
+        replica = self._table.find(replica_id, time.monotonic())
+        services = self._configuration.services_by_name if self._configuration else {}
+        service = services.get(replica.service) if replica else None
+        engine = service.engine if service else None
+        capacity_tokens = engine.kv_capacity_tokens if engine else 0
+        return self._kv_map.engine(incarnation, capacity_tokens)
 
 
 def _no_replica(detail: str, retry_after_s: float | None) -> Refusal:
--- a/src/crocuswick/relay/relay_request.py
+++ b/src/crocuswick/relay/relay_request.py
@@ -39,6 +39,11 @@
         """Parts that other requests may have in common with this one."""
         return self.parts[:-1]
 
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the shared parts."""
+        return sum(part.tokens for part in self.shared_parts)
+
 
 @attrs.frozen(kw_only=True)
 class CallerRequest:
--- a/src/crocuswick/relay/replica_chooser.py
+++ b/src/crocuswick/relay/replica_chooser.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from crocuswick.relay.kv_holders import KvHolders
-    from crocuswick.relay.relay_request import RoutedRequest
+    from crocuswick.relay.kv_map import KvMap
+    from crocuswick.relay.relay_request import Prompt, RoutedRequest
     from crocuswick.relay.serving import EngineTraits, KvStore, Service
 
 __all__ = ["Candidate", "Choice", "ReplicaChooser"]
@@ -47,7 +47,7 @@
 KV_MEMORY_SHARE = 0.9
 """Share of an engine's memory that running requests may fill without preemption."""
 
-STORE_LATENCY_MS = 2.0
+TRANSFER_LATENCY_MS = 2.0
 """Fixed time of a fetch."""
 
 OTHER_ZONE_TRANSFER = 2.0
@@ -83,18 +83,27 @@
     salt: str
 
 
+@attrs.frozen(kw_only=True)
+class _Source:
+    """Where an engine gets a prompt's shared parts."""
+
+    transfer_ms: float
+    address: str
+    """Address to fetch from, empty if the engine holds them itself."""
+
+
 class ReplicaChooser:
     """Estimates the time to the first event at each candidate and takes the least.
 
     Args:
         zone: Zone of this node.
-        holders: Where parts are believed to be cached.
+        kv_map: Where parts are believed to be cached.
         seed: Seed of the choice among equals.
     """
 
-    def __init__(self, *, zone: str, holders: KvHolders, seed: int | None = None):
+    def __init__(self, *, zone: str, kv_map: KvMap, seed: int | None = None):
         self._zone = zone
-        self._holders = holders
+        self._kv_map = kv_map
         self._random = random.Random(seed)
 
     def choose(
@@ -150,86 +159,70 @@
         request: RoutedRequest,
         engine: EngineTraits,
         candidate: Candidate,
-        candidates: Sequence[Candidate],
+        peers: Sequence[Candidate],
         stores: Sequence[KvStore],
         now_s: float,
     ) -> tuple[float, Choice]:
         prompt = request.caller.prompt
         salt = cache_salt(request, candidate.weights)
-        plan = self._prefill_plan(prompt, engine, candidate, candidates, stores, salt)
-        prefill_tokens, fetch_from, fetch_ms = plan(now_s)
         rate = max(1.0, candidate.load.prefill_tokens_per_ms)
+        source = self._source(prompt, salt, engine, candidate, peers, stores)
+        cached = prompt.shared_tokens if source is not None else 0
+        prefill_tokens = max(0, prompt.prompt_tokens - cached)
+        fetch_ms = source.transfer_ms if source is not None else 0.0
         expected_ms = candidate.load.wait_ms + prefill_tokens / rate + fetch_ms
         choice = Choice(
             candidate=candidate,
             expected_ms=expected_ms,
             prefill_tokens=prefill_tokens,
-            fetch_from=fetch_from,
+            fetch_from=source.address if source is not None else "",
             salt=salt,
         )
         cost = expected_ms + self._penalty_ms(request, engine, candidate, now_s)
         return cost, choice
 
-    def _prefill_plan(self, prompt, engine, candidate, candidates, stores, salt):
-        def plan(now_s: float) -> tuple[int, str, float]:
-            shared = prompt.shared_parts
-            shared_tokens = sum(part.tokens for part in shared)
-            tokens = max(0, prompt.prompt_tokens)
-            if not shared_tokens:
-                return tokens, "", 0.0
-            holders = self._holders.holders(salt, shared[-1].id, now_s)
-            if candidate.replica.incarnation in holders:
-                return max(0, tokens - shared_tokens), "", 0.0
-            source, fetch_ms = self._source(
-                holders, shared_tokens, engine, candidate, candidates, stores
-            )
-            rate = max(1.0, candidate.load.prefill_tokens_per_ms)
-            if not source or fetch_ms >= shared_tokens / rate:
-                return tokens, "", 0.0
-            return max(0, tokens - shared_tokens), source, fetch_ms
-
-        return plan
-
-    def _source(self, holders, tokens, engine, candidate, candidates, stores):
-        replicas_by_incarnation = {
-            other.replica.incarnation: other.replica for other in candidates
-        }
+    def _source(
+        self,
+        prompt: Prompt,
+        salt: str,
+        engine: EngineTraits,
+        candidate: Candidate,
+        peers: Sequence[Candidate],
+        stores: Sequence[KvStore],
+    ) -> _Source | None:
+        """Return where a prompt's shared parts come from, None if from nowhere."""
+        if not prompt.shared_tokens:
+            return None
+        part_id = prompt.shared_parts[-1].id
+        if self._kv_map.holds(candidate.replica.incarnation, salt, part_id):
+            return _Source(transfer_ms=0.0, address="")
+        tokens = prompt.shared_tokens
         sources = [
-            (
-                self._transfer_ms(
-                    tokens, engine, engine.link_mbps, replica.zone, candidate
-                ),
-                replica.address,
-            )
-            for holder in holders
-            if (replica := replicas_by_incarnation.get(holder)) is not None
+            self._transfer(tokens, engine, engine.link_mbps, candidate, peer.replica)
+            for peer in peers
+            if self._kv_map.holds(peer.replica.incarnation, salt, part_id)
         ]
-        sources += [
-            (
-                self._transfer_ms(
-                    tokens, engine, store.link_mbps, store.zone, candidate
-                ),
-                store.address,
-            )
-            for store in stores
-        ]
-        if not sources:
-            return "", 0.0
-        fetch_ms, address = min(sources)
-        return address, fetch_ms
-
-    def _transfer_ms(
+        if self._kv_map.is_stored(salt, part_id):
+            sources += [
+                self._transfer(tokens, engine, store.link_mbps, candidate, store)
+                for store in stores
+            ]
+        return min(sources, key=lambda source: source.transfer_ms, default=None)
+
+    def _transfer(
         self,
         tokens: int,
         engine: EngineTraits,
         link_mbps: float,
-        zone: str,
         candidate: Candidate,
-    ) -> float:
+        holder: Replica | KvStore,
+    ) -> _Source:
         bits = tokens * engine.kv_bytes_per_token * 8
         mbps = max(1.0, min(link_mbps, engine.link_mbps))
-        factor = 1.0 if zone == candidate.replica.zone else OTHER_ZONE_TRANSFER
-        return STORE_LATENCY_MS + factor * bits / (mbps * 1000)
+        is_near = holder.zone == candidate.replica.zone
+        factor = 1.0 if is_near else OTHER_ZONE_TRANSFER
+        transfer_ms = TRANSFER_LATENCY_MS + factor * bits / (mbps * 1000)
+        return _Source(transfer_ms=transfer_ms, address=holder.address)
 
     def _penalty_ms(
         self,
--- a/src/crocuswick/rollouts/driver.py
+++ b/src/crocuswick/rollouts/driver.py
@@ -23,6 +23,7 @@
     decode_right,
     encode_right,
 )
+from crocuswick.rollouts.order_turn import OrderTurn
 from crocuswick.rollouts.rollout_plan import WeightsStep, behind, next_steps
 from crocuswick.rollouts.weights_load import LoadResult, WeightsLoad
 
@@ -38,11 +39,8 @@
 __all__ = ["RolloutDriver", "boot_clock_s"]
 
 TICK_S = 0.1
-TAKE_OVER_STEP_S = 0.8
-"""Time without progress after which the node that is next in rank takes over."""
-
-LONGEST_CLAIM_PAUSE_S = 4.0
-"""Longest pause between attempts at the right while the store does not answer."""
+HOLDER_INTERVAL_S = 0.3
+"""Interval at which a holder tells the others that it is at work."""
 
 SETTLE_S = 0.05
 """Time in which peers learn that an engine takes no more work."""
@@ -173,11 +171,11 @@
         self._orders_by_incarnation: dict[str, int] = {}
         self._failures_by_incarnation: dict[str, int] = {}
         self._paused_until_s: dict[str, float] = {}
-        self._behind_since_s: float | None = None
+        self._turn = OrderTurn()
+        self._next_word_s = float("-inf")
         self._last_order_s: float | None = None
         self._end_guess = FIRST_GUESS
         self._is_claiming = False
-        self._claim_failures = 0
         self._is_resigned = False
         self._workers = ThreadPoolExecutor(WORKERS, thread_name_prefix="orders")
 
@@ -193,12 +191,12 @@
 
     def on_progress(self, message: Progress) -> None:
         """Leave the rollout to the node that gives orders."""
-        self._behind_since_s = boot_clock_s() + message.expected_in_s
+        self._turn.holder_spoke(boot_clock_s(), next_in_s=message.expected_in_s)
 
     def on_resigned(self, message: Resigned) -> None:
         """Note that a holder gives no more orders."""
         self._right.resigned(message.token, boot_clock_s() - message.last_order_age_s)
-        self._behind_since_s = None
+        self._turn.holder_resigned()
 
     def on_resign(self, _message: Resign) -> None:
         """Give no more orders and tell the others."""
@@ -213,7 +211,6 @@
         if claim.token is None:
             self._after_failed_claim(claim)
             return
-        self._claim_failures = 0
         self._end_guess = claim.token + 1
         if claim.is_renewal:
             self._right.renewed(claim.token, sent_s=claim.sent_s)
@@ -284,13 +281,11 @@
             if step.replica.incarnation not in paused
         ]
         if not behind(engines, self._wanted_by_model):
-            self._behind_since_s = None
-            return
-        if not steps:
+            self._turn.engines_current()
             return
-        if self._behind_since_s is None:
-            self._behind_since_s = now_s
-        if not self._is_turn(now_s):
+        self._turn.engines_behind(now_s)
+        self._speak_as_holder(now_s)
+        if not steps or not self._is_turn(now_s):
             return
         if self._right.needs_renewal(now_s):
             self._claim()
@@ -299,13 +294,21 @@
                 self._order(step, now_s)
 
     def _is_turn(self, now_s: float) -> bool:
-        """Whether this node is to give the orders.
+        return self._turn.is_mine(
+            now_s, rank=self._rank(), holds_right=self._right.token is not None
+        )
 
-        The holder goes on; others come after it in the order of their ranks.
-        """
-        if self._right.token is not None:
-            return True
-        return now_s - self._behind_since_s >= TAKE_OVER_STEP_S * self._rank()
+    def _speak_as_holder(self, now_s: float) -> None:
+        """Keep the others from taking the right while orders are carried out."""
+        if self._right.token is None or now_s < self._next_word_s:
+            return
+        self._next_word_s = now_s + HOLDER_INTERVAL_S
+        self._on_news(
+            RightTaken(
+                token=self._right.token,
+                usable_in_ms=round(self._right.waits_for_s(now_s) * 1000),
+            )
+        )
 
     # The right to order.
 
@@ -326,10 +329,18 @@
         at = end_guess if own_token is None else own_token + 1
         claim = self._claim_at(record, at, sent_s, is_renewal=own_token is not None)
         if claim.token is None and not claim.error:
-            # Another record stands there; `previous_token` is the last offset.
-            claim = self._claim_after(record, claim.previous_token)
+            claim = self._after_other_record(record, own_token, claim)
         self.actor_ref.tell(RolloutDriver.Claimed(claim=claim))
 
+    def _after_other_record(
+        self, record: RightRecord, own_token: int | None, claim: _Claim
+    ) -> _Claim:
+        """Go on after another record was found where the claim was to stand."""
+        if own_token is not None:
+            # Taking the right back would only keep both from using it.
+            return attrs.evolve(claim, error="another node has taken the right")
+        return self._claim_after(record, claim.previous_token)
+
     def _claim_at(
         self, record: RightRecord, at: int, sent_s: float, *, is_renewal: bool
     ) -> _Claim:
@@ -376,18 +387,15 @@
             previous=claim.previous.node_id if claim.previous else None,
             usable_in_ms=usable_in_ms,
         )
-        self._on_news(RightTaken(token=claim.token, usable_in_ms=usable_in_ms))
+        self._speak_as_holder(now_s)
 
     def _after_failed_claim(self, claim: _Claim) -> None:
-        self._claim_failures += 1
         self._log.record_state("right to order not renewed", error=claim.error)
         if self._right.token is not None:
             self._tell_resignation()
         self._right.lost()
         self._end_guess = max(self._end_guess, claim.previous_token + 1)
-        # Another node may be the one that reaches the store.
-        backoff_s = min(LONGEST_CLAIM_PAUSE_S, TAKE_OVER_STEP_S * self._claim_failures)
-        self._behind_since_s = boot_clock_s() + backoff_s
+        self._turn.claim_failed(boot_clock_s())
 
     def _tell_resignation(self) -> None:
         if self._right.token is None:
--- /dev/null
+++ b/src/crocuswick/rollouts/order_turn.py
@@ -0,0 +1,68 @@
+"""When a node takes the right to order from a holder that gives no orders."""
+
+from __future__ import annotations
+
+__all__ = ["TAKE_OVER_STEP_S", "OrderTurn"]
+
+TAKE_OVER_STEP_S = 0.8
+"""Time without a word of the holder after which the next node in rank takes over.
+The holder speaks every `HOLDER_INTERVAL_S` while engines are behind."""
+
+LONGEST_PAUSE_S = 4.0
+"""Longest pause of a node that failed to take the right."""
+
+
+class OrderTurn:
+    """Follows the holder's signs of life while engines are behind."""
+
+    def __init__(self):
+        self._quiet_since_s: float | None = None
+        self._failures = 0
+
+    def engines_behind(self, now_s: float) -> None:
+        """Note that engines serve older weights than named."""
+        if self._quiet_since_s is None:
+            self._quiet_since_s = now_s
+
+    def engines_current(self) -> None:
+        """Note that all engines serve what was named."""
+        self._quiet_since_s = None
+        self._failures = 0
+
+    def holder_spoke(self, now_s: float, *, next_in_s: float) -> None:
+        """Note a sign of life of another holder.
+
+        Args:
+            now_s: Time.
+            next_in_s: Time before its next order.
+        """
+        self._failures = 0
+        self._quiet_since_s = now_s + next_in_s
+
+    def holder_resigned(self) -> None:
+        """Note that there is no holder any more."""
+        if self._quiet_since_s is not None:
+            self._quiet_since_s = float("-inf")
+
+    def claim_failed(self, now_s: float) -> None:
+        """Note that the right could not be taken or renewed.
+
+        The node lets all others try before it does so again.
+        """
+        self._failures += 1
+        pause_s = min(LONGEST_PAUSE_S, TAKE_OVER_STEP_S * 2**self._failures)
+        self._quiet_since_s = now_s + pause_s
+
+    def is_mine(self, now_s: float, *, rank: int, holds_right: bool) -> bool:
+        """Whether this node is to give the orders now.
+
+        Args:
+            now_s: Time.
+            rank: Its place among the live nodes, 0 for the first.
+            holds_right: Whether it holds the right as far as it knows.
+        """
+        if holds_right:
+            return True
+        if self._quiet_since_s is None:
+            return False
+        return now_s - self._quiet_since_s >= TAKE_OVER_STEP_S * rank
