Rank requests by their route within the rank of their organisation

Cause: each organisation has a rank, which replaced that of the route, so long prompts ranked with the short ones and held them up inside the engines.

--- a/src/crocuswick/relay/request_router.py
+++ b/src/crocuswick/relay/request_router.py
@@ -16,6 +16,10 @@
 
 __all__ = ["no_configuration", "route_request"]
 
+ROUTE_RANKS = 3
+"""Ranks of routes that are told apart within an organisation's rank; engines know ten
+ranks in all."""
+
 NO_CONFIGURATION_RETRY_S = 0.5
 """A node reads its first configuration within some hundred milliseconds."""
 
@@ -82,9 +86,15 @@
 
 
 def _priority(route: Route, organisation: Organisation | None) -> int:
-    if organisation is not None and organisation.priority is not None:
-        return organisation.priority
-    return route.priority
+    """Return the rank of a request: that of its organisation first, then its route's.
+
+    Without the second part a long prompt would rank with the short ones of its
+    organisation, and hold them up.
+    """
+    rank = min(route.priority, ROUTE_RANKS - 1)
+    if organisation is None or organisation.priority is None:
+        return rank
+    return organisation.priority * ROUTE_RANKS + rank
 
 
 def _deadline_s(route: Route, caller: CallerRequest) -> float:
