Refuse at once what would wait over 1.3 aims; repeat only at silent replicas

Cause: under overload (two of six engines dark) every long prompt waited 2 s, was ended, and was sent to the next engine, where it was read again: the load doubled and stayed so for 15 s after the engines were back. A request is refused with a time to come back when its first event is expected later than 1.3 response-time goals; an attempt is ended early only when its engine is silent on all requests, or this one has been silent for three goals.

--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -23,6 +23,7 @@
 from crocuswick.relay.relay_run import RelayContext
 from crocuswick.relay.relay_server import RelayServer
 from crocuswick.relay.serving import CallerLimits, ServingConfiguration
+from crocuswick.relay.stall_watch import StallWatch
 from crocuswick.rollouts.driver import RolloutDriver
 
 if TYPE_CHECKING:
@@ -196,11 +197,13 @@
 
     def _build_servers(self) -> None:
         watch = CallerWatch()
+        stalls = StallWatch()
         self._relay_server = RelayServer(
             address=self._settings.callers_address,
             context=RelayContext(
                 dispatcher=self._dispatcher,
                 dialect=self._platform.dialect,
+                stalls=stalls,
                 log=self._log,
                 metrics=self._metrics,
             ),
@@ -216,7 +219,7 @@
             application=self._readiness_page,
             threads=READINESS_THREADS,
         )
-        for component in (watch, self._relay_server, readiness):
+        for component in (watch, stalls, self._relay_server, readiness):
             self.application.add(component)
 
     def _readiness_page(
--- a/src/crocuswick/news/messages.py
+++ b/src/crocuswick/news/messages.py
@@ -103,6 +103,7 @@
     incarnation: str
     prefill_tokens: int
     kv_tokens: int
+    priority: int
     salt: str
     part_id: str
     """Last shared part of the prompt, empty for none."""
--- /dev/null
+++ b/src/crocuswick/relay/admission_bound.py
@@ -0,0 +1,41 @@
+"""How long a request may be expected to wait before it is refused instead."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from crocuswick.relay.relay_request import RoutedRequest
+
+__all__ = ["longest_wait_ms"]
+
+FIRST_TIME_AIMS = 1.3
+"""Response-time goals that a request may wait. Whoever waits much longer is late in
+any case, and makes those behind it late too."""
+
+RETURNED_SHARE = 0.5
+"""Part of the time left that a caller who has come back may wait."""
+
+RETURNED_BELOW = 0.95
+"""Part of the route's time below which a caller has spent some of it before."""
+
+
+def longest_wait_ms(request: RoutedRequest, now_s: float) -> float:
+    """Return the longest wait for which a request is still taken.
+
+    Args:
+        request: The request.
+        now_s: Monotonic time.
+    """
+    left_ms = (request.deadline_s - now_s) * 1000
+    goal_ms = FIRST_TIME_AIMS * request.route.target_latency_ms
+    if _has_come_back(request):
+        goal_ms = max(goal_ms, RETURNED_SHARE * left_ms)
+    return min(goal_ms, left_ms)
+
+
+def _has_come_back(request: RoutedRequest) -> bool:
+    budget_ms = request.caller.time_budget_ms
+    if budget_ms is None:
+        return False
+    return budget_ms < RETURNED_BELOW * request.route.timeout_ms
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -11,13 +11,18 @@
 from crocuswick.actor import Actor, Message
 from crocuswick.errors import Refusal
 from crocuswick.news.messages import PromptBegun, PromptEnded, PromptPlaced
+from crocuswick.relay.admission_bound import longest_wait_ms
 from crocuswick.relay.engine_load import EngineLoad
 from crocuswick.relay.engine_state import EngineState
 from crocuswick.relay.kv_map import KvMap, ModelledCache
 from crocuswick.relay.relay_request import Attempt, RoutedRequest
 from crocuswick.relay.repeat_budget import RepeatBudget
 from crocuswick.relay.replica import Replica
-from crocuswick.relay.replica_chooser import Candidate, ReplicaChooser
+from crocuswick.relay.replica_chooser import (
+    Candidate,
+    ReplicaChooser,
+    engine_priority,
+)
 from crocuswick.relay.replica_health import AttemptResult, ReplicaHealth
 from crocuswick.relay.replica_table import ReplicaTable
 from crocuswick.relay.serving import ServingConfiguration
@@ -38,6 +43,9 @@
 WEIGHTS_MARGIN_S = 1.0
 """Time before the bound of older weights at which they get no more requests."""
 
+MIN_RETRY_AFTER_S = 0.3
+"""Shortest time to come back; within less an engine's queue hardly changes."""
+
 RETRY_AFTER_S = 1.0
 """Retry-After where nothing is known of when a replica is back."""
 
@@ -236,6 +244,7 @@
             placed.request_id,
             prefill_tokens=placed.prefill_tokens,
             kv_tokens=placed.kv_tokens,
+            priority=placed.priority,
             now_s=time.monotonic(),
         )
         self._record_parts(placed)
@@ -283,10 +292,9 @@
         )
         if choice is None:
             return self._wait_or_refuse(request, ready_in_s, now_s)
-        remaining_ms = (request.deadline_s - now_s) * 1000
-        if choice.expected_ms > remaining_ms:
-            wait_s = (choice.expected_ms - remaining_ms) / 1000
-            return _no_replica("no replica would begin in time", wait_s)
+        excess_ms = choice.expected_ms - longest_wait_ms(request, now_s)
+        if excess_ms > 0 and message.sent_before == 0:
+            return _overloaded(choice.expected_ms, excess_ms)
         if message.is_repeat:
             budget.take(now_s)
         return self._place(request, choice, now_s)
@@ -411,6 +419,7 @@
             request.caller.request_id,
             prefill_tokens=choice.prefill_tokens,
             kv_tokens=kv_tokens,
+            priority=engine_priority(request),
             now_s=now_s,
         )
         is_saved = prompt is not None and self._note_prompt(request, choice, kv_tokens)
@@ -421,7 +430,7 @@
             address=replica.address,
             zone=replica.zone,
             tenant=organisation.name if organisation else "",
-            engine_priority=min(9, request.priority) if prompt else None,
+            engine_priority=engine_priority(request) if prompt else None,
             cache_salt=choice.salt,
             expected_weights=candidate.weights,
             fetch_kv_from=choice.fetch_from,
@@ -459,6 +468,7 @@
             incarnation=incarnation,
             prefill_tokens=choice.prefill_tokens,
             kv_tokens=kv_tokens,
+            priority=engine_priority(request),
             salt=choice.salt,
             part_id=part_id,
             shared_tokens=prompt.shared_tokens,
@@ -494,6 +504,19 @@
         return self._kv_map.engine(incarnation, capacity_tokens)
 
 
+def _overloaded(expected_ms: float, excess_ms: float) -> Refusal:
+    return Refusal(
+        status=503,
+        title="overloaded",
+        detail=(
+            "The request was not run: its first event is expected after "
+            f"{expected_ms:.0f} ms."
+        ),
+        step="place",
+        retry_after_s=max(MIN_RETRY_AFTER_S, excess_ms / 1000),
+    )
+
+
 def _no_replica(detail: str, retry_after_s: float | None) -> Refusal:
     return Refusal(
         status=503,
--- a/src/crocuswick/relay/engine_load.py
+++ b/src/crocuswick/relay/engine_load.py
@@ -15,6 +15,9 @@
 MIN_MEASURED_TOKENS = 512
 """Smaller prompts measure the time of a step rather than the prefill rate."""
 
+PRIORITIES = 10
+"""Ranks that engines know."""
+
 LONGEST_REQUEST_S = 12.0
 """Age at which a request counts as ended although nobody said so."""
 
@@ -23,6 +26,7 @@
 class _Sent:
     prefill_tokens: int
     kv_tokens: int
+    priority: int
     sent_s: float
     queued_before: int
     has_begun: bool = False
@@ -33,7 +37,7 @@
 
     def __init__(self):
         self._sent_by_request: dict[str, _Sent] = {}
-        self._prefill_tokens = 0
+        self._prefill_by_priority = [0] * PRIORITIES
         self._kv_tokens = 0
         self.prefill_tokens_per_ms = DEFAULT_PREFILL_TOKENS_PER_MS
 
@@ -45,20 +49,30 @@
     @property
     def prefill_tokens(self) -> int:
         """Prompt tokens that are still to be computed."""
-        return self._prefill_tokens
+        return sum(self._prefill_by_priority)
 
     @property
     def kv_tokens(self) -> int:
         """Tokens that outstanding requests hold in memory."""
         return self._kv_tokens
 
-    @property
-    def wait_ms(self) -> float:
-        """Expected time before a further prompt is begun."""
-        return self._prefill_tokens / max(1.0, self.prefill_tokens_per_ms)
+    def wait_ms(self, priority: int) -> float:
+        """Return the expected time before a further prompt is begun.
+
+        Args:
+            priority: Its urgency, 0 first; prompts that are less urgent don't count.
+        """
+        ahead = sum(self._prefill_by_priority[: priority + 1])
+        return ahead / max(1.0, self.prefill_tokens_per_ms)
 
     def record_sent(
-        self, request_id: str, *, prefill_tokens: int, kv_tokens: int, now_s: float
+        self,
+        request_id: str,
+        *,
+        prefill_tokens: int,
+        kv_tokens: int,
+        priority: int,
+        now_s: float,
     ) -> None:
         """Note a request that this node or a peer has sent."""
         self.record_ended(request_id)
@@ -66,10 +80,11 @@
         self._sent_by_request[request_id] = _Sent(
             prefill_tokens=prefill_tokens,
             kv_tokens=kv_tokens,
+            priority=priority,
             sent_s=now_s,
-            queued_before=self._prefill_tokens,
+            queued_before=sum(self._prefill_by_priority[: priority + 1]),
         )
-        self._prefill_tokens += prefill_tokens
+        self._prefill_by_priority[priority] += prefill_tokens
         self._kv_tokens += kv_tokens
 
     def record_begun(self, request_id: str, now_s: float) -> None:
@@ -78,7 +93,7 @@
         if sent is None or sent.has_begun:
             return
         sent.has_begun = True
-        self._prefill_tokens -= sent.prefill_tokens
+        self._prefill_by_priority[sent.priority] -= sent.prefill_tokens
         passed_ms = (now_s - sent.sent_s) * 1000
         if sent.prefill_tokens >= MIN_MEASURED_TOKENS and passed_ms > 0:
             rate = (sent.prefill_tokens + sent.queued_before) / passed_ms
@@ -93,7 +108,7 @@
             return
         self._kv_tokens -= sent.kv_tokens
         if not sent.has_begun:
-            self._prefill_tokens -= sent.prefill_tokens
+            self._prefill_by_priority[sent.priority] -= sent.prefill_tokens
 
     def _drop_overdue(self, now_s: float) -> None:
         # Requests stand in the order in which they were sent.
--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -19,6 +19,7 @@
 from crocuswick.relay.relay_request import AnswerHead
 from crocuswick.relay.replica_health import AttemptResult
 from crocuswick.relay.serving import RouteKind
+from crocuswick.relay.stall_watch import StallWatch, WatchedAttempt
 from crocuswick.relay.upstream import Upstream
 
 if TYPE_CHECKING:
@@ -30,14 +31,19 @@
 
 MISDIRECTED = 421
 SERVER_ERROR = 500
-FIRST_EVENT_AIMS = 2.5
-"""Response-time goals after which a stream without an event is tried elsewhere."""
+HARD_FIRST_EVENT_AIMS = 3.0
+"""Response-time goals, beyond the expected time, after which a stream without an event
+is tried elsewhere even though its engine gives events to others."""
 
 ANSWER_AIMS = 1.5
 """Response-time goals after which an idempotent call is tried elsewhere."""
 
-GAP_AIMS = 4.0
-"""Longest allowed pauses after which a resumable stream goes on elsewhere."""
+SOFT_GAPS = 1.5
+"""Longest allowed pauses after which a stream goes on elsewhere if its engine is silent
+altogether."""
+
+HARD_GAPS = 4.0
+"""Longest allowed pauses after which a stream goes on elsewhere in any case."""
 
 MIN_REPEAT_S = 0.1
 """Time that must be left for a repeat to be worth sending."""
@@ -52,6 +58,7 @@
 
     dispatcher: pykka.ActorRef
     dialect: Dialect
+    stalls: StallWatch
     log: DecisionLog
     metrics: Metrics
 
@@ -99,6 +106,8 @@
         self._exchange = exchange
         self._progress = _Progress(last_event=request.caller.last_event_id)
         self._upstream: Upstream | None = None
+        self._watched: WatchedAttempt | None = None
+        self._has_begun = False
 
     def run(self) -> str:
         """Relay the request.
@@ -141,6 +150,7 @@
         started_s = time.monotonic()
         result = AttemptResult.FAILED
         head = None
+        self._watched = self._watch(placed, upstream)
         try:
             connected = upstream.connect(self._remaining_s())
             if connected.is_err():
@@ -151,6 +161,8 @@
             return outcome
         finally:
             self._upstream = None
+            if self._watched is not None:
+                self._context.stalls.end(self._watched)
             upstream.close()
             if self._exchange.has_left and result is not AttemptResult.ANSWERED:
                 result = AttemptResult.CANCELLED
@@ -166,9 +178,10 @@
             budget_ms=budget_ms,
             last_event_id=self._progress.last_event,
         )
-        sent = upstream.send(wire, self._head_timeout_s())
+        sent = upstream.send(wire, self._remaining_s())
         if sent.is_err():
             return None, *self._after_loss(attempt, sent.err_value)
+        self._context.stalls.heard(attempt.incarnation, self._watched)
         head = self._context.dialect.decode_answer(sent.ok_value)
         if head.request_id not in (None, self._request.caller.request_id):
             return None, *self._after_bad_answer(attempt, "answer to another request")
@@ -219,15 +232,16 @@
     ) -> tuple[AttemptResult, str | None]:
         splitter = EventSplitter()
         while True:
-            piece = upstream.read(self._event_timeout_s())
+            piece = upstream.read(self._remaining_s())
             if piece.is_err():
                 return self._after_loss(attempt, piece.err_value)
             if not piece.ok_value:
                 break
+            self._context.stalls.heard(attempt.incarnation, self._watched)
             for event in splitter.feed(piece.ok_value):
                 if not self._follows(event.number):
                     return self._after_bad_answer(attempt, f"event {event.number}")
-                self._note_first_event(attempt)
+                self._note_event(attempt)
                 try:
                     self._send_event(head, event.data)
                 except OSError as error:
@@ -256,7 +270,15 @@
         last = self._progress.last_event
         return number is None or last is None or number == last + 1
 
-    def _note_first_event(self, attempt: Attempt) -> None:
+    def _note_event(self, attempt: Attempt) -> None:
+        """Tell the dispatcher of an attempt's first event, and shorten the limits."""
+        if self._has_begun:
+            return
+        self._has_begun = True
+        if self._watched is not None:
+            gap_s = self._request.route.max_gap_ms / 1000
+            self._watched.soft_limit_s = SOFT_GAPS * gap_s
+            self._watched.hard_limit_s = HARD_GAPS * gap_s
         self._context.dispatcher.tell(
             RelayDispatcher.Begun(
                 request_id=self._request.caller.request_id,
@@ -302,8 +324,10 @@
     ) -> tuple[AttemptResult, str | None]:
         self._progress.ran += 1
         self._progress.error = str(error)
-        result = AttemptResult.SILENT if error.timed_out else AttemptResult.FAILED
-        return result, self._again_or_fail(attempt, timed_out=error.timed_out)
+        is_stalled = self._watched is not None and self._watched.is_stalled
+        is_silent = is_stalled or error.timed_out
+        result = AttemptResult.SILENT if is_silent else AttemptResult.FAILED
+        return result, self._again_or_fail(attempt, timed_out=is_silent)
 
     def _again_or_fail(self, attempt: Attempt, *, timed_out: bool) -> str | None:
         if self._exchange.has_left:
@@ -378,25 +402,24 @@
         left_s = self._request.deadline_s - time.monotonic() - ANSWER_MARGIN_S
         return max(0.001, left_s)
 
-    def _is_last_attempt(self) -> bool:
-        route = self._request.route
-        return not route.may_run_again or self._progress.ran + 1 >= route.max_attempts
-
-    def _head_timeout_s(self) -> float:
-        if self._is_last_attempt():
-            return self._remaining_s()
+    def _watch(self, placed: Placed, upstream: Upstream) -> WatchedAttempt | None:
+        """Have an attempt ended when its replica falls silent, if it may be repeated."""
+        self._has_begun = False
         route = self._request.route
+        if not route.may_run_again or self._progress.ran + 1 >= route.max_attempts:
+            return None
         is_stream = route.kind is RouteKind.STREAMING
-        aims = FIRST_EVENT_AIMS if is_stream else ANSWER_AIMS
-        return min(self._remaining_s(), aims * route.target_latency_ms / 1000)
-
-    def _event_timeout_s(self) -> float:
-        if self._is_last_attempt():
-            return self._remaining_s()
-        if self._progress.head is None:
-            return self._head_timeout_s()
-        gap_s = GAP_AIMS * self._request.route.max_gap_ms / 1000
-        return min(self._remaining_s(), gap_s)
+        aim_s = route.target_latency_ms / 1000
+        expected_s = placed.expected_ms / 1000
+        hard_aims = HARD_FIRST_EVENT_AIMS if is_stream else ANSWER_AIMS
+        watched = WatchedAttempt(
+            incarnation=placed.attempt.incarnation,
+            soft_limit_s=aim_s + expected_s,
+            hard_limit_s=hard_aims * aim_s + expected_s,
+            abort=upstream.abort,
+        )
+        self._context.stalls.begin(watched)
+        return watched
 
     # Bookkeeping.
 
--- a/src/crocuswick/relay/replica_chooser.py
+++ b/src/crocuswick/relay/replica_chooser.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from crocuswick.relay.engine_load import EngineLoad
+from crocuswick.relay.engine_load import PRIORITIES, EngineLoad
 from crocuswick.relay.replica import Replica
 from crocuswick.relay.replica_health import ReplicaHealth
 
@@ -18,7 +18,7 @@
     from crocuswick.relay.relay_request import Prompt, RoutedRequest
     from crocuswick.relay.serving import EngineTraits, KvStore, Service
 
-__all__ = ["Candidate", "Choice", "ReplicaChooser"]
+__all__ = ["Candidate", "Choice", "ReplicaChooser", "cache_salt", "engine_priority"]
 
 OTHER_ZONE_REQUESTS = 2.0
 """Requests by which the own zone's replicas may be busier than another zone's."""
@@ -170,7 +170,11 @@
         cached = prompt.shared_tokens if source is not None else 0
         prefill_tokens = max(0, prompt.prompt_tokens - cached)
         fetch_ms = source.transfer_ms if source is not None else 0.0
-        expected_ms = candidate.load.wait_ms + prefill_tokens / rate + fetch_ms
+        expected_ms = (
+            candidate.load.wait_ms(engine_priority(request))
+            + prefill_tokens / rate
+            + fetch_ms
+        )
         choice = Choice(
             candidate=candidate,
             expected_ms=expected_ms,
@@ -247,6 +251,11 @@
         return penalty_ms
 
 
+def engine_priority(request: RoutedRequest) -> int:
+    """Return the urgency of a request at engines, 0 first."""
+    return min(PRIORITIES - 1, request.priority)
+
+
 def cache_salt(request: RoutedRequest, weights: int | None) -> str:
     """Return the text under which a request's parts are cached.
 
--- /dev/null
+++ b/src/crocuswick/relay/stall_watch.py
@@ -0,0 +1,113 @@
+"""Ends attempts at replicas that have fallen silent, so that they are repeated."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+
+import attrs
+
+from crocuswick.actor import Ticker
+
+__all__ = ["StallWatch", "WatchedAttempt"]
+
+CHECK_INTERVAL_S = 0.1
+FORGET_S = 60.0
+"""Time after which a replica that nothing came from is forgotten."""
+
+STALLED_S = 0.6
+"""Silence of a replica on all its requests after which it counts as stalled; a busy
+engine gives some event each few tens of milliseconds."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class WatchedAttempt:
+    """An attempt that may be ended and repeated."""
+
+    incarnation: str
+    soft_limit_s: float
+    """Silence that is too long if the whole replica is silent."""
+
+    hard_limit_s: float
+    """Silence that is too long in any case."""
+
+    abort: Callable[[], None]
+    heard_s: float = attrs.Factory(time.monotonic)
+    is_stalled: bool = False
+
+    def silent_s(self, now_s: float) -> float:
+        """Return the time since something was heard."""
+        return now_s - self.heard_s
+
+
+class StallWatch:
+    """Watches the attempts of one node."""
+
+    def __init__(self):
+        self._attempts: set[WatchedAttempt] = set()
+        self._heard_by_incarnation: dict[str, float] = {}
+        self._lock = threading.Lock()
+        self._ticker = Ticker(
+            name="stall-watch",
+            interval_s=CHECK_INTERVAL_S,
+            call=lambda: self.check(time.monotonic()),
+        )
+
+    def start(self) -> None:
+        """Start checking."""
+        self._ticker.start()
+
+    def stop(self) -> None:
+        """Stop checking."""
+        self._ticker.stop()
+
+    def begin(self, attempt: WatchedAttempt) -> None:
+        """Watch an attempt until `end`."""
+        with self._lock:
+            self._attempts.add(attempt)
+
+    def end(self, attempt: WatchedAttempt) -> None:
+        """Stop watching an attempt."""
+        with self._lock:
+            self._attempts.discard(attempt)
+
+    def heard(self, incarnation: str, attempt: WatchedAttempt | None) -> None:
+        """Note that something came from a replica.
+
+        Args:
+            incarnation: The replica.
+            attempt: The attempt that it came for, None if that is not watched.
+        """
+        now_s = time.monotonic()
+        self._heard_by_incarnation[incarnation] = now_s
+        if attempt is not None:
+            attempt.heard_s = now_s
+
+    def check(self, now_s: float) -> None:
+        """End the attempts that have been silent for too long."""
+        with self._lock:
+            stalled = [
+                attempt for attempt in self._attempts if self._is_late(attempt, now_s)
+            ]
+            self._attempts.difference_update(stalled)
+        for attempt in stalled:
+            attempt.is_stalled = True
+            attempt.abort()
+        self._forget(now_s)
+
+    def _is_late(self, attempt: WatchedAttempt, now_s: float) -> bool:
+        silent_s = attempt.silent_s(now_s)
+        if silent_s > attempt.hard_limit_s:
+            return True
+        heard_s = self._heard_by_incarnation.get(attempt.incarnation, attempt.heard_s)
+        return silent_s > attempt.soft_limit_s and now_s - heard_s > STALLED_S
+
+    def _forget(self, now_s: float) -> None:
+        old = [
+            incarnation
+            for incarnation, heard_s in list(self._heard_by_incarnation.items())
+            if now_s - heard_s > FORGET_S
+        ]
+        for incarnation in old:
+            self._heard_by_incarnation.pop(incarnation, None)
