--- /dev/null
+++ b/tests/news/test_messages.py
@@ -0,0 +1,41 @@
+"""Tests of messages between nodes."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgpack
+
+from crocuswick.news.messages import (
+    PromptPlaced,
+    RecordsNews,
+    decode_news,
+    encode_news,
+)
+
+PLACED = PromptPlaced(
+    request_id="r",
+    incarnation="i@1",
+    prefill_tokens=3,
+    kv_tokens=4,
+    priority=1,
+    salt="s",
+    part_id="p",
+    shared_tokens=2,
+    is_saved=True,
+)
+
+
+class MessageTests(unittest.TestCase):
+    def test_messages_are_read_back(self):
+        records = RecordsNews(
+            topic="t", start=1, end=3, records=[["k", 1, b"\xff"], ["l", 2, None]]
+        )
+        for news in (PLACED, records):
+            packed = msgpack.packb(encode_news(news))
+            self.assertEqual(decode_news(msgpack.unpackb(packed), "p").ok_value, news)
+
+    def test_what_is_no_message_is_an_error_with_its_sender(self):
+        for value in (None, 5, [], ["placed", {}], ["other", {}], ["placed", 1]):
+            with self.subTest(value=value):
+                self.assertEqual(decode_news(value, "peer").err_value.peer, "peer")
--- /dev/null
+++ b/tests/platform/metadata_store.py
@@ -0,0 +1,167 @@
+"""Stand-in for the platform's metadata store, inside the test's process."""
+
+from __future__ import annotations
+
+import base64
+import json
+import struct
+import threading
+import time
+from collections import defaultdict
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+import attrs
+
+__all__ = ["MetadataStore"]
+
+POLL_S = 0.005
+
+
+@attrs.define(kw_only=True)
+class _Topic:
+    records: list[bytes] = attrs.Factory(list)
+    first: int = 0
+    """Offset of the oldest record that is still kept."""
+
+
+class MetadataStore:
+    """Keeps topics in memory and can be down, silent or forgetful."""
+
+    def __init__(self):
+        self._topics_by_name: dict[str, _Topic] = defaultdict(_Topic)
+        self._lock = threading.Lock()
+        self.fault = ""
+        """``"busy"`` refuses, ``"silent"`` answers nothing, ``"lost"`` does what
+        is asked and answers nothing."""
+
+        self.calls: list[str] = []
+        store = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_GET(self):  # noqa: N802
+                store.answer(self, b"")
+
+            def do_POST(self):  # noqa: N802
+                length = int(self.headers.get("Content-Length", 0))
+                store.answer(self, self.rfile.read(length))
+
+            def log_message(self, *_):
+                """Keep the tests' output clean."""
+
+        self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self._server.daemon_threads = True
+        self.address = f"127.0.0.1:{self._server.server_port}"
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def stop(self) -> None:
+        """Close the port."""
+        self._server.shutdown()
+        self._server.server_close()
+
+    def put(self, topic: str, key: str, value: object | None) -> int:
+        """Append the newest record of a key; returns its offset.
+
+        Args:
+            topic: Name of a keyed topic.
+            key: The key.
+            value: JSON value, raw bytes, or None to drop the key.
+        """
+        if value is None:
+            content = b""
+        else:
+            content = value if isinstance(value, bytes) else json.dumps(value).encode()
+        raw = bytes([len(key.encode())]) + key.encode() + content
+        return self.append(topic, [raw])
+
+    def append(self, topic: str, records: list[bytes]) -> int:
+        """Append records; returns the offset of the first."""
+        with self._lock:
+            known = self._topics_by_name[topic].records
+            known += records
+            return len(known) - len(records)
+
+    def trim(self, topic: str) -> None:
+        """Forget the history of a topic."""
+        with self._lock:
+            known = self._topics_by_name[topic]
+            known.first = len(known.records)
+
+    def answer(self, handler: BaseHTTPRequestHandler, body: bytes) -> None:
+        """Answer one call."""
+        url = urlsplit(handler.path)
+        query = {name: values[-1] for name, values in parse_qs(url.query).items()}
+        self.calls.append(f"{handler.command} {url.path}")
+        if self.fault == "busy":
+            self._send(handler, 503, b"")
+            return
+        while self.fault == "silent":
+            time.sleep(POLL_S)
+        call = getattr(self, "call_" + url.path.strip("/").replace("-", "_"), None)
+        status, content = call(query, body) if call else (404, b"")
+        if self.fault == "lost":
+            handler.close_connection = True
+            return
+        self._send(handler, status, content)
+
+    def call_log_newest(self, query: dict, _body: bytes) -> tuple[int, bytes]:
+        """Return the newest record of each key."""
+        with self._lock:
+            records = list(self._topics_by_name[query["Topic"]].records)
+        newest = {}
+        for offset, raw in enumerate(records):
+            key, value = raw[1 : 1 + raw[0]].decode("latin-1"), raw[1 + raw[0] :]
+            newest[key] = (offset, value)
+        items = [
+            {"Key": key, "Value": base64.b64encode(value).decode(), "Offset": offset}
+            for key, (offset, value) in newest.items()
+            if value
+        ]
+        page = {"items": items, "Truncated": False, "End": len(records)}
+        return 200, json.dumps(page).encode()
+
+    def call_log_read(self, query: dict, _body: bytes) -> tuple[int, bytes]:
+        """Return raw records from an offset on."""
+        start = int(query["From"])
+        deadline_s = time.monotonic() + int(query.get("WaitMs", 0)) / 1000
+        while True:
+            with self._lock:
+                topic = self._topics_by_name[query["Topic"]]
+                records = topic.records[start:]
+                end, first = len(topic.records), topic.first
+            if start < first:
+                return 410, json.dumps({"First": first}).encode()
+            if records or time.monotonic() >= deadline_s or self.fault:
+                break
+            time.sleep(POLL_S)
+        framed = b"".join(struct.pack(">I", len(raw)) + raw for raw in records)
+        return 200, struct.pack(">QQ", end, first) + framed
+
+    def call_log_append(self, query: dict, body: bytes) -> tuple[int, bytes]:
+        """Append records, on condition of the offset where that is given."""
+        records = []
+        position = 0
+        while position < len(body):
+            (length,) = struct.unpack_from(">I", body, position)
+            records.append(body[position + 4 : position + 4 + length])
+            position += 4 + length
+        with self._lock:
+            known = self._topics_by_name[query["Topic"]].records
+            if "At" in query and int(query["At"]) != len(known):
+                return 412, json.dumps({"End": len(known)}).encode()
+            offset = len(known)
+            known += records
+        return 200, json.dumps(
+            {"Offset": offset, "End": offset + len(records)}
+        ).encode()
+
+    def _send(self, handler: BaseHTTPRequestHandler, status: int, body: bytes) -> None:
+        try:
+            handler.send_response(status)
+            handler.send_header("Content-Length", str(len(body)))
+            handler.end_headers()
+            handler.wfile.write(body)
+        except OSError:
+            handler.close_connection = True
--- /dev/null
+++ b/tests/platform/scripted_replica.py
@@ -0,0 +1,155 @@
+"""Stand-in for a replica whose answers a test writes byte by byte."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+import threading
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["ReceivedRequest", "ScriptedReplica", "plain_answer", "stream_head"]
+
+
+@attrs.frozen(kw_only=True)
+class ReceivedRequest:
+    """A request as the replica received it."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    """Values by name in lower case."""
+
+    body: bytes
+    connection: socket.socket
+
+    @property
+    def id(self) -> str:
+        """Id of the caller's attempt."""
+        return self.headers.get("x-attempt-id", "")
+
+    def send(self, data: bytes) -> None:
+        """Send bytes; a caller that is gone is no fault of the script."""
+        with contextlib.suppress(OSError):
+            self.connection.sendall(data)
+
+    def reset(self) -> None:
+        """Reset the connection."""
+        self.connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        self.connection.close()
+
+    def is_closed_within(self, timeout_s: float) -> bool:
+        """Whether the caller closes its side in time."""
+        self.connection.settimeout(timeout_s)
+        try:
+            return self.connection.recv(1) == b""
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+
+
+class ScriptedReplica:
+    """Serves each connection on a thread with the present script."""
+
+    def __init__(self, replica_id: str):
+        self.id = replica_id
+        self.requests: list[ReceivedRequest] = []
+        self.script: Callable[[ReceivedRequest], None] = plain_script
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def stop(self) -> None:
+        """Close the port; connections to it are refused from now on."""
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+        self._socket.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._socket.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with contextlib.suppress(OSError, ValueError):
+            request = _read_request(connection)
+            if request is not None:
+                self._answer(request)
+        with contextlib.suppress(OSError):
+            connection.close()
+
+    def _answer(self, request: ReceivedRequest) -> None:
+        if request.headers.get("x-expect-replica", self.id) != self.id:
+            request.send(
+                b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n"
+                b"X-Replica-Id: %b\r\n\r\n" % self.id.encode()
+            )
+            return
+        self.requests.append(request)
+        self.script(request)
+
+
+def plain_answer(
+    request: ReceivedRequest,
+    body: bytes = b"ok",
+    status: str = "200 OK",
+    more: str = "",
+) -> bytes:
+    """Return a whole answer with a receipt."""
+    head = (
+        f"HTTP/1.1 {status}\r\nX-Attempt-Id: {request.id}\r\nX-Replica-Seal: seal\r\n"
+        f"{more}Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def stream_head(request: ReceivedRequest) -> bytes:
+    """Return the head of a stream in chunks."""
+    head = (
+        f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {request.id}\r\nX-Replica-Seal: seal\r\n"
+        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    return head.encode()
+
+
+def plain_script(request: ReceivedRequest) -> None:
+    """Answer with 200."""
+    request.send(plain_answer(request))
+
+
+def _read_request(connection: socket.socket) -> ReceivedRequest | None:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        piece = connection.recv(65536)
+        if not piece:
+            return None
+        data += piece
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ")
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    while len(body) < int(headers.get("content-length", 0)):
+        body += connection.recv(65536)
+    return ReceivedRequest(
+        method=method,
+        target=target,
+        headers=headers,
+        body=body,
+        connection=connection,
+    )
--- /dev/null
+++ b/tests/platform/test_decoders.py
@@ -0,0 +1,95 @@
+"""Tests of decoding records of the platform's store."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crocuswick.platform.decoders import (
+    decode_configuration,
+    decode_named_weights,
+    decode_replica,
+)
+from crocuswick.relay.replica import ReplicaState
+from crocuswick.relay.serving import RouteKind
+from tests.platform.wire import CONFIGURATION, REPLICA, encoded
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+
+
+class DecodeReplicaTests(unittest.TestCase):
+    def test_an_entry_is_read(self):
+        replica = decode_replica("i-1", encoded(REPLICA)).ok_value
+        self.assertEqual(replica.id, "i-1")
+        self.assertIs(replica.state, ReplicaState.READY)
+        self.assertEqual(dict(replica.weights_by_model), {"m": 3})
+        self.assertEqual(replica.report_number, 4)
+
+    def test_an_entry_of_another_writer_names_no_replica(self):
+        for field in ("Service", "Address", "Zone", "Version", "Slots", "State"):
+            missing = {key: value for key, value in REPLICA.items() if key != field}
+            with self.subTest(missing=field):
+                self.assertTrue(decode_replica("i", encoded(missing)).is_err())
+            for value in (None, 1.5, [], {}, True, ""):
+                with self.subTest(field=field, value=value):
+                    broken = {**REPLICA, field: value}
+                    self.assertTrue(decode_replica("i", encoded(broken)).is_err())
+
+    def test_an_unknown_state_or_a_bad_address_names_no_replica(self):
+        for broken in ({"State": "gone"}, {"Address": "nowhere"}, {"born": 1.5}):
+            self.assertTrue(
+                decode_replica("i", encoded({**REPLICA, **broken})).is_err()
+            )
+
+    @given(st.binary(max_size=40) | JSON_VALUES.map(lambda value: encoded(value)))
+    def test_other_bytes_are_an_error(self, value):
+        self.assertTrue(decode_replica("i", value).is_err())
+
+
+class DecodeConfigurationTests(unittest.TestCase):
+    def test_a_configuration_is_read(self):
+        configuration = decode_configuration(encoded(CONFIGURATION)).ok_value
+        self.assertEqual(configuration.version, 7)
+        route = configuration.route("a.example", "/x/y/1")
+        self.assertEqual(route.path_prefix, "/x/y/")
+        self.assertIs(route.kind, RouteKind.STREAMING)
+        self.assertEqual(
+            [(share.service, share.weight) for share in route.shares],
+            [("engines", 90), ("desk", 10)],
+        )
+        self.assertEqual(configuration.kv_stores[0].zone, "b")
+        self.assertNotIn("store", configuration.services_by_name)
+        self.assertTrue(configuration.organisations_by_key["k2"].is_isolated)
+        self.assertEqual(configuration.limits.max_header_bytes, 16_384)
+
+    def test_a_part_that_cannot_be_read_is_an_error(self):
+        for broken in (
+            {"Routes": [{}]},
+            {"Services": None},
+            {"Version": "7"},
+            {"Tenants": [{"Name": "x"}]},
+        ):
+            with self.subTest(broken=broken):
+                value = encoded({**CONFIGURATION, **broken})
+                self.assertTrue(decode_configuration(value).is_err())
+
+    @given(st.binary(max_size=40) | JSON_VALUES.map(lambda value: encoded(value)))
+    def test_other_bytes_are_an_error(self, value):
+        self.assertTrue(decode_configuration(value).is_err())
+        self.assertTrue(decode_named_weights(value).is_err())
+
+
+class DecodeNamedWeightsTests(unittest.TestCase):
+    def test_a_version_is_read(self):
+        value = json.dumps({"Model": "m", "Version": 2}).encode()
+        self.assertEqual(decode_named_weights(value).ok_value, ("m", 2))
--- /dev/null
+++ b/tests/platform/test_node_relay.py
@@ -0,0 +1,354 @@
+"""Tests of relaying through failures, as a process before stand-ins."""
+
+from __future__ import annotations
+
+import threading
+import time
+import unittest
+
+from tests.platform.deployment import Deployment, request
+from tests.platform.node_process import RawCaller
+from tests.platform.scripted_replica import (
+    ReceivedRequest,
+    plain_answer,
+    plain_script,
+    stream_head,
+)
+
+PROMISES = (408, 421, 429, 503)
+
+
+def event(number: int) -> bytes:
+    data = b"id: %d\ndata: piece %d\n\n" % (number, number)
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def reset(each: ReceivedRequest) -> None:
+    each.reset()
+
+
+def not_run(each: ReceivedRequest) -> None:
+    each.send(plain_answer(each, status="503 Full", more="X-Not-Executed: 1\r\n"))
+
+
+def stream(first: int, last: int, *, ends: bool = True):
+    """Return a script that sends events and then ends or resets the stream."""
+
+    def script(each: ReceivedRequest) -> None:
+        each.send(stream_head(each))
+        start = int(each.headers.get("last-event-id", first - 1)) + 1
+        for number in range(start, last + 1):
+            each.send(event(number))
+            time.sleep(0.01)
+        if ends:
+            each.send(b"0\r\n\r\n")
+        else:
+            time.sleep(0.05)
+            each.reset()
+
+    return script
+
+
+class RelayCase(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.deployment = Deployment()
+        cls.addClassCleanup(cls.deployment.stop)
+        cls.deployment.node.start()
+
+    def setUp(self):
+        self.deployment.reset_scripts()
+
+    def ask(self, path, **changes):
+        answer = self.deployment.ask(request(path, **changes))
+        status = int(answer.split(b" ")[1]) if answer else 0
+        return status, answer.partition(b"\r\n\r\n")[2]
+
+    def once(self, kind, first, then):
+        """Let the first request meet one script and the others another."""
+        lock = threading.Lock()
+        met = []
+
+        def script(each: ReceivedRequest) -> None:
+            with lock:
+                met.append(each)
+                chosen = first if len(met) == 1 else then
+            chosen(each)
+
+        self.deployment.script(kind, script)
+
+
+class NodeCallTests(RelayCase):
+    def test_an_idempotent_call_is_repeated_elsewhere(self):
+        for fault in (
+            reset,
+            not_run,
+            lambda each: each.send(b"garbage"),
+            lambda each: each.send(plain_answer(each, b"abcdef")[:-3]),
+            lambda each: each.send(plain_answer(each).replace(each.id.encode(), b"x")),
+            lambda each: each.send(
+                plain_answer(each).replace(b"X-Replica-Seal", b"X-Nothing")
+            ),
+            lambda each: each.send(
+                plain_answer(each, more="Content-Encoding: gzip\r\n")
+            ),
+        ):
+            self.deployment.reset_scripts()
+            self.once("desk", fault, plain_script)
+            self.assertEqual(self.ask("/lookup/1"), (200, b"ok"))
+            replicas = {each.headers["x-expect-replica"] for each in self.received()}
+            self.assertEqual(len(replicas), 2)
+
+    def received(self):
+        return self.deployment.received("desk")
+
+    def test_a_call_that_must_run_once_is_not_repeated_and_promises_nothing(self):
+        for fault in (reset, lambda each: each.send(b"garbage")):
+            self.deployment.reset_scripts()
+            self.deployment.script("desk", fault)
+            status, _ = self.ask("/book/1", method="POST", body=b"seat")
+            self.assertEqual(len(self.received()), 1)
+            self.assertNotIn(status, PROMISES)
+
+    def test_a_call_that_a_replica_did_not_run_goes_to_another(self):
+        self.once("desk", not_run, plain_script)
+        self.assertEqual(self.ask("/book/1", method="POST"), (200, b"ok"))
+
+    def test_a_call_that_no_replica_ran_is_refused_with_a_promise(self):
+        self.deployment.script("desk", not_run)
+        status, _ = self.ask("/book/1", method="POST")
+        self.assertEqual(status, 503)
+
+    def test_a_replicas_own_failure_is_passed_on_and_not_repeated(self):
+        """Found on a played day: a request that fails at one replica fails at the
+        others too, and repeats of it spent the budget."""
+        self.deployment.script(
+            "desk",
+            lambda each: each.send(plain_answer(each, b"why", "500 Broken")),
+        )
+        self.assertEqual(self.ask("/lookup/1"), (500, b"why"))
+        self.assertEqual(len(self.received()), 1)
+
+    def test_a_silent_replica_is_given_up_for_an_idempotent_call(self):
+        self.once("desk", lambda each: time.sleep(5), plain_script)
+        started_s = time.monotonic()
+        self.assertEqual(self.ask("/lookup/1"), (200, b"ok"))
+        self.assertLess(time.monotonic() - started_s, 1.5)
+
+    def test_the_final_answer_comes_by_the_routes_timeout(self):
+        self.deployment.script("desk", lambda each: time.sleep(6))
+        started_s = time.monotonic()
+        status, _ = self.ask("/book/1", method="POST", budget_ms=60_000)
+        self.assertNotIn(status, PROMISES)
+        self.assertLess(time.monotonic() - started_s, 3.4)
+
+    def test_an_answer_that_is_slow_to_end_is_not_cut_by_the_handshakes_timeout(self):
+        """Found on a played day: the library applied the handshake's 0.3 s again."""
+
+        def slow(each: ReceivedRequest) -> None:
+            time.sleep(0.5)
+            each.send(plain_answer(each))
+
+        self.deployment.script("desk", slow)
+        self.assertEqual(self.ask("/book/1", method="POST"), (200, b"ok"))
+
+    def test_an_answer_that_ends_its_connection_is_read_to_its_end(self):
+        """Found on a played day: the socket was closed with the last byte, and
+        setting a timeout then failed."""
+
+        def closing(each: ReceivedRequest) -> None:
+            each.send(plain_answer(each, more="Connection: close\r\n"))
+
+        self.deployment.script("desk", closing)
+        self.assertEqual(self.ask("/lookup/1"), (200, b"ok"))
+
+    def test_an_answer_without_a_length_ends_with_its_connection(self):
+        def unframed(each: ReceivedRequest) -> None:
+            each.send(plain_answer(each).replace(b"Content-Length: 2\r\n", b""))
+
+        self.deployment.script("desk", unframed)
+        self.assertEqual(self.ask("/lookup/1"), (200, b"ok"))
+
+    def test_a_second_answer_on_the_same_connection_reaches_nobody(self):
+        self.deployment.script(
+            "desk", lambda each: each.send(plain_answer(each) + plain_answer(each))
+        )
+        for _ in range(3):
+            answer = self.deployment.ask(request("/lookup/1"))
+            self.assertEqual(answer.count(b"HTTP/1.1"), 1)
+
+    def test_an_early_answer_to_a_long_body_is_passed_on(self):
+        def early(each: ReceivedRequest) -> None:
+            each.send(plain_answer(each, b"no", "413 Too long"))
+
+        self.deployment.script("desk", early)
+        status, body = self.ask("/book/1", method="POST", body=b"x" * 2_000_000)
+        self.assertEqual((status, body), (413, b"no"))
+
+    def test_a_caller_that_leaves_ends_the_work_of_the_replica(self):
+        ended = threading.Event()
+
+        def waiting(each: ReceivedRequest) -> None:
+            if each.is_closed_within(3.0):
+                ended.set()
+
+        self.deployment.script("desk", waiting)
+        caller = RawCaller(self.deployment.node.front)
+        caller.send(request("/lookup/1", closes=False))
+        self.deployment.wait_until(self.received)
+        caller.close()
+        self.assertTrue(ended.wait(0.5))
+        self.assertEqual(len(self.received()), 1)
+
+
+class NodeStreamTests(RelayCase):
+    def stream(self, path="/digest/1", **changes):
+        return self.ask(path, host="ai.example", budget_ms=4_000, **changes)
+
+    def numbers(self, body: bytes) -> list[int]:
+        return [
+            int(line.split(b" ")[1])
+            for line in body.split(b"\n")
+            if line.startswith(b"id: ")
+        ]
+
+    def test_a_stream_is_passed_on_event_by_event(self):
+        self.deployment.script("engine", stream(1, 9))
+        status, body = self.stream()
+        self.assertEqual((status, self.numbers(body)), (200, list(range(1, 10))))
+        self.assertTrue(body.endswith(b"0\r\n\r\n"))
+
+    def test_a_resumable_stream_goes_on_at_another_engine(self):
+        self.once("engine", stream(1, 4, ends=False), stream(1, 9))
+        _, body = self.stream()
+        self.assertEqual(self.numbers(body), list(range(1, 10)))
+        self.assertTrue(body.endswith(b"0\r\n\r\n"))
+        self.assertEqual(body.count(b"HTTP/1.1"), 0)
+
+    def test_a_caller_may_resume_a_stream_itself(self):
+        self.deployment.script("engine", stream(1, 9))
+        _, body = self.stream(headers={"Last-Event-Id": "6"})
+        self.assertEqual(self.numbers(body), [7, 8, 9])
+
+    def test_a_stream_that_ends_within_an_event_goes_on_elsewhere(self):
+        def torn(each: ReceivedRequest) -> None:
+            each.send(stream_head(each) + event(1) + b"6\r\nid: 2\n\r\n0\r\n\r\n")
+
+        self.once("engine", torn, stream(1, 5))
+        _, body = self.stream()
+        self.assertEqual(self.numbers(body), [1, 2, 3, 4, 5])
+
+    def test_a_gap_in_a_stream_reaches_nobody(self):
+        def gap(each: ReceivedRequest) -> None:
+            each.send(stream_head(each) + event(1) + event(3) + b"0\r\n\r\n")
+
+        self.once("engine", gap, stream(1, 4))
+        _, body = self.stream()
+        self.assertEqual(self.numbers(body), [1, 2, 3, 4])
+
+    def test_a_stream_that_cannot_be_resumed_never_looks_complete(self):
+        self.deployment.script("engine", stream(1, 4, ends=False))
+        status, body = self.stream("/ask/1")
+        self.assertEqual((status, self.numbers(body)), (200, [1, 2, 3, 4]))
+        self.assertFalse(body.endswith(b"0\r\n\r\n"))
+        self.assertEqual(len(self.deployment.received("engine")), 1)
+
+    def test_a_silent_engine_is_left_for_another(self):
+        self.once("engine", lambda each: time.sleep(4), stream(1, 5))
+        started_s = time.monotonic()
+        _, body = self.stream()
+        self.assertEqual(self.numbers(body), [1, 2, 3, 4, 5])
+        self.assertLess(time.monotonic() - started_s, 2.5)
+
+    def test_engines_are_told_weights_salt_and_rank(self):
+        self.deployment.script("engine", stream(1, 2))
+        self.stream()
+        self.stream("/ask/1", key="k2")
+        digest, ask = sorted(
+            self.deployment.received("engine"),
+            key=lambda each: each.target != "/digest/1",
+        )
+        self.assertEqual(digest.headers["x-expect-version"], "3")
+        self.assertNotEqual(digest.headers["x-cache-salt"], ask.headers["x-cache-salt"])
+        self.assertLess(
+            int(ask.headers["x-request-priority"]),
+            int(digest.headers["x-request-priority"]),
+        )
+        self.assertEqual(digest.headers["x-prompt-prefix"], "aa:700,bb:300")
+
+
+class NodeLifeTests(RelayCase):
+    def test_a_draining_replica_gets_no_request_within_two_seconds(self):
+        self.deployment.register("desk-1", State="draining", Sequence=5)
+        time.sleep(1.5)
+        for number in range(10):
+            self.assertEqual(self.ask(f"/lookup/{number}"), (200, b"ok"))
+        names = {
+            each.headers["x-expect-replica"] for each in self.deployment.received()
+        }
+        self.assertEqual(names, {"desk-2"})
+        self.deployment.register("desk-1", born=1_800_000_000_000, Sequence=1)
+
+    def test_a_removed_route_is_gone_within_two_seconds(self):
+        routes = self.deployment.configuration["Routes"]
+        self.deployment.configure(Routes=routes[1:])
+        time.sleep(1.0)
+        self.assertEqual(self.ask("/lookup/1")[0], 404)
+        self.deployment.configure(Routes=routes)
+        self.deployment.wait_until(lambda: self.ask("/lookup/1")[0] == 200)
+
+    def test_the_node_serves_on_while_the_store_is_down(self):
+        for fault in ("busy", "silent"):
+            self.deployment.store.fault = fault
+            time.sleep(1.0)
+            self.assertEqual(self.ask("/lookup/1"), (200, b"ok"))
+            self.assertTrue(self.deployment.node.is_ready())
+            self.deployment.store.fault = ""
+
+    def test_a_history_that_the_store_dropped_is_listed_anew(self):
+        self.deployment.store.fault = "busy"
+        time.sleep(0.3)
+        routes = self.deployment.configuration["Routes"]
+        self.deployment.configure(Routes=routes[1:])
+        self.deployment.store.trim("keyed.op")
+        self.deployment.store.fault = ""
+        self.deployment.wait_until(lambda: self.ask("/lookup/1")[0] == 404)
+        self.deployment.configure(Routes=routes)
+        self.deployment.wait_until(lambda: self.ask("/lookup/1")[0] == 200)
+
+
+class NodeStopTests(unittest.TestCase):
+    def test_a_stop_cuts_no_request(self):
+        deployment = Deployment()
+        self.addCleanup(deployment.stop)
+        deployment.node.start()
+
+        def slow(each: ReceivedRequest) -> None:
+            time.sleep(1.0)
+            each.send(plain_answer(each))
+
+        deployment.script("desk", slow)
+        idle = RawCaller(deployment.node.front)
+        idle.send(request("/lookup/1", closes=False))
+        first = idle.receive_until(b"ok")
+        self.assertIn(b"200", first)
+        caller = RawCaller(deployment.node.front)
+        caller.send(request("/book/1", method="POST", closes=False))
+        deployment.wait_until(lambda: len(deployment.received()) == 2)
+        deployment.node.terminate()
+        answer = caller.receive_all()
+        self.assertIn(b"Connection: close", answer)
+        self.assertTrue(answer.endswith(b"ok"), answer)
+        self.assertFalse(deployment.node.is_ready())
+        # A connection that was open before still gets its answer.
+        idle.send(request("/lookup/2", closes=False))
+        self.assertTrue(idle.receive_all().endswith(b"ok"))
+        self.assertEqual(deployment.node.process.wait(8), 0)
+
+    def test_bad_settings_are_told_and_end_with_two(self):
+        deployment = Deployment()
+        self.addCleanup(deployment.stop)
+        deployment.node.settings_file.write_text("Zone=a\n")
+        deployment.node.start(waits=False)
+        self.assertEqual(deployment.node.process.wait(15), 2)
+        self.assertIn("Listen.Front: is missing", deployment.node.output.read_text())
--- /dev/null
+++ b/tests/platform/test_settings_file.py
@@ -0,0 +1,58 @@
+"""Tests of reading the platform's settings file."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from crocuswick.platform.settings_file import (
+    load_fleet_settings,
+    parse_fleet_settings,
+)
+
+TEXT = """\
+NodeName=edge-a-1
+Zone=a
+Zones.a=r
+Zones.b=r
+Listen.Front=10.1.0.30:8782
+Listen.Ready=10.1.0.30:8789
+Listen.Control=10.1.0.30:8783
+InternalPorts=7340,7355
+Seeds=10.1.0.30:8783,10.2.0.22:8783
+Bounds.GraceS=8
+Bounds.BudgetRatio=0.2
+Platform.Address=10.200.1.7:8784
+Unknown.Field=whatever
+"""
+
+
+class SettingsFileTests(unittest.TestCase):
+    def test_fields_are_read_and_unknown_ones_ignored(self):
+        settings = parse_fleet_settings(TEXT).ok_value
+        self.assertEqual(settings.node_id, "edge-a-1")
+        self.assertEqual(settings.zones, ("a", "b"))
+        self.assertEqual(settings.seeds, ("10.1.0.30:8783", "10.2.0.22:8783"))
+        self.assertEqual(settings.metrics_port, 7340)
+        self.assertEqual(settings.bounds.grace_ms, 8_000)
+
+    def test_all_faults_are_told_at_once(self):
+        text = TEXT.replace("Zone=a\n", "").replace(":8782", "").replace("0.2", "x")
+        faults = parse_fleet_settings(text).err_value
+        self.assertEqual(len(faults), 3)
+        self.assertTrue(any("Listen.Front" in fault for fault in faults))
+        self.assertTrue(any("Bounds.BudgetRatio" in fault for fault in faults))
+
+    def test_an_empty_or_unreadable_file_is_an_error(self):
+        self.assertTrue(parse_fleet_settings("").is_err())
+        with tempfile.TemporaryDirectory() as folder:
+            missing = load_fleet_settings(Path(folder) / "none")
+            self.assertIn("can't be read", missing.err_value[0])
+            binary = Path(folder) / "binary"
+            binary.write_bytes(b"\xff\xfe\x00")
+            self.assertTrue(load_fleet_settings(binary).is_err())
+
+    def test_lists_may_be_empty(self):
+        text = TEXT.replace("Seeds=10.1.0.30:8783,10.2.0.22:8783", "Seeds=")
+        self.assertEqual(parse_fleet_settings(text).ok_value.seeds, ())
--- /dev/null
+++ b/tests/records/test_mirror.py
@@ -0,0 +1,72 @@
+"""Tests of the mirror of keyed topics."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crocuswick.records.mirror import KeyedRecord, RecordMirror, TopicUpdate
+
+TOPIC = "t"
+
+
+def record(offset, key="k", value=b"v"):
+    return KeyedRecord(key=key, offset=offset, value=value)
+
+
+def update(*records, start=0, end=None, is_listing=False):
+    last = max((each.offset for each in records), default=-1) + 1
+    return TopicUpdate(
+        topic=TOPIC,
+        records=records,
+        start=start,
+        end=last if end is None else end,
+        is_listing=is_listing,
+    )
+
+
+class RecordMirrorTests(unittest.TestCase):
+    @given(st.lists(st.sampled_from("abc"), max_size=20), st.randoms())
+    def test_records_merge_to_the_same_whatever_their_order(self, keys, rng):
+        log = [record(n, key, b"%d" % n) for n, key in enumerate(keys)]
+        newest = {each.key: each for each in log}
+        shuffled = log[:]
+        rng.shuffle(shuffled)
+        mirror = RecordMirror()
+        for each in shuffled:
+            mirror.merge(update(each, start=each.offset))
+        self.assertEqual(dict(mirror.records(TOPIC)), newest)
+
+    def test_an_older_record_changes_nothing(self):
+        mirror = RecordMirror()
+        mirror.merge(update(record(5, value=b"new")))
+        self.assertEqual(mirror.merge(update(record(4, value=b"old"))), ())
+
+    def test_a_listing_drops_keys_that_it_does_not_name(self):
+        mirror = RecordMirror()
+        mirror.merge(update(record(1, "a"), record(2, "b")))
+        changed = mirror.merge(update(record(2, "b"), end=9, is_listing=True))
+        self.assertEqual([(each.key, each.value) for each in changed], [("a", None)])
+
+    def test_a_listing_does_not_drop_what_was_written_after_it(self):
+        mirror = RecordMirror()
+        mirror.merge(update(record(12, "a")))
+        self.assertEqual(mirror.merge(update(end=9, is_listing=True)), ())
+
+    def test_news_that_skip_records_do_not_move_the_end(self):
+        mirror = RecordMirror()
+        mirror.merge(update(record(3)))
+        mirror.merge(update(record(9), start=8))
+        self.assertEqual(mirror.end(TOPIC), 4)
+
+    def test_a_node_is_sent_what_it_lacks(self):
+        mirror = RecordMirror()
+        mirror.merge(update(record(1, "a"), record(7, "b")))
+        missing = mirror.since(TOPIC, 5)
+        other = RecordMirror()
+        other.merge(update(record(1, "a"), end=5))
+        other.merge(missing)
+        self.assertEqual(other.records(TOPIC), mirror.records(TOPIC))
+        self.assertEqual(other.end(TOPIC), mirror.end(TOPIC))
--- /dev/null
+++ b/tests/relay/samples.py
@@ -0,0 +1,165 @@
+"""Routes, services, replicas and requests that tests of the relay share."""
+
+from __future__ import annotations
+
+import attrs
+
+from crocuswick.fleet_settings import FleetBounds
+from crocuswick.relay.relay_request import (
+    CallerRequest,
+    Prompt,
+    PromptPart,
+    RoutedRequest,
+)
+from crocuswick.relay.replica import Replica, ReplicaState
+from crocuswick.relay.serving import (
+    CallerLimits,
+    EngineTraits,
+    KvStore,
+    Organisation,
+    Route,
+    RouteKind,
+    Service,
+    ServingConfiguration,
+    TrafficShare,
+)
+
+MODEL = "m"
+ENGINE = EngineTraits(
+    slots=64,
+    kv_capacity_tokens=100_000,
+    kv_bytes_per_token=18_432,
+    link_mbps=180_000,
+    models=(MODEL,),
+)
+ENGINES = Service(
+    name="engines", health_path="/health", max_connections=100, engine=ENGINE
+)
+DESK = Service(name="desk", health_path="/health", max_connections=100, engine=None)
+STORE = KvStore(
+    name="store",
+    address="10.9.0.1:80",
+    zone="b",
+    capacity_tokens=1_000_000,
+    link_mbps=20_000,
+)
+ORGANISATION = Organisation(
+    name="mosque", keys=frozenset({"k"}), priority=None, is_isolated=False
+)
+ISOLATED = Organisation(
+    name="council", keys=frozenset({"i"}), priority=None, is_isolated=True
+)
+BOUNDS = FleetBounds(
+    config_apply_ms=2_000,
+    drain_ms=2_000,
+    grace_ms=8_000,
+    stable_window_ms=3_000,
+    retry_ratio=0.2,
+    retry_window_ms=10_000,
+    retry_slack=40,
+    lease_ms=3_000,
+    weights_ms=10_000,
+    address_reuse_ms=2_000,
+    prefix_reuse_ms=10_000,
+)
+
+
+def route(**changes) -> Route:
+    """Return a streaming route of the engines."""
+    plain = Route(
+        name="digest",
+        host="tents.example",
+        path_prefix="/digest/",
+        kind=RouteKind.STREAMING,
+        shares=(TrafficShare(service=ENGINES.name, weight=1),),
+        timeout_ms=6_000,
+        target_latency_ms=800,
+        max_gap_ms=400,
+        max_attempts=2,
+        priority=1,
+        is_public=False,
+        is_resumable=True,
+    )
+    return attrs.evolve(plain, **changes)
+
+
+def configuration(*routes: Route, **changes) -> ServingConfiguration:
+    """Return a configuration with some routes."""
+    routes_by_host: dict[str, tuple[Route, ...]] = {}
+    for each in routes or (route(),):
+        known = routes_by_host.get(each.host, ())
+        routes_by_host[each.host] = (*known, each)
+    plain = ServingConfiguration(
+        version=1,
+        routes_by_host={
+            host: tuple(sorted(each, key=lambda route: -len(route.path_prefix)))
+            for host, each in routes_by_host.items()
+        },
+        services_by_name={ENGINES.name: ENGINES, DESK.name: DESK},
+        kv_stores=(STORE,),
+        organisations_by_key={"k": ORGANISATION, "i": ISOLATED},
+        needs_key=True,
+        limits=CallerLimits(),
+    )
+    return attrs.evolve(plain, **changes)
+
+
+def prompt(*, shared: int = 10_000, own: int = 2_000, part: str = "a1") -> Prompt:
+    """Return a prompt with one shared part and one of its own."""
+    parts = [PromptPart(id="own", tokens=own)]
+    if shared:
+        parts.insert(0, PromptPart(id=part, tokens=shared))
+    return Prompt(
+        model=MODEL,
+        prompt_tokens=shared + own,
+        max_output_tokens=100,
+        parts=tuple(parts),
+    )
+
+
+def caller(**changes) -> CallerRequest:
+    """Return a caller's request of the streaming route."""
+    plain = CallerRequest(
+        request_id="r1",
+        method="POST",
+        target="/digest/1",
+        host="tents.example",
+        headers=(),
+        body=b"",
+        key="k",
+        time_budget_ms=6_000,
+        last_event_id=None,
+        prompt=prompt(),
+        received_s=0.0,
+    )
+    return attrs.evolve(plain, **changes)
+
+
+def routed(**changes) -> RoutedRequest:
+    """Return a routed request of the streaming route."""
+    plain = RoutedRequest(
+        caller=caller(),
+        route=route(),
+        service=ENGINES.name,
+        organisation=ORGANISATION,
+        priority=1,
+        deadline_s=6.0,
+        configuration_version=1,
+    )
+    return attrs.evolve(plain, **changes)
+
+
+def replica(replica_id: str, **changes) -> Replica:
+    """Return a ready engine in zone ``a``."""
+    plain = Replica(
+        id=replica_id,
+        started_ms=1,
+        service=ENGINES.name,
+        address=f"10.0.0.{len(replica_id)}:{sum(replica_id.encode())}",
+        zone="a",
+        state=ReplicaState.READY,
+        slots=64,
+        weights_by_model={MODEL: 1},
+        report_number=1,
+    )
+    return attrs.evolve(plain, **changes)
--- /dev/null
+++ b/tests/relay/test_dispatcher.py
@@ -0,0 +1,222 @@
+"""Tests of the dispatcher's decisions."""
+
+from __future__ import annotations
+
+import time
+import unittest
+
+import attrs
+
+from crocuswick.errors import Refusal
+from crocuswick.news.messages import PromptBegun, PromptEnded, PromptPlaced
+from crocuswick.outcome import Outcome
+from crocuswick.relay.dispatcher import Placed, RelayDispatcher, Wait
+from crocuswick.relay.replica import ReplicaState
+from crocuswick.relay.replica_health import AttemptResult
+from tests.relay.samples import (
+    BOUNDS,
+    MODEL,
+    caller,
+    configuration,
+    prompt,
+    replica,
+    routed,
+)
+
+
+class DispatcherTests(unittest.TestCase):
+    def setUp(self):
+        self.news = []
+        self.doubts = []
+        self.dispatcher = RelayDispatcher.start(
+            zone="a",
+            bounds=BOUNDS,
+            on_news=self.news.append,
+            on_doubt=self.doubts.append,
+        )
+        self.addCleanup(self.dispatcher.stop)
+        self.ask(RelayDispatcher.UseConfiguration(configuration=configuration()))
+
+    def ask(self, message):
+        return self.dispatcher.ask(message, timeout=5)
+
+    def see(self, *names, **changes):
+        for name in names:
+            self.ask(
+                RelayDispatcher.ReplicaSeen(
+                    replica=attrs.evolve(replica(name), **changes)
+                )
+            )
+
+    def request(self, request_id="r1", **changes):
+        now_s = time.monotonic()
+        received = caller(request_id=request_id, received_s=now_s, **changes)
+        return routed(caller=received, deadline_s=now_s + 6.0)
+
+    def place(self, request=None, *, tried=(), sent=0):
+        return self.ask(
+            RelayDispatcher.Place(
+                request=request or self.request(),
+                tried=tried,
+                is_repeat=sent > 0,
+                sent_before=sent,
+            )
+        )
+
+    def end(self, request, placed, result):
+        self.ask(
+            RelayDispatcher.Ended(
+                request=request, attempt=placed.attempt, result=result
+            )
+        )
+
+    def test_without_a_replica_a_request_is_refused_at_once(self):
+        refused = self.place()
+        self.assertIsInstance(refused, Refusal)
+        self.assertEqual((refused.status, refused.outcome), (503, Outcome.NOT_RUN))
+        self.assertGreater(refused.retry_after_s, 0)
+
+    def test_a_request_names_the_replica_the_weights_and_the_salt(self):
+        self.see("x")
+        attempt = self.place().attempt
+        self.assertEqual(attempt.replica_id, "x")
+        self.assertEqual(attempt.expected_weights, 1)
+        self.assertIn(f"{MODEL}/1/", attempt.cache_salt)
+
+    def test_a_draining_replica_gets_nothing(self):
+        self.see("x")
+        self.see("x", state=ReplicaState.DRAINING, report_number=2)
+        self.assertIsInstance(self.place(), Refusal)
+
+    def test_a_loading_replica_is_waited_for_and_used_once_it_has_loaded(self):
+        self.see("x")
+        incarnation = replica("x").incarnation
+        loading = RelayDispatcher.ReplicaLoading(incarnation=incarnation, for_s=2.0)
+        self.ask(loading)
+        self.assertIsInstance(self.place(), Wait)
+        self.see("x", weights_by_model={MODEL: 2}, report_number=2)
+        # A report of a busy engine may arrive after its new entry.
+        self.ask(loading)
+        self.ask(
+            RelayDispatcher.WeightsServed(
+                incarnation=incarnation, model=MODEL, version=2
+            )
+        )
+        self.assertEqual(self.place().attempt.expected_weights, 2)
+
+    def test_weights_that_are_too_old_get_no_request(self):
+        """New weights before the last ones are in place."""
+        old = attrs.evolve(BOUNDS, weights_ms=900)
+        dispatcher = RelayDispatcher.start(
+            zone="a", bounds=old, on_news=self.news.append, on_doubt=lambda _: None
+        )
+        self.addCleanup(dispatcher.stop)
+        for message in (
+            RelayDispatcher.UseConfiguration(configuration=configuration()),
+            RelayDispatcher.ReplicaSeen(replica=replica("x")),
+            RelayDispatcher.WeightsNamed(model=MODEL, version=2),
+        ):
+            dispatcher.ask(message)
+        placed = dispatcher.ask(
+            RelayDispatcher.Place(request=self.request(), tried=(), is_repeat=False)
+        )
+        self.assertIsInstance(placed, Wait)
+
+    def test_what_would_wait_too_long_is_refused_with_a_time_to_come_back(self):
+        """Overload: the queue is bounded by what is still on time."""
+        self.see("x")
+        answers = [
+            self.place(self.request(f"r{n}", prompt=prompt(part=f"p{n}")))
+            for n in range(20)
+        ]
+        placed = [each for each in answers if isinstance(each, Placed)]
+        refused = [each for each in answers if isinstance(each, Refusal)]
+        self.assertGreaterEqual(len(placed), 3)
+        self.assertGreaterEqual(len(refused), 10)
+        self.assertLess(max(each.expected_ms for each in placed), 1.3 * 800 + 1)
+        self.assertTrue(all(each.retry_after_s > 0 for each in refused))
+
+    def test_urgent_requests_are_taken_while_long_prompts_are_refused(self):
+        """Overload by long prompts: the short ones are served."""
+        self.see("x")
+        for number in range(20):
+            self.place(self.request(f"r{number}", prompt=prompt(part=f"p{number}")))
+        short = attrs.evolve(
+            self.request("s", prompt=prompt(shared=0, own=300)), priority=0
+        )
+        self.assertIsInstance(self.place(short), Placed)
+
+    def test_repeats_stay_within_the_budget(self):
+        """A replica that rejects everything: repeats are bounded."""
+        self.see("x", "y")
+        repeats = 0
+        for number in range(100):
+            request = self.request(f"r{number}", prompt=prompt(shared=0, own=10))
+            first = self.place(request)
+            self.end(request, first, AttemptResult.CANCELLED)
+            again = self.place(request, tried=(first.attempt.incarnation,), sent=1)
+            if isinstance(again, Placed):
+                repeats += 1
+                self.end(request, again, AttemptResult.CANCELLED)
+        slack = BOUNDS.retry_slack / 4
+        self.assertLessEqual(repeats, 0.2 * 100 + slack)
+        self.assertGreater(repeats, 10)
+
+    def test_peers_are_told_of_large_prompts_only(self):
+        self.see("x")
+        small = self.request("s", prompt=prompt(shared=92, own=291))
+        self.end(small, self.place(small), AttemptResult.ANSWERED)
+        self.assertEqual(self.news, [])
+        large = self.request("l")
+        placed = self.place(large)
+        self.ask(
+            RelayDispatcher.Begun(
+                request_id="l", incarnation=placed.attempt.incarnation
+            )
+        )
+        self.end(large, placed, AttemptResult.ANSWERED)
+        self.assertEqual(
+            [type(news) for news in self.news],
+            [PromptPlaced, PromptBegun, PromptEnded],
+        )
+
+    def test_what_peers_send_counts_as_load(self):
+        self.see("x", "y")
+        for number in range(4):
+            self.ask(
+                RelayDispatcher.PeerPlaced(
+                    placed=PromptPlaced(
+                        request_id=f"p{number}",
+                        incarnation=replica("x").incarnation,
+                        prefill_tokens=12_000,
+                        kv_tokens=12_000,
+                        priority=1,
+                        salt="s",
+                        part_id="",
+                        shared_tokens=0,
+                        is_saved=False,
+                    )
+                )
+            )
+        self.assertEqual(self.place().attempt.replica_id, "y")
+
+    def test_a_part_is_saved_once(self):
+        self.see("x")
+        first = self.place(self.request("r1"))
+        again = self.place(self.request("r2"))
+        self.assertNotEqual(first.attempt.store_kv_to, "")
+        self.assertEqual(again.attempt.store_kv_to, "")
+
+    def test_unexpected_weights_are_asked_for(self):
+        self.see("x")
+        request = self.request()
+        self.end(request, self.place(request), AttemptResult.OTHER_WEIGHTS)
+        self.assertEqual(self.doubts, ["x"])
+
+    def test_a_restarted_replica_has_lost_its_cache(self):
+        without_store = configuration(kv_stores=())
+        self.ask(RelayDispatcher.UseConfiguration(configuration=without_store))
+        self.see("x")
+        self.place(self.request("r1"))
+        self.see("x", started_ms=2, report_number=1)
+        self.assertEqual(self.place(self.request("r2")).attempt.prefill_tokens, 12_000)
--- /dev/null
+++ b/tests/relay/test_event_splitter.py
@@ -0,0 +1,45 @@
+"""Tests of splitting a stream into events."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crocuswick.relay.event_splitter import MAX_EVENT_BYTES, EventSplitter
+
+STREAM = b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(1, 20))
+
+
+class EventSplitterTests(unittest.TestCase):
+    @given(st.lists(st.integers(1, 40), min_size=1))
+    def test_events_are_whole_however_the_bytes_arrive(self, sizes):
+        splitter = EventSplitter()
+        events = []
+        position = 0
+        while position < len(STREAM):
+            for size in sizes:
+                events += splitter.feed(STREAM[position : position + size])
+                position += size
+        self.assertEqual([event.number for event in events], list(range(1, 20)))
+        self.assertEqual(b"".join(event.data for event in events), STREAM)
+        self.assertFalse(splitter.has_partial_event)
+
+    def test_a_stream_that_ends_within_an_event_is_noticed(self):
+        splitter = EventSplitter()
+        splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+        self.assertTrue(splitter.has_partial_event)
+
+    def test_other_line_ends_and_further_lines(self):
+        splitter = EventSplitter()
+        events = splitter.feed(b"x-weights: 3\r\nid: 7\r\ndata: a\r\n\r\n")
+        self.assertEqual([event.number for event in events], [7])
+
+    def test_an_event_without_an_id_has_no_number(self):
+        self.assertIsNone(EventSplitter().feed(b"data: a\n\n")[0].number)
+
+    def test_an_event_without_an_end_is_noticed(self):
+        splitter = EventSplitter()
+        splitter.feed(b"data: " + b"x" * MAX_EVENT_BYTES)
+        self.assertTrue(splitter.is_oversized)
--- /dev/null
+++ b/tests/relay/test_replica_chooser.py
@@ -0,0 +1,178 @@
+"""Tests of the choice of a replica."""
+
+from __future__ import annotations
+
+import unittest
+
+import attrs
+
+from crocuswick.relay.engine_load import EngineLoad
+from crocuswick.relay.kv_map import KvMap
+from crocuswick.relay.replica_chooser import Candidate, ReplicaChooser, cache_salt
+from crocuswick.relay.replica_health import AttemptResult, ReplicaHealth
+from tests.relay.samples import (
+    DESK,
+    ENGINE,
+    ENGINES,
+    ISOLATED,
+    STORE,
+    caller,
+    prompt,
+    replica,
+    routed,
+)
+
+CAPACITY = ENGINE.kv_capacity_tokens
+
+
+def candidate(name, **changes) -> Candidate:
+    plain = Candidate(
+        replica=replica(name),
+        load=EngineLoad(),
+        health=ReplicaHealth(),
+        weights=1,
+        weights_age_s=None,
+    )
+    return attrs.evolve(plain, **changes)
+
+
+def busy(tokens, *, priority=1, requests=1) -> EngineLoad:
+    load = EngineLoad()
+    for number in range(requests):
+        load.record_sent(
+            f"busy{number}",
+            prefill_tokens=tokens,
+            kv_tokens=tokens,
+            priority=priority,
+            now_s=0.0,
+        )
+    return load
+
+
+class ReplicaChooserTests(unittest.TestCase):
+    def setUp(self):
+        self.kv_map = KvMap()
+        self.chooser = ReplicaChooser(zone="a", kv_map=self.kv_map, seed=1)
+
+    def choose(self, *candidates, request=None, service=ENGINES, stores=()):
+        return self.chooser.choose(
+            request or routed(), service, candidates, stores, now_s=0.0
+        )
+
+    def hold(self, name, part="a1", version=1):
+        salt = cache_salt(routed(), version)
+        cache = self.kv_map.engine(replica(name).incarnation, CAPACITY)
+        cache.use((salt, part), 10_000)
+
+    def test_nobody_is_chosen_among_none(self):
+        self.assertIsNone(self.choose())
+
+    def test_a_holder_of_the_part_goes_before_an_idle_engine(self):
+        """A hot prefix: its requests go where it is cached."""
+        self.hold("y")
+        chosen = self.choose(candidate("x"), candidate("y"))
+        self.assertEqual(chosen.candidate.replica.id, "y")
+        self.assertEqual((chosen.prefill_tokens, chosen.fetch_from), (2_000, ""))
+
+    def test_a_busy_holder_gives_its_part_to_an_idle_engine(self):
+        """A hot prefix beyond one engine: the part is fetched, not read again."""
+        self.hold("y")
+        chosen = self.choose(candidate("x"), candidate("y", load=busy(60_000)))
+        self.assertEqual(chosen.candidate.replica.id, "x")
+        self.assertEqual(chosen.fetch_from, replica("y").address)
+        self.assertEqual(chosen.prefill_tokens, 2_000)
+
+    def test_the_store_gives_a_part_that_no_engine_holds(self):
+        """A full cache: what engines evicted comes from the store."""
+        salt = cache_salt(routed(), 1)
+        self.kv_map.record_stored(salt, "a1", 10_000, STORE.capacity_tokens)
+        chosen = self.choose(candidate("x"), stores=[STORE])
+        self.assertEqual(chosen.fetch_from, STORE.address)
+
+    def test_a_transfer_that_takes_longer_than_prefill_still_counts_as_cached(self):
+        slow = attrs.evolve(STORE, link_mbps=1_000)
+        salt = cache_salt(routed(), 1)
+        self.kv_map.record_stored(salt, "a1", 10_000, STORE.capacity_tokens)
+        chosen = self.choose(candidate("x"), stores=[slow])
+        self.assertEqual(chosen.fetch_from, slow.address)
+
+    def test_parts_of_older_weights_are_never_used(self):
+        self.hold("y", version=1)
+        chosen = self.choose(candidate("x", weights=2), candidate("y", weights=2))
+        self.assertEqual((chosen.prefill_tokens, chosen.fetch_from), (12_000, ""))
+
+    def test_an_isolated_organisation_has_parts_of_its_own(self):
+        shared, other = routed(), routed(organisation=ISOLATED)
+        self.assertNotEqual(cache_salt(shared, 1), cache_salt(other, 1))
+        self.assertNotEqual(cache_salt(other, 1), cache_salt(other, 2))
+
+    def test_the_own_zone_goes_first_until_it_is_busier(self):
+        far = attrs.evolve(replica("far"), zone="b")
+        chosen = self.choose(candidate("x"), candidate("far", replica=far))
+        self.assertEqual(chosen.candidate.replica.id, "x")
+        chosen = self.choose(
+            candidate("x", load=busy(60_000)), candidate("far", replica=far)
+        )
+        self.assertEqual(chosen.candidate.replica.id, "far")
+
+    def test_newer_weights_go_first_once_the_grace_is_over(self):
+        self.hold("old")
+        old = candidate("old", weights_age_s=0.5)
+        new = candidate("new", weights=2)
+        self.assertEqual(self.choose(old, new).candidate.replica.id, "old")
+        late = candidate("old", weights_age_s=5.0, load=busy(4_000))
+        self.assertEqual(self.choose(late, new).candidate.replica.id, "new")
+
+    def test_an_engine_without_free_memory_is_avoided(self):
+        """Large prompts: eight of them fill an engine's memory."""
+        full = EngineLoad()
+        for number in range(8):
+            full.record_sent(
+                f"f{number}",
+                prefill_tokens=0,
+                kv_tokens=17_000,
+                priority=1,
+                now_s=0.0,
+            )
+        chosen = self.choose(candidate("x", load=full), candidate("y"))
+        self.assertEqual(chosen.candidate.replica.id, "y")
+
+    def test_a_replica_that_fails_requests_is_avoided(self):
+        """A failing replica with good health: results count, not its own word."""
+        grey = ReplicaHealth()
+        for _ in range(5):
+            grey.record(AttemptResult.FAILED, 0.0)
+        plain = routed(caller=caller(prompt=None), service=DESK.name)
+        for service, request in ((ENGINES, routed()), (DESK, plain)):
+            chosen = self.choose(
+                candidate("x", health=grey),
+                candidate("y"),
+                service=service,
+                request=request,
+            )
+            self.assertEqual(chosen.candidate.replica.id, "y")
+
+    def test_plain_calls_go_to_the_least_busy_replica(self):
+        plain = routed(caller=caller(prompt=None), service=DESK.name)
+        chosen = self.choose(
+            candidate("x", load=busy(0, requests=3)),
+            candidate("y", load=busy(0, requests=1)),
+            service=DESK,
+            request=plain,
+        )
+        self.assertEqual(chosen.candidate.replica.id, "y")
+
+    def test_equals_share_the_load(self):
+        """A stampede: nodes that know the same don't all choose the same."""
+        seen = set()
+        for seed in range(20):
+            chooser = ReplicaChooser(zone="a", kv_map=KvMap(), seed=seed)
+            chosen = chooser.choose(
+                routed(caller=caller(prompt=prompt(shared=0))),
+                ENGINES,
+                [candidate("x"), candidate("y")],
+                (),
+                now_s=0.0,
+            )
+            seen.add(chosen.candidate.replica.id)
+        self.assertEqual(seen, {"x", "y"})
--- /dev/null
+++ b/tests/relay/test_stall_watch.py
@@ -0,0 +1,52 @@
+"""Tests of noticing replicas that fall silent."""
+
+from __future__ import annotations
+
+import time
+import unittest
+
+from crocuswick.relay.stall_watch import StallWatch, WatchedAttempt
+
+
+class StallWatchTests(unittest.TestCase):
+    def setUp(self):
+        self.watch = StallWatch()
+        self.aborted = []
+
+    def attempt(self, name="x", *, soft_s=1.0, hard_s=5.0):
+        attempt = WatchedAttempt(
+            incarnation=name,
+            soft_limit_s=soft_s,
+            hard_limit_s=hard_s,
+            abort=lambda: self.aborted.append(name),
+        )
+        self.watch.begin(attempt)
+        return attempt
+
+    def test_a_silent_replica_is_given_up_at_the_soft_limit(self):
+        attempt = self.attempt()
+        self.watch.check(time.monotonic() + 1.1)
+        self.assertEqual(self.aborted, ["x"])
+        self.assertTrue(attempt.is_stalled)
+
+    def test_a_busy_replica_is_waited_for_up_to_the_hard_limit(self):
+        """Overload: a request that waits its turn is not sent once more."""
+        attempt = self.attempt()
+        now_s = time.monotonic()
+        attempt.heard_s = now_s - 2.0
+        self.watch.heard("x", None)
+        self.watch.check(now_s + 0.1)
+        self.assertEqual(self.aborted, [])
+        self.watch.check(now_s + 3.1)
+        self.assertEqual(self.aborted, ["x"])
+
+    def test_an_attempt_is_ended_once(self):
+        self.attempt()
+        for _ in range(3):
+            self.watch.check(time.monotonic() + 9.0)
+        self.assertEqual(self.aborted, ["x"])
+
+    def test_an_attempt_that_ended_is_left_alone(self):
+        self.watch.end(self.attempt())
+        self.watch.check(time.monotonic() + 9.0)
+        self.assertEqual(self.aborted, [])
--- /dev/null
+++ b/tests/rollouts/test_order_turn.py
@@ -0,0 +1,63 @@
+"""Tests of whose turn it is to give orders."""
+
+from __future__ import annotations
+
+import unittest
+
+from crocuswick.rollouts.order_turn import TAKE_OVER_STEP_S, OrderTurn
+
+
+class OrderTurnTests(unittest.TestCase):
+    def setUp(self):
+        self.turn = OrderTurn()
+        self.turn.engines_behind(10.0)
+
+    def is_mine(self, now_s, rank, holds_right=False):
+        return self.turn.is_mine(now_s, rank=rank, holds_right=holds_right)
+
+    def test_the_first_in_rank_goes_at_once_the_others_later(self):
+        self.assertTrue(self.is_mine(10.0, 0))
+        self.assertFalse(self.is_mine(10.0, 1))
+        self.assertTrue(self.is_mine(10.0 + TAKE_OVER_STEP_S, 1))
+        self.assertFalse(self.is_mine(10.0 + TAKE_OVER_STEP_S, 2))
+
+    def test_a_holder_at_work_keeps_the_others_waiting(self):
+        """Found on a played day: two nodes took the right from each other 57 times
+        while each waited to use it."""
+        for step in range(50):
+            now_s = 10.0 + 0.3 * step
+            self.turn.holder_spoke(now_s, next_in_s=4.5)
+            self.assertFalse(self.is_mine(now_s, 1))
+
+    def test_a_silent_holder_is_followed(self):
+        self.turn.holder_spoke(10.0, next_in_s=0.0)
+        self.assertTrue(self.is_mine(10.0 + TAKE_OVER_STEP_S, 1))
+
+    def test_a_node_that_lost_the_right_lets_the_others_try(self):
+        self.turn.claim_failed(10.0)
+        self.assertFalse(self.is_mine(10.0 + TAKE_OVER_STEP_S, 0))
+
+    def test_a_node_that_cannot_reach_the_store_tries_ever_more_rarely(self):
+        pauses = []
+        now_s = 10.0
+        for _ in range(6):
+            self.turn.claim_failed(now_s)
+            start_s = now_s
+            while not self.is_mine(now_s, 0):
+                now_s += 0.1
+            pauses.append(now_s - start_s)
+        self.assertGreater(pauses[3], pauses[0])
+        self.assertLess(max(pauses), 4.2)
+
+    def test_after_a_resignation_the_next_goes_at_once(self):
+        self.turn.holder_spoke(10.0, next_in_s=4.5)
+        self.turn.holder_resigned()
+        self.assertTrue(self.is_mine(10.1, 3))
+
+    def test_nobody_orders_when_all_is_served(self):
+        self.turn.engines_current()
+        self.assertFalse(self.is_mine(99.0, 0))
+
+    def test_the_holder_goes_on(self):
+        self.turn.holder_spoke(10.0, next_in_s=9.0)
+        self.assertTrue(self.is_mine(10.1, 4, holds_right=True))
--- /dev/null
+++ b/tests/rollouts/test_rollout_plan.py
@@ -0,0 +1,47 @@
+"""Tests of which engines load weights next."""
+
+from __future__ import annotations
+
+import unittest
+
+from crocuswick.relay.engine_state import EngineState
+from crocuswick.relay.replica import ReplicaState
+from crocuswick.rollouts.rollout_plan import behind, loads_at_once, next_steps
+from tests.relay.samples import MODEL, replica
+
+
+def engine(name, version=1, load=0, **changes):
+    return EngineState(
+        replica=replica(name, **changes),
+        weights_by_model={MODEL: version},
+        prefill_tokens=load,
+    )
+
+
+class RolloutPlanTests(unittest.TestCase):
+    def test_a_part_of_the_engines_loads_at_once(self):
+        self.assertEqual([loads_at_once(n) for n in (1, 5, 6, 29)], [1, 2, 2, 11])
+
+    def test_the_least_loaded_engines_go_first(self):
+        engines = [engine("a", load=9), engine("b", load=1), engine("c", load=5)]
+        engines += [engine("d", version=2), engine("e", version=2)]
+        steps = next_steps(engines, {MODEL: 2}, ())
+        self.assertEqual([step.replica.id for step in steps], ["b", "c"])
+
+    def test_engines_that_load_take_the_places(self):
+        engines = [engine(name) for name in "abcde"]
+        busy = [engines[0].replica.incarnation, engines[1].replica.incarnation]
+        self.assertEqual(next_steps(engines, {MODEL: 2}, busy), [])
+        steps = next_steps(engines, {MODEL: 2}, busy[:1])
+        self.assertEqual([step.replica.id for step in steps], ["b"])
+
+    def test_the_newest_version_is_ordered_even_if_several_were_named(self):
+        steps = next_steps([engine("a", version=1)], {MODEL: 4}, ())
+        self.assertEqual([step.version for step in steps], [4])
+
+    def test_engines_that_leave_are_not_ordered(self):
+        leaving = engine("a", state=ReplicaState.DRAINING)
+        self.assertEqual(behind([leaving], {MODEL: 2}), [])
+
+    def test_models_that_were_not_named_are_left_alone(self):
+        self.assertEqual(behind([engine("a")], {"other": 5}), [])
