--- a/src/crocuswick/fleet_news.py
+++ b/src/crocuswick/fleet_news.py
@@ -258,7 +258,7 @@
     @handles(ReplicaLoading)
     def on_replica_loading(self, news: ReplicaLoading, sender: str) -> None:
         """Send nothing to a replica that loads weights."""
-        self._tell_driver(RolloutDriver.Progress(), sender)
+        self._tell_driver(RolloutDriver.Progress(node_id=sender), sender)
         self._dispatcher.tell(
             RelayDispatcher.ReplicaLoading(
                 incarnation=news.incarnation, for_s=news.for_ms / 1000
@@ -279,15 +279,20 @@
     @handles(RightResigned)
     def on_right_resigned(self, news: RightResigned, sender: str) -> None:
         """Note that the holder of the right to order gives it up."""
+        age_ms = news.last_order_age_ms
         message = RolloutDriver.Resigned(
-            token=news.token, last_order_age_s=news.last_order_age_ms / 1000
+            node_id=sender,
+            token=news.token,
+            last_order_age_s=None if age_ms is None else age_ms / 1000,
         )
         self._tell_driver(message, sender)
 
     @handles(RightTaken)
     def on_right_taken(self, news: RightTaken, sender: str) -> None:
         """Note that another node is about to give orders."""
-        message = RolloutDriver.Progress(expected_in_s=news.usable_in_ms / 1000)
+        message = RolloutDriver.Progress(
+            node_id=sender, expected_in_s=news.usable_in_ms / 1000, token=news.token
+        )
         self._tell_driver(message, sender)
 
     def _tell_driver(self, message: Message, sender: str) -> None:
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import threading
 import time
 from typing import TYPE_CHECKING
@@ -49,11 +50,18 @@
 REPLICAS_PACE_S = 0.4
 """Pause between reads of the entries, a fifth of the time to stop using a replica."""
 
-DRAIN_MIN_S = 3.2
-"""Time for which a draining node still takes connections: two readiness checks, one
-second apart, and a connection that was on its way."""
+ACCEPTING_S = 2.3
+"""Time for which a draining node takes connections: two readiness checks, one second
+apart, and a connection that was on its way."""
+
+RESIGN_S = 0.03
+"""Time in which the last news reach the peers."""
+
+DRAIN_POLL_S = 0.02
+DRAIN_IDLE_S = 0.1
+"""Time without a request after which a draining node ends; a request that has arrived
+is read within some milliseconds."""
 
-DRAIN_POLL_S = 0.05
 DRAIN_MARGIN_S = 0.6
 """Time before the end of the grace at which a node ends in any case."""
 
@@ -305,13 +313,25 @@
         """Stop taking new callers and finish what is under way."""
         self._is_draining = True
         self._relay_server.is_draining = True
-        self._driver.tell(RolloutDriver.Resign())
         started_s = time.monotonic()
         self._log.record_state("draining", in_flight=self._relay_server.in_flight)
         latest_s = started_s + self._settings.bounds.grace_ms / 1000 - DRAIN_MARGIN_S
-        while time.monotonic() < latest_s:
-            is_idle = self._relay_server.in_flight == 0
-            if is_idle and time.monotonic() - started_s >= DRAIN_MIN_S:
+        idle_since_s = started_s
+        is_accepting = True
+        while (now_s := time.monotonic()) < latest_s:
+            if is_accepting and now_s - started_s >= ACCEPTING_S:
+                is_accepting = False
+                self._relay_server.stop_accepting()
+            if self._relay_server.in_flight:
+                idle_since_s = now_s
+            if not is_accepting and now_s - idle_since_s > DRAIN_IDLE_S:
                 break
             time.sleep(DRAIN_POLL_S)
+        # The successor may order sooner when it knows of the last order.
+        self._driver.ask(RolloutDriver.Resign())
+        time.sleep(RESIGN_S)
         self._log.record_state("drained", in_flight=self._relay_server.in_flight)
+        self._log.stop()
+        # Stopping the parts one by one would leave connections open that nobody
+        # serves any more.
+        os._exit(0)
--- a/src/crocuswick/news/messages.py
+++ b/src/crocuswick/news/messages.py
@@ -170,8 +170,8 @@
     token: int
     """Offset of that grant."""
 
-    last_order_age_ms: int
-    """Time since its last order, -1 where it gave none."""
+    last_order_age_ms: int | None
+    """Time since its last order, None where it gave none."""
 
 
 @message("crashed")
--- a/src/crocuswick/relay/relay_server.py
+++ b/src/crocuswick/relay/relay_server.py
@@ -141,6 +141,10 @@
         """Close the port and all connections."""
         self._server.stop()
 
+    def stop_accepting(self) -> None:
+        """Refuse new connections and go on with those that are open."""
+        self._server.socket.close()
+
     def use_limits(self, limits: CallerLimits) -> None:
         """Apply the bounds of what callers may send."""
         self._server.max_request_header_size = limits.max_header_bytes
--- a/src/crocuswick/rollouts/driver.py
+++ b/src/crocuswick/rollouts/driver.py
@@ -34,6 +34,7 @@
     from crocuswick.news.messages import News
     from crocuswick.records.store import RecordStore
     from crocuswick.relay.engine_state import EngineState
+    from crocuswick.relay.replica import Replica
     from crocuswick.rollouts.engine_orders import EngineOrders
 
 __all__ = ["RolloutDriver", "boot_clock_s"]
@@ -130,14 +131,19 @@
     class Resigned(Message):
         """Another node gives no more orders."""
 
+        node_id: str
         token: int
-        last_order_age_s: float
+        last_order_age_s: float | None
+        """Time since its last order, None where it gave none."""
 
     @attrs.frozen(kw_only=True)
     class Progress(Message):
         """Another node gives orders, or soon will."""
 
+        node_id: str
         expected_in_s: float = 0.0
+        token: int | None = None
+        """Offset of the holder's record, None where it is not known."""
 
     @attrs.frozen(kw_only=True)
     class Resign(Message):
@@ -171,8 +177,9 @@
         self._orders_by_incarnation: dict[str, int] = {}
         self._failures_by_incarnation: dict[str, int] = {}
         self._paused_until_s: dict[str, float] = {}
-        self._turn = OrderTurn()
+        self._turn = OrderTurn(started_s=boot_clock_s())
         self._next_word_s = float("-inf")
+        self._newest_token = -1
         self._last_order_s: float | None = None
         self._end_guess = FIRST_GUESS
         self._is_claiming = False
@@ -191,12 +198,21 @@
 
     def on_progress(self, message: Progress) -> None:
         """Leave the rollout to the node that gives orders."""
+        if message.token is not None:
+            self._right.other_holds(message.node_id)
+            self._newest_token = max(self._newest_token, message.token)
         self._turn.holder_spoke(boot_clock_s(), next_in_s=message.expected_in_s)
 
     def on_resigned(self, message: Resigned) -> None:
         """Note that a holder gives no more orders."""
-        self._right.resigned(message.token, boot_clock_s() - message.last_order_age_s)
-        self._turn.holder_resigned()
+        self._right.resigned(
+            message.node_id,
+            float("-inf")
+            if message.last_order_age_s is None
+            else boot_clock_s() - message.last_order_age_s,
+        )
+        if message.token >= self._newest_token:
+            self._turn.holder_resigned(boot_clock_s())
 
     def on_resign(self, _message: Resign) -> None:
         """Give no more orders and tell the others."""
@@ -212,6 +228,7 @@
             self._after_failed_claim(claim)
             return
         self._end_guess = claim.token + 1
+        self._newest_token = max(self._newest_token, claim.token)
         if claim.is_renewal:
             self._right.renewed(claim.token, sent_s=claim.sent_s)
         else:
@@ -377,7 +394,6 @@
             sent_s=claim.sent_s,
             now_s=now_s,
             previous=claim.previous,
-            previous_token=claim.previous_token,
             clock_s=time.time(),
         )
         usable_in_ms = round(self._right.waits_for_s(now_s) * 1000)
@@ -400,14 +416,10 @@
     def _tell_resignation(self) -> None:
         if self._right.token is None:
             return
-        age_s = -1.0
+        age_ms = None
         if self._last_order_s is not None:
-            age_s = boot_clock_s() - self._last_order_s
-        self._on_news(
-            RightResigned(
-                token=self._right.token, last_order_age_ms=round(age_s * 1000)
-            )
-        )
+            age_ms = round((boot_clock_s() - self._last_order_s) * 1000)
+        self._on_news(RightResigned(token=self._right.token, last_order_age_ms=age_ms))
 
     # Orders.
 
@@ -422,6 +434,8 @@
         """Give one order and wait for its effect; runs on a worker."""
         incarnation = step.replica.incarnation
         self._wait_until_idle(incarnation)
+        if incarnation not in self._orders_by_incarnation:
+            self._read_orders(step.replica)
         load = WeightsLoad(
             orders=self._orders,
             replica=step.replica,
@@ -439,6 +453,12 @@
             RolloutDriver.LoadEnded(incarnation=incarnation, result=result)
         )
 
+    def _read_orders(self, replica: Replica) -> None:
+        """Learn how many orders an engine took from others; runs on a worker."""
+        report = self._orders.report(replica)
+        if report.is_ok():
+            self._orders_by_incarnation[replica.incarnation] = report.ok_value.orders
+
     def _wait_until_idle(self, incarnation: str) -> None:
         """Wait until the prompts that were sent to an engine have begun."""
         deadline_s = time.monotonic() + LONGEST_SETTLE_S
--- a/src/crocuswick/rollouts/order_right.py
+++ b/src/crocuswick/rollouts/order_right.py
@@ -72,8 +72,8 @@
         self._token: int | None = None
         self._valid_until_s = float("-inf")
         self._not_before_s = float("-inf")
-        self._previous_token: int | None = None
-        self._resigned_by_token: dict[int, float] = {}
+        self._previous_holder = ""
+        self._last_orders_by_resigned: dict[str, float] = {}
 
     @property
     def token(self) -> int | None:
@@ -110,7 +110,6 @@
         sent_s: float,
         now_s: float,
         previous: RightRecord | None,
-        previous_token: int,
         clock_s: float,
     ) -> None:
         """Note that the right was taken over.
@@ -120,18 +119,17 @@
             sent_s: Time at which the append was sent.
             now_s: Time of its answer.
             previous: Record before it, None where there is none.
-            previous_token: Offset of that record.
             clock_s: Unix time at this node.
         """
         self.renewed(token, sent_s=sent_s)
-        self._previous_token = previous_token
+        self._previous_holder = previous.node_id if previous else ""
         if previous is None or previous.node_id == self._node_id:
             return
         last_order_s = now_s + RIGHT_S
         unused_s = clock_s - previous.clock_s - RIGHT_S - CLOCK_ERROR_S
         if unused_s > 0:
             last_order_s = min(last_order_s, now_s - unused_s)
-        resigned_s = self._resigned_by_token.get(previous_token)
+        resigned_s = self._last_orders_by_resigned.get(previous.node_id)
         if resigned_s is not None:
             last_order_s = min(last_order_s, resigned_s)
         self._not_before_s = self._usable_s(last_order_s)
@@ -141,16 +139,23 @@
         self._token = None
         self._valid_until_s = float("-inf")
 
-    def resigned(self, token: int, last_order_s: float) -> None:
-        """Note that a holder gives no more orders under a record.
+    def resigned(self, node_id: str, last_order_s: float) -> None:
+        """Note that a node gives no more orders until it takes the right anew.
+
+        An append of its own that is carried out late does not matter: the node does
+        not use it.
 
         Args:
-            token: Offset of its last record.
+            node_id: The node.
             last_order_s: Time of its last order.
         """
-        self._resigned_by_token = {token: last_order_s}
-        if token == self._previous_token:
+        self._last_orders_by_resigned[node_id] = last_order_s
+        if node_id == self._previous_holder:
             self._not_before_s = min(self._not_before_s, self._usable_s(last_order_s))
 
+    def other_holds(self, node_id: str) -> None:
+        """Note that another node has taken the right."""
+        self._last_orders_by_resigned.pop(node_id, None)
+
     def _usable_s(self, last_order_s: float) -> float:
         return last_order_s + self._lease_s + FLIGHT_S
--- a/src/crocuswick/rollouts/order_turn.py
+++ b/src/crocuswick/rollouts/order_turn.py
@@ -8,14 +8,22 @@
 """Time without a word of the holder after which the next node in rank takes over.
 The holder speaks every `HOLDER_INTERVAL_S` while engines are behind."""
 
+LISTEN_FIRST_S = 1.5
+"""Time in which a node that has started hears from its peers who holds the right."""
+
 LONGEST_PAUSE_S = 4.0
 """Longest pause of a node that failed to take the right."""
 
 
 class OrderTurn:
-    """Follows the holder's signs of life while engines are behind."""
+    """Follows the holder's signs of life while engines are behind.
+
+    Args:
+        started_s: Time at which this node started.
+    """
 
-    def __init__(self):
+    def __init__(self, *, started_s: float):
+        self._listens_until_s = started_s + LISTEN_FIRST_S
         self._quiet_since_s: float | None = None
         self._failures = 0
 
@@ -39,10 +47,10 @@
         self._failures = 0
         self._quiet_since_s = now_s + next_in_s
 
-    def holder_resigned(self) -> None:
-        """Note that there is no holder any more."""
+    def holder_resigned(self, now_s: float) -> None:
+        """Note that there is no holder any more; the first in rank goes at once."""
         if self._quiet_since_s is not None:
-            self._quiet_since_s = float("-inf")
+            self._quiet_since_s = min(self._quiet_since_s, now_s)
 
     def claim_failed(self, now_s: float) -> None:
         """Note that the right could not be taken or renewed.
@@ -63,6 +71,6 @@
         """
         if holds_right:
             return True
-        if self._quiet_since_s is None:
+        if self._quiet_since_s is None or now_s < self._listens_until_s:
             return False
         return now_s - self._quiet_since_s >= TAKE_OVER_STEP_S * rank
--- a/tests/rollouts/test_order_right.py
+++ b/tests/rollouts/test_order_right.py
@@ -31,7 +31,6 @@
             sent_s=now_s,
             now_s=now_s,
             previous=previous,
-            previous_token=6,
             clock_s=clock_s,
         )
 
@@ -72,7 +71,7 @@
         self.assertEqual(self.first_order_s(), 100.0)
 
     def test_a_holder_that_resigned_is_waited_for_from_its_last_order_only(self):
-        self.right.resigned(6, 98.0)
+        self.right.resigned("old", 98.0)
         self.take(holder_record(999.0))
         self.assertAlmostEqual(
             self.first_order_s(), 98.0 + LEASE_S + FLIGHT_S, delta=0.06
@@ -80,11 +79,17 @@
 
     def test_a_resignation_that_comes_late_shortens_the_wait_as_well(self):
         self.take(holder_record(999.0))
-        self.right.resigned(6, 98.0)
+        self.right.resigned("old", 98.0)
         self.assertAlmostEqual(
             self.first_order_s(), 98.0 + LEASE_S + FLIGHT_S, delta=0.06
         )
 
+    def test_a_holder_that_took_the_right_anew_has_not_resigned(self):
+        self.right.resigned("old", 90.0)
+        self.right.other_holds("old")
+        self.take(holder_record(999.9))
+        self.assertGreaterEqual(self.first_order_s(), 100.0 + LEASE_S)
+
     def test_a_node_that_took_its_own_right_again_waits_for_nobody(self):
         self.take(holder_record(999.9, "new"))
         self.assertTrue(self.right.may_order(100.0))
--- a/tests/rollouts/test_order_turn.py
+++ b/tests/rollouts/test_order_turn.py
@@ -4,12 +4,16 @@
 
 import unittest
 
-from crocuswick.rollouts.order_turn import TAKE_OVER_STEP_S, OrderTurn
+from crocuswick.rollouts.order_turn import (
+    LISTEN_FIRST_S,
+    TAKE_OVER_STEP_S,
+    OrderTurn,
+)
 
 
 class OrderTurnTests(unittest.TestCase):
     def setUp(self):
-        self.turn = OrderTurn()
+        self.turn = OrderTurn(started_s=0.0)
         self.turn.engines_behind(10.0)
 
     def is_mine(self, now_s, rank, holds_right=False):
@@ -49,10 +53,14 @@
         self.assertGreater(pauses[3], pauses[0])
         self.assertLess(max(pauses), 4.2)
 
-    def test_after_a_resignation_the_next_goes_at_once(self):
+    def test_after_a_resignation_the_first_in_rank_goes_at_once(self):
+        """Found on a hunted day: all nodes took the right at the same moment, and
+        each that lost it resigned again."""
         self.turn.holder_spoke(10.0, next_in_s=4.5)
-        self.turn.holder_resigned()
-        self.assertTrue(self.is_mine(10.1, 3))
+        self.turn.holder_resigned(10.1)
+        self.assertTrue(self.is_mine(10.1, 0))
+        self.assertFalse(self.is_mine(10.1, 1))
+        self.assertTrue(self.is_mine(10.1 + TAKE_OVER_STEP_S, 1))
 
     def test_nobody_orders_when_all_is_served(self):
         self.turn.engines_current()
@@ -61,3 +69,12 @@
     def test_the_holder_goes_on(self):
         self.turn.holder_spoke(10.0, next_in_s=9.0)
         self.assertTrue(self.is_mine(10.1, 4, holds_right=True))
+
+    def test_a_node_that_has_just_started_listens_first(self):
+        """Found on a hunted day: each restarted node took the right from a holder
+        that it had not heard of yet."""
+        turn = OrderTurn(started_s=10.0)
+        turn.engines_behind(10.0)
+        self.assertFalse(turn.is_mine(10.1, rank=0, holds_right=False))
+        later_s = 10.0 + LISTEN_FIRST_S
+        self.assertTrue(turn.is_mine(later_s, rank=0, holds_right=False))
