--- a/src/crocuswick/relay/relay_server.py
+++ b/src/crocuswick/relay/relay_server.py
@@ -111,6 +111,7 @@
         self.watch = watch
         self.configuration = configuration
         self.is_draining = False
+        self._is_closing = False
         self._in_flight = 0
         self._lock = threading.Lock()
         self._server = _CherootServer(
@@ -142,14 +143,21 @@
         self._server.stop()
 
     def stop_accepting(self) -> None:
-        """Refuse new connections and go on with those that are open."""
+        """Refuse new connections, close idle ones and go on with the others.
+
+        Callers send a request again that they sent on a connection while it was
+        being closed, since it was not read.
+        """
+        self._is_closing = True
         self._server.socket.close()
+        self._server.timeout = 0
 
     def use_limits(self, limits: CallerLimits) -> None:
         """Apply the bounds of what callers may send."""
         self._server.max_request_header_size = limits.max_header_bytes
         self._server.request_timeout_s = limits.header_timeout_ms / 1000
-        self._server.timeout = IDLE_MARGIN * limits.idle_timeout_ms / 1000
+        if not self._is_closing:
+            self._server.timeout = IDLE_MARGIN * limits.idle_timeout_ms / 1000
         self.max_body_bytes = limits.max_body_bytes
         self.body_timeout_s = limits.idle_timeout_ms / 1000
 
--- a/src/crocuswick/rollouts/order_turn.py
+++ b/src/crocuswick/rollouts/order_turn.py
@@ -45,7 +45,8 @@
             next_in_s: Time before its next order.
         """
         self._failures = 0
-        self._quiet_since_s = now_s + next_in_s
+        # Even the first in rank waits for the holder's next word.
+        self._quiet_since_s = now_s + next_in_s + TAKE_OVER_STEP_S
 
     def holder_resigned(self, now_s: float) -> None:
         """Note that there is no holder any more; the first in rank goes at once."""
--- a/tests/platform/test_node_relay.py
+++ b/tests/platform/test_node_relay.py
@@ -345,6 +345,32 @@
         self.assertTrue(idle.receive_all().endswith(b"ok"))
         self.assertEqual(deployment.node.process.wait(8), 0)
 
+    def test_a_stop_closes_idle_connections_while_others_are_at_work(self):
+        """Found on a hunted day: callers went on to use idle connections up to the
+        end of the grace, and their requests were cut."""
+        deployment = Deployment()
+        self.addCleanup(deployment.stop)
+        deployment.node.start()
+        idle = RawCaller(deployment.node.front)
+        idle.send(request("/lookup/1", closes=False))
+        idle.receive_until(b"ok")
+
+        def slow(each: ReceivedRequest) -> None:
+            time.sleep(4.0)
+            each.send(b"0")
+
+        deployment.script("engine", slow)
+        working = RawCaller(deployment.node.front)
+        working.send(request("/ask/1", host="ai.example", budget_ms=5_000))
+        deployment.wait_until(lambda: deployment.received("engine"))
+        deployment.node.terminate()
+        started_s = time.monotonic()
+        self.assertEqual(idle.receive_all(), b"")
+        self.assertLess(time.monotonic() - started_s, 3.5)
+        self.assertIsNone(deployment.node.process.poll())
+        with self.assertRaises(ConnectionRefusedError):
+            RawCaller(deployment.node.front)
+
     def test_bad_settings_are_told_and_end_with_two(self):
         deployment = Deployment()
         self.addCleanup(deployment.stop)
