--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -65,6 +65,10 @@
 
     attempt: Attempt
     expected_ms: float
+    """Expected time to the first event."""
+
+    queued_tokens: int
+    """Prompt tokens of all ranks that the replica has still to compute."""
 
 
 @attrs.frozen(kw_only=True)
@@ -415,6 +419,7 @@
         replica = candidate.replica
         prompt = request.caller.prompt
         kv_tokens = prompt.prompt_tokens + prompt.max_output_tokens if prompt else 0
+        queued_tokens = candidate.load.prefill_tokens
         candidate.load.record_sent(
             request.caller.request_id,
             prefill_tokens=choice.prefill_tokens,
@@ -437,7 +442,11 @@
             store_kv_to=self._store_address() if is_saved else "",
             prefill_tokens=choice.prefill_tokens,
         )
-        return Placed(attempt=attempt, expected_ms=choice.expected_ms)
+        return Placed(
+            attempt=attempt,
+            expected_ms=choice.expected_ms,
+            queued_tokens=queued_tokens,
+        )
 
     def _store_address(self) -> str:
         return self._configuration.kv_stores[0].address
--- a/src/crocuswick/relay/engine_load.py
+++ b/src/crocuswick/relay/engine_load.py
@@ -38,6 +38,7 @@
     def __init__(self):
         self._sent_by_request: dict[str, _Sent] = {}
         self._prefill_by_priority = [0] * PRIORITIES
+        self._prompts_by_priority = [0] * PRIORITIES
         self._kv_tokens = 0
         self.prefill_tokens_per_ms = DEFAULT_PREFILL_TOKENS_PER_MS
 
@@ -59,12 +60,23 @@
     def wait_ms(self, priority: int) -> float:
         """Return the expected time before a further prompt is begun.
 
+        Prompts that are as urgent go first, and so does the one that the engine is
+        computing, however little urgent it is.
+
         Args:
-            priority: Its urgency, 0 first; prompts that are less urgent don't count.
+            priority: Its urgency, 0 first.
         """
         ahead = sum(self._prefill_by_priority[: priority + 1])
+        ahead += self._prompt_under_way(priority)
         return ahead / max(1.0, self.prefill_tokens_per_ms)
 
+    def _prompt_under_way(self, priority: int) -> float:
+        """Return the mean tokens of the less urgent prompts, 0 where there are none."""
+        prompts = sum(self._prompts_by_priority[priority + 1 :])
+        if not prompts:
+            return 0.0
+        return sum(self._prefill_by_priority[priority + 1 :]) / prompts
+
     def record_sent(
         self,
         request_id: str,
@@ -85,6 +97,7 @@
             queued_before=sum(self._prefill_by_priority[: priority + 1]),
         )
         self._prefill_by_priority[priority] += prefill_tokens
+        self._prompts_by_priority[priority] += 1
         self._kv_tokens += kv_tokens
 
     def record_begun(self, request_id: str, now_s: float) -> None:
@@ -93,7 +106,7 @@
         if sent is None or sent.has_begun:
             return
         sent.has_begun = True
-        self._prefill_by_priority[sent.priority] -= sent.prefill_tokens
+        self._computed(sent)
         passed_ms = (now_s - sent.sent_s) * 1000
         if sent.prefill_tokens >= MIN_MEASURED_TOKENS and passed_ms > 0:
             rate = (sent.prefill_tokens + sent.queued_before) / passed_ms
@@ -108,7 +121,11 @@
             return
         self._kv_tokens -= sent.kv_tokens
         if not sent.has_begun:
-            self._prefill_by_priority[sent.priority] -= sent.prefill_tokens
+            self._computed(sent)
+
+    def _computed(self, sent: _Sent) -> None:
+        self._prefill_by_priority[sent.priority] -= sent.prefill_tokens
+        self._prompts_by_priority[sent.priority] -= 1
 
     def _drop_overdue(self, now_s: float) -> None:
         # Requests stand in the order in which they were sent.
--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -107,7 +107,7 @@
         self._progress = _Progress(last_event=request.caller.last_event_id)
         self._upstream: Upstream | None = None
         self._watched: WatchedAttempt | None = None
-        self._has_begun = False
+        self._begun_s: float | None = None
 
     def run(self) -> str:
         """Relay the request.
@@ -166,7 +166,7 @@
             upstream.close()
             if self._exchange.has_left and result is not AttemptResult.ANSWERED:
                 result = AttemptResult.CANCELLED
-            self._record(attempt, head, result, started_s, placed.expected_ms)
+            self._record(placed, head, result, started_s)
 
     def _exchange_with(
         self, upstream: Upstream, attempt: Attempt
@@ -272,9 +272,9 @@
 
     def _note_event(self, attempt: Attempt) -> None:
         """Tell the dispatcher of an attempt's first event, and shorten the limits."""
-        if self._has_begun:
+        if self._begun_s is not None:
             return
-        self._has_begun = True
+        self._begun_s = time.monotonic()
         if self._watched is not None:
             gap_s = self._request.route.max_gap_ms / 1000
             self._watched.soft_limit_s = SOFT_GAPS * gap_s
@@ -404,7 +404,7 @@
 
     def _watch(self, placed: Placed, upstream: Upstream) -> WatchedAttempt | None:
         """Have an attempt ended when its replica falls silent, if it may be repeated."""
-        self._has_begun = False
+        self._begun_s = None
         route = self._request.route
         if not route.may_run_again or self._progress.ran + 1 >= route.max_attempts:
             return None
@@ -430,12 +430,12 @@
 
     def _record(
         self,
-        attempt: Attempt,
+        placed: Placed,
         head: AnswerHead | None,
         result: AttemptResult,
         started_s: float,
-        expected_ms: float,
     ) -> None:
+        attempt = placed.attempt
         self._context.dispatcher.tell(
             RelayDispatcher.Ended(
                 request=self._request,
@@ -444,6 +444,7 @@
                 weights_version=head.weights_version if head else None,
             )
         )
+        begun_s = self._begun_s
         self._context.log.record(
             "attempt ended",
             request=self._request.caller.request_id,
@@ -453,7 +454,9 @@
             weights=attempt.expected_weights,
             fetch=attempt.fetch_kv_from,
             prefill=attempt.prefill_tokens,
-            expected_ms=round(expected_ms),
+            queued=placed.queued_tokens,
+            expected_ms=round(placed.expected_ms),
+            begun_ms=None if begun_s is None else round((begun_s - started_s) * 1000),
             ms=round((time.monotonic() - started_s) * 1000),
             error=self._progress.error,
         )
--- a/tests/relay/test_engine_load.py
+++ b/tests/relay/test_engine_load.py
@@ -25,9 +25,17 @@
     def test_long_prompts_do_not_hold_up_more_urgent_ones(self):
         """Large prompts in the queue: short, urgent ones go ahead of them."""
         load = EngineLoad()
-        sent(load, "long", 40_000, priority=1)
-        self.assertEqual(load.wait_ms(0), 0.0)
+        for number in range(4):
+            sent(load, f"long{number}", 10_000, priority=1)
         self.assertEqual(load.wait_ms(1), 40_000 / DEFAULT_PREFILL_TOKENS_PER_MS)
+        # The one that is being computed still goes first.
+        self.assertEqual(load.wait_ms(0), 10_000 / DEFAULT_PREFILL_TOKENS_PER_MS)
+
+    def test_an_engine_without_long_prompts_begins_at_once(self):
+        load = EngineLoad()
+        sent(load, "long", 10_000, priority=1)
+        load.record_begun("long", 0.2)
+        self.assertEqual(load.wait_ms(0), 0.0)
 
     def test_a_prompt_that_was_computed_is_no_longer_waited_for(self):
         load = EngineLoad()
