--- a/src/crocuswick/fleet_news.py
+++ b/src/crocuswick/fleet_news.py
@@ -11,6 +11,7 @@
 from crocuswick.news.messages import (
     News,
     NodeAddress,
+    PartsUsed,
     PromptBegun,
     PromptEnded,
     PromptPlaced,
@@ -237,6 +238,11 @@
         """Count a peer's large prompt."""
         self._dispatcher.tell(RelayDispatcher.PeerPlaced(placed=news))
 
+    @handles(PartsUsed)
+    def on_parts_used(self, news: PartsUsed, _sender: str) -> None:
+        """Note which parts a peer's small prompts have in common."""
+        self._dispatcher.tell(RelayDispatcher.PeerParts(used=news))
+
     @handles(PromptBegun)
     def on_prompt_begun(self, news: PromptBegun, _sender: str) -> None:
         """Note that a peer's prompt has been computed."""
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -44,6 +44,9 @@
 
 ORDERS_DUTY = "orders"
 ROLLOUT_TICK_S = 0.1
+PARTS_INTERVAL_S = 0.2
+"""Interval at which peers hear of small prompts; a part is used again after seconds."""
+
 READINESS_THREADS = 2
 OPERATIONS_WAIT_MS = 1_500
 REPLICAS_WAIT_MS = 1_500
@@ -146,6 +149,9 @@
             log=self._log,
         )
         self._news.use_driver(self._driver)
+        self.application.add(
+            Ticker(name="parts", interval_s=PARTS_INTERVAL_S, call=self._tell_parts)
+        )
         self.application.add(
             Ticker(
                 name="rollouts",
@@ -154,6 +160,9 @@
             )
         )
 
+    def _tell_parts(self) -> None:
+        self._dispatcher.tell(RelayDispatcher.TellParts())
+
     def _engines(self) -> list[EngineState]:
         return self._dispatcher.ask(RelayDispatcher.Engines())
 
--- a/src/crocuswick/news/messages.py
+++ b/src/crocuswick/news/messages.py
@@ -17,6 +17,7 @@
     "Hello",
     "News",
     "NodeAddress",
+    "PartsUsed",
     "PromptBegun",
     "PromptEnded",
     "PromptPlaced",
@@ -105,16 +106,25 @@
     kv_tokens: int
     priority: int
     salt: str
-    part_id: str
-    """Last shared part of the prompt, empty for none."""
-
-    shared_tokens: int
-    """Tokens of the shared parts."""
+    tokens_by_part: dict[str, int]
+    """Tokens of the prompt's shared parts, in their order."""
 
     is_saved: bool
     """Whether the replica saves the parts to the store."""
 
 
+@message("parts")
+@attrs.frozen(kw_only=True)
+class PartsUsed(News):
+    """Shared parts of small prompts that the sender has sent to a replica."""
+
+    incarnation: str
+    salt: str
+    tokens_by_part: dict[str, int]
+    other_tokens: int
+    """Tokens of those prompts that no other request looks for."""
+
+
 @message("begun")
 @attrs.frozen(kw_only=True)
 class PromptBegun(News):
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -10,7 +10,12 @@
 
 from crocuswick.actor import Actor, Message
 from crocuswick.errors import Refusal
-from crocuswick.news.messages import PromptBegun, PromptEnded, PromptPlaced
+from crocuswick.news.messages import (
+    PartsUsed,
+    PromptBegun,
+    PromptEnded,
+    PromptPlaced,
+)
 from crocuswick.relay.admission_bound import longest_wait_ms
 from crocuswick.relay.engine_load import EngineLoad
 from crocuswick.relay.engine_state import EngineState
@@ -26,6 +31,7 @@
 from crocuswick.relay.replica_health import AttemptResult, ReplicaHealth
 from crocuswick.relay.replica_table import ReplicaTable
 from crocuswick.relay.serving import ServingConfiguration
+from crocuswick.relay.small_prompts import SmallPrompts
 from crocuswick.relay.weights_table import WeightsTable
 
 if TYPE_CHECKING:
@@ -136,6 +142,16 @@
 
         placed: PromptPlaced
 
+    @attrs.frozen(kw_only=True)
+    class PeerParts(Message):
+        """Another node has sent small prompts to a replica."""
+
+        used: PartsUsed
+
+    @attrs.frozen(kw_only=True)
+    class TellParts(Message):
+        """Tell the peers of small prompts that were sent since the last time."""
+
     @attrs.frozen(kw_only=True)
     class PeerEnded(Message):
         """Another node's large prompt has ended."""
@@ -208,6 +224,7 @@
         self._budgets_by_service: dict[str, RepeatBudget] = {}
         self._nodes = MIN_NODES
         self._told_requests: set[str] = set()
+        self._small_prompts = SmallPrompts()
 
     def on_use_configuration(self, message: UseConfiguration) -> None:
         """Serve with a newer configuration."""
@@ -253,6 +270,15 @@
         )
         self._record_parts(placed)
 
+    def on_peer_parts(self, message: PeerParts) -> None:
+        """Enter another node's small prompts into the modelled caches."""
+        self._enter_parts(message.used)
+
+    def on_tell_parts(self, _message: TellParts) -> None:
+        """Tell the peers of small prompts."""
+        for used in self._small_prompts.take():
+            self._on_news(used)
+
     def on_peer_ended(self, message: PeerEnded) -> None:
         """Note the end of what another node has sent."""
         self._loads_by_incarnation[message.incarnation].record_ended(message.request_id)
@@ -438,6 +464,7 @@
             engine_priority=engine_priority(request) if prompt else None,
             cache_salt=choice.salt,
             expected_weights=candidate.weights,
+            shared_part=prompt.shared_part_id if prompt else "",
             fetch_kv_from=choice.fetch_from,
             store_kv_to=self._store_address() if is_saved else "",
             prefill_tokens=choice.prefill_tokens,
@@ -460,13 +487,19 @@
             Whether the engine is to save the parts to the store.
         """
         prompt = request.caller.prompt
-        shared = prompt.shared_parts
         incarnation = choice.candidate.replica.incarnation
+        tokens_by_part = {part.id: part.tokens for part in prompt.shared_parts}
         if kv_tokens < TOLD_TOKENS:
-            # Other nodes send about as many small prompts as this one.
-            self._cache(incarnation).fill(kv_tokens * self._nodes)
+            used = PartsUsed(
+                incarnation=incarnation,
+                salt=choice.salt,
+                tokens_by_part=tokens_by_part,
+                other_tokens=kv_tokens - prompt.shared_tokens,
+            )
+            self._enter_parts(used)
+            self._small_prompts.add(used)
             return False
-        part_id = shared[-1].id if shared else ""
+        part_id = prompt.shared_part_id
         is_saved = bool(
             part_id
             and self._configuration.kv_stores
@@ -479,8 +512,7 @@
             kv_tokens=kv_tokens,
             priority=engine_priority(request),
             salt=choice.salt,
-            part_id=part_id,
-            shared_tokens=prompt.shared_tokens,
+            tokens_by_part=tokens_by_part,
             is_saved=is_saved,
         )
         self._record_parts(placed)
@@ -488,20 +520,25 @@
         self._on_news(placed)
         return is_saved
 
+    def _enter_parts(self, used: PartsUsed) -> None:
+        cache = self._cache(used.incarnation)
+        for part_id, tokens in used.tokens_by_part.items():
+            cache.use((used.salt, part_id), tokens)
+        cache.fill(used.other_tokens)
+
     def _record_parts(self, placed: PromptPlaced) -> None:
         """Enter a large prompt into the modelled caches."""
         cache = self._cache(placed.incarnation)
-        if placed.part_id:
-            cache.use((placed.salt, placed.part_id), placed.shared_tokens)
-        cache.fill(placed.kv_tokens - placed.shared_tokens)
+        for part_id, tokens in placed.tokens_by_part.items():
+            cache.use((placed.salt, part_id), tokens)
+        cache.fill(placed.kv_tokens - sum(placed.tokens_by_part.values()))
         stores = self._configuration.kv_stores if self._configuration else ()
-        if placed.is_saved and stores:
-            self._kv_map.record_stored(
-                placed.salt,
-                placed.part_id,
-                placed.kv_tokens,
-                stores[0].capacity_tokens,
-            )
+        if not placed.is_saved or not stores:
+            return
+        last_part = list(placed.tokens_by_part)[-1]
+        self._kv_map.record_stored(
+            placed.salt, last_part, placed.kv_tokens, stores[0].capacity_tokens
+        )
 
     def _cache(self, incarnation: str) -> ModelledCache:
         replica_id = incarnation.rpartition("@")[0]
--- a/src/crocuswick/relay/relay_request.py
+++ b/src/crocuswick/relay/relay_request.py
@@ -39,6 +39,11 @@
         """Parts that other requests may have in common with this one."""
         return self.parts[:-1]
 
+    @property
+    def shared_part_id(self) -> str:
+        """Id of the last shared part, empty for none."""
+        return self.parts[-2].id if len(self.parts) > 1 else ""
+
     @property
     def shared_tokens(self) -> int:
         """Tokens of the shared parts."""
@@ -115,6 +120,9 @@
     expected_weights: int | None
     """Version that the engine must serve, None for plain services."""
 
+    shared_part: str
+    """Id of the prompt's last shared part, empty for none."""
+
     fetch_kv_from: str
     """Address that the engine fetches cached parts from, empty for none."""
 
--- a/src/crocuswick/relay/replica_chooser.py
+++ b/src/crocuswick/relay/replica_chooser.py
@@ -91,6 +91,9 @@
     address: str
     """Address to fetch from, empty if the engine holds them itself."""
 
+    tokens: int
+    """Tokens of the parts that need not be computed."""
+
 
 class ReplicaChooser:
     """Estimates the time to the first event at each candidate and takes the least.
@@ -167,7 +170,7 @@
         salt = cache_salt(request, candidate.weights)
         rate = max(1.0, candidate.load.prefill_tokens_per_ms)
         source = self._source(prompt, salt, engine, candidate, peers, stores)
-        cached = prompt.shared_tokens if source is not None else 0
+        cached = source.tokens if source is not None else 0
         prefill_tokens = max(0, prompt.prompt_tokens - cached)
         fetch_ms = source.transfer_ms if source is not None else 0.0
         expected_ms = (
@@ -195,12 +198,32 @@
         stores: Sequence[KvStore],
     ) -> _Source | None:
         """Return where a prompt's shared parts come from, None if from nowhere."""
-        if not prompt.shared_tokens:
-            return None
-        part_id = prompt.shared_parts[-1].id
-        if self._kv_map.holds(candidate.replica.incarnation, salt, part_id):
-            return _Source(transfer_ms=0.0, address="")
-        tokens = prompt.shared_tokens
+        shared = prompt.shared_parts
+        # The longest run of parts that is cached anywhere; a part is of use only
+        # with all parts before it.
+        for count in range(len(shared), 0, -1):
+            part_id = shared[count - 1].id
+            tokens = sum(part.tokens for part in shared[:count])
+            if self._kv_map.holds(candidate.replica.incarnation, salt, part_id):
+                return _Source(transfer_ms=0.0, address="", tokens=tokens)
+            sources = self._sources(
+                part_id, tokens, salt, engine, candidate, peers, stores
+            )
+            if sources:
+                return min(sources, key=lambda source: source.transfer_ms)
+        return None
+
+    def _sources(
+        self,
+        part_id: str,
+        tokens: int,
+        salt: str,
+        engine: EngineTraits,
+        candidate: Candidate,
+        peers: Sequence[Candidate],
+        stores: Sequence[KvStore],
+    ) -> list[_Source]:
+        """Return whence an engine can fetch a part and those before it."""
         sources = [
             self._transfer(tokens, engine, engine.link_mbps, candidate, peer.replica)
             for peer in peers
@@ -211,7 +234,7 @@
                 self._transfer(tokens, engine, store.link_mbps, candidate, store)
                 for store in stores
             ]
-        return min(sources, key=lambda source: source.transfer_ms, default=None)
+        return sources
 
     def _transfer(
         self,
@@ -226,7 +249,7 @@
         is_near = holder.zone == candidate.replica.zone
         factor = 1.0 if is_near else OTHER_ZONE_TRANSFER
         transfer_ms = TRANSFER_LATENCY_MS + factor * bits / (mbps * 1000)
-        return _Source(transfer_ms=transfer_ms, address=holder.address)
+        return _Source(transfer_ms=transfer_ms, address=holder.address, tokens=tokens)
 
     def _penalty_ms(
         self,
--- /dev/null
+++ b/src/crocuswick/relay/small_prompts.py
@@ -0,0 +1,42 @@
+"""Collects what peers are told of small prompts, so that they are told rarely."""
+
+from __future__ import annotations
+
+import attrs
+
+from crocuswick.news.messages import PartsUsed
+
+__all__ = ["SmallPrompts"]
+
+
+@attrs.define(kw_only=True)
+class _Collected:
+    tokens_by_part: dict[str, int] = attrs.Factory(dict)
+    other_tokens: int = 0
+
+
+class SmallPrompts:
+    """Joins the small prompts that were sent to one replica under one salt."""
+
+    def __init__(self):
+        self._collected: dict[tuple[str, str], _Collected] = {}
+
+    def add(self, used: PartsUsed) -> None:
+        """Add one prompt."""
+        key = (used.incarnation, used.salt)
+        collected = self._collected.setdefault(key, _Collected())
+        collected.tokens_by_part.update(used.tokens_by_part)
+        collected.other_tokens += used.other_tokens
+
+    def take(self) -> list[PartsUsed]:
+        """Return what was added since the last time, a message a replica and salt."""
+        taken, self._collected = self._collected, {}
+        return [
+            PartsUsed(
+                incarnation=incarnation,
+                salt=salt,
+                tokens_by_part=collected.tokens_by_part,
+                other_tokens=collected.other_tokens,
+            )
+            for (incarnation, salt), collected in taken.items()
+        ]
--- a/tests/news/test_messages.py
+++ b/tests/news/test_messages.py
@@ -20,8 +20,7 @@
     kv_tokens=4,
     priority=1,
     salt="s",
-    part_id="p",
-    shared_tokens=2,
+    tokens_by_part={"p": 2},
     is_saved=True,
 )
 
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -8,7 +8,12 @@
 import attrs
 
 from crocuswick.errors import Refusal
-from crocuswick.news.messages import PromptBegun, PromptEnded, PromptPlaced
+from crocuswick.news.messages import (
+    PartsUsed,
+    PromptBegun,
+    PromptEnded,
+    PromptPlaced,
+)
 from crocuswick.outcome import Outcome
 from crocuswick.relay.dispatcher import Placed, RelayDispatcher, Wait
 from crocuswick.relay.replica import ReplicaState
@@ -167,6 +172,8 @@
         small = self.request("s", prompt=prompt(shared=92, own=291))
         self.end(small, self.place(small), AttemptResult.ANSWERED)
         self.assertEqual(self.news, [])
+        self.ask(RelayDispatcher.TellParts())
+        self.assertEqual(self.news.pop().tokens_by_part, {"a1": 92})
         large = self.request("l")
         placed = self.place(large)
         self.ask(
@@ -192,14 +199,34 @@
                         kv_tokens=12_000,
                         priority=1,
                         salt="s",
-                        part_id="",
-                        shared_tokens=0,
+                        tokens_by_part={},
                         is_saved=False,
                     )
                 )
             )
         self.assertEqual(self.place().attempt.replica_id, "y")
 
+    def test_parts_of_small_prompts_are_fetched_where_peers_have_sent_them(self):
+        """Short prompts with a common beginning: each engine read it anew."""
+        self.see("x", "y")
+        self.ask(
+            RelayDispatcher.PeerParts(
+                used=PartsUsed(
+                    incarnation=replica("y").incarnation,
+                    salt=f"{MODEL}/1/",
+                    tokens_by_part={"a1": 92},
+                    other_tokens=300,
+                )
+            )
+        )
+        self.ask(
+            RelayDispatcher.ReplicaLoading(
+                incarnation=replica("y").incarnation, for_s=2.0
+            )
+        )
+        small = self.request("s", prompt=prompt(shared=92, own=291))
+        self.assertEqual(self.place(small).attempt.replica_id, "x")
+
     def test_a_part_is_saved_once(self):
         self.see("x")
         first = self.place(self.request("r1"))
--- a/tests/relay/test_replica_chooser.py
+++ b/tests/relay/test_replica_chooser.py
@@ -8,6 +8,7 @@
 
 from crocuswick.relay.engine_load import EngineLoad
 from crocuswick.relay.kv_map import KvMap
+from crocuswick.relay.relay_request import Prompt, PromptPart
 from crocuswick.relay.replica_chooser import Candidate, ReplicaChooser, cache_salt
 from crocuswick.relay.replica_health import AttemptResult, ReplicaHealth
 from tests.relay.samples import (
@@ -82,6 +83,25 @@
         self.assertEqual(chosen.fetch_from, replica("y").address)
         self.assertEqual(chosen.prefill_tokens, 2_000)
 
+    def test_the_beginning_of_a_prompt_is_fetched_where_only_that_is_cached(self):
+        """Short prompts with a common beginning: what any engine holds is used."""
+        parts = (
+            PromptPart(id="tent", tokens=55),
+            PromptPart(id="list", tokens=37),
+            PromptPart(id="own", tokens=291),
+        )
+        short = Prompt(model="m", prompt_tokens=383, max_output_tokens=40, parts=parts)
+        request = routed(caller=caller(prompt=short))
+        cache = self.kv_map.engine(replica("y").incarnation, CAPACITY)
+        cache.use((cache_salt(request, 1), "tent"), 55)
+        chosen = self.choose(candidate("x"), request=request)
+        self.assertEqual((chosen.fetch_from, chosen.prefill_tokens), ("", 383))
+        held = candidate("y", load=busy(30_000, priority=0))
+        chosen = self.choose(candidate("x"), held, request=request)
+        self.assertEqual(chosen.candidate.replica.id, "x")
+        self.assertEqual(chosen.fetch_from, replica("y").address)
+        self.assertEqual(chosen.prefill_tokens, 328)
+
     def test_the_store_gives_a_part_that_no_engine_holds(self):
         """A full cache: what engines evicted comes from the store."""
         salt = cache_salt(routed(), 1)
