Fetch a part only once the prompt that it came with is computed

Cause: a part counted as cached from the moment its prompt was sent, so it was fetched from engines that were still computing it, missed, and read again. Until the first event the part is of use at its own engine only; it can be fetched afterwards.

--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -229,6 +229,8 @@
     def on_use_configuration(self, message: UseConfiguration) -> None:
         """Serve with a newer configuration."""
         self._configuration = message.configuration
+        stores = message.configuration.kv_stores
+        self._kv_map.use_store(stores[0].capacity_tokens if stores else 0)
 
     def on_replica_seen(self, message: ReplicaSeen) -> None:
         """Take a replica's entry."""
@@ -282,6 +284,7 @@
     def on_peer_ended(self, message: PeerEnded) -> None:
         """Note the end of what another node has sent."""
         self._loads_by_incarnation[message.incarnation].record_ended(message.request_id)
+        self._kv_map.abandoned(message.request_id)
 
     def on_nodes_known(self, message: NodesKnown) -> None:
         """Share the slack of repeats among the nodes."""
@@ -335,6 +338,7 @@
         if load is None:
             return
         load.record_begun(message.request_id, time.monotonic())
+        self._kv_map.computed(message.request_id)
         if message.request_id in self._told_requests:
             self._on_news(
                 PromptBegun(
@@ -349,6 +353,7 @@
         incarnation = attempt.incarnation
         request_id = message.request.caller.request_id
         self._loads_by_incarnation[incarnation].record_ended(request_id)
+        self._kv_map.abandoned(request_id)
         if request_id in self._told_requests:
             self._told_requests.discard(request_id)
             self._on_news(PromptEnded(request_id=request_id, incarnation=incarnation))
@@ -504,6 +509,7 @@
             part_id
             and self._configuration.kv_stores
             and not self._kv_map.is_stored(choice.salt, part_id)
+            and not self._kv_map.is_being_saved(choice.salt, part_id)
         )
         placed = PromptPlaced(
             request_id=request.caller.request_id,
@@ -528,16 +534,14 @@
 
     def _record_parts(self, placed: PromptPlaced) -> None:
         """Enter a large prompt into the modelled caches."""
-        cache = self._cache(placed.incarnation)
-        for part_id, tokens in placed.tokens_by_part.items():
-            cache.use((placed.salt, part_id), tokens)
-        cache.fill(placed.kv_tokens - sum(placed.tokens_by_part.values()))
-        stores = self._configuration.kv_stores if self._configuration else ()
-        if not placed.is_saved or not stores:
-            return
-        last_part = list(placed.tokens_by_part)[-1]
-        self._kv_map.record_stored(
-            placed.salt, last_part, placed.kv_tokens, stores[0].capacity_tokens
+        self._cache(placed.incarnation)
+        self._kv_map.begin(
+            placed.request_id,
+            placed.incarnation,
+            placed.salt,
+            placed.tokens_by_part,
+            other_tokens=placed.kv_tokens - sum(placed.tokens_by_part.values()),
+            is_saved=placed.is_saved,
         )
 
     def _cache(self, incarnation: str) -> ModelledCache:
--- a/src/crocuswick/relay/kv_map.py
+++ b/src/crocuswick/relay/kv_map.py
@@ -7,12 +7,18 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Mapping
+
+import attrs
 
 __all__ = ["KvMap", "ModelledCache"]
 
 PartKey = tuple[str, str]
 """Salt and id of a part."""
 
+MAX_COMPUTING = 1_024
+"""Prompts that are remembered until they are computed; more don't run at a time."""
+
 MIN_CHURN_TOKENS = 2_048
 """Tokens of small prompts are collected up to this number before they are entered."""
 
@@ -57,12 +63,35 @@
             self._tokens -= tokens
 
 
+@attrs.frozen(kw_only=True)
+class _Prompt:
+    """A prompt that an engine has not computed yet."""
+
+    incarnation: str
+    salt: str
+    tokens_by_part: Mapping[str, int]
+    other_tokens: int
+    is_saved: bool
+
+
 class KvMap:
-    """The modelled caches of engines and of the store that they save to."""
+    """The modelled caches of engines and of the store that they save to.
+
+    A part can be fetched once the prompt that it was sent with has been computed;
+    until then it is of use at that engine only.
+    """
 
     def __init__(self):
         self._caches_by_incarnation: dict[str, ModelledCache] = {}
         self._stored: ModelledCache | None = None
+        self._store_tokens = 0
+        self._computing_by_request: dict[str, _Prompt] = {}
+
+    def use_store(self, capacity_tokens: int) -> None:
+        """Set the room of the store, 0 for no store."""
+        if capacity_tokens != self._store_tokens:
+            self._store_tokens = capacity_tokens
+            self._stored = ModelledCache(capacity_tokens=capacity_tokens)
 
     def engine(self, incarnation: str, capacity_tokens: int) -> ModelledCache:
         """Return the modelled cache of an engine."""
@@ -72,8 +101,55 @@
             self._caches_by_incarnation[incarnation] = cache
         return cache
 
+    def begin(
+        self,
+        request_id: str,
+        incarnation: str,
+        salt: str,
+        tokens_by_part: Mapping[str, int],
+        *,
+        other_tokens: int,
+        is_saved: bool,
+    ) -> None:
+        """Note a prompt that was sent to an engine.
+
+        Args:
+            request_id: Its request.
+            incarnation: The engine.
+            salt: Salt of its parts.
+            tokens_by_part: Tokens of its shared parts.
+            other_tokens: Its other tokens.
+            is_saved: Whether the engine saves the parts to the store.
+        """
+        while len(self._computing_by_request) >= MAX_COMPUTING:
+            del self._computing_by_request[next(iter(self._computing_by_request))]
+        self._computing_by_request[request_id] = _Prompt(
+            incarnation=incarnation,
+            salt=salt,
+            tokens_by_part=tokens_by_part,
+            other_tokens=other_tokens,
+            is_saved=is_saved,
+        )
+
+    def computed(self, request_id: str) -> None:
+        """Note that a prompt has been computed: its parts are cached."""
+        prompt = self._computing_by_request.pop(request_id, None)
+        cache = self._caches_by_incarnation.get(prompt.incarnation) if prompt else None
+        if cache is None:
+            return
+        for part_id, tokens in prompt.tokens_by_part.items():
+            cache.use((prompt.salt, part_id), tokens)
+        cache.fill(prompt.other_tokens)
+        if prompt.is_saved and self._stored is not None and prompt.tokens_by_part:
+            tokens = sum(prompt.tokens_by_part.values()) + prompt.other_tokens
+            self._stored.use((prompt.salt, list(prompt.tokens_by_part)[-1]), tokens)
+
+    def abandoned(self, request_id: str) -> None:
+        """Note that a request has ended, perhaps before its prompt was computed."""
+        self._computing_by_request.pop(request_id, None)
+
     def holders(self, salt: str, part_id: str) -> list[str]:
-        """Return the incarnations that are believed to hold a part."""
+        """Return the incarnations from which a part can be fetched."""
         key = (salt, part_id)
         return [
             incarnation
@@ -82,26 +158,41 @@
         ]
 
     def holds(self, incarnation: str, salt: str, part_id: str) -> bool:
-        """Whether an engine is believed to hold a part."""
+        """Whether a part can be fetched from an engine."""
         cache = self._caches_by_incarnation.get(incarnation)
         return cache is not None and (salt, part_id) in cache
 
+    def expects(self, incarnation: str, salt: str, part_id: str) -> bool:
+        """Whether an engine computes a part now, for whoever comes after."""
+        return any(
+            prompt.incarnation == incarnation
+            and prompt.salt == salt
+            and part_id in prompt.tokens_by_part
+            for prompt in self._computing_by_request.values()
+        )
+
     def is_stored(self, salt: str, part_id: str) -> bool:
-        """Whether the store is believed to hold a part."""
+        """Whether a part can be fetched from the store."""
         return self._stored is not None and (salt, part_id) in self._stored
 
-    def record_stored(
-        self, salt: str, part_id: str, tokens: int, capacity_tokens: int
-    ) -> None:
-        """Note that an engine saves a part to the store."""
-        if self._stored is None:
-            self._stored = ModelledCache(capacity_tokens=capacity_tokens)
-        self._stored.use((salt, part_id), tokens)
+    def is_being_saved(self, salt: str, part_id: str) -> bool:
+        """Whether an engine will save a part to the store."""
+        return any(
+            prompt.is_saved and prompt.salt == salt and part_id in prompt.tokens_by_part
+            for prompt in self._computing_by_request.values()
+        )
 
     def forget(self, incarnation: str) -> None:
         """Drop an engine that has lost its cache."""
         self._caches_by_incarnation.pop(incarnation, None)
+        lost = [
+            request_id
+            for request_id, prompt in self._computing_by_request.items()
+            if prompt.incarnation == incarnation
+        ]
+        for request_id in lost:
+            del self._computing_by_request[request_id]
 
     def forget_stored(self) -> None:
         """Drop all that the store held."""
-        self._stored = None
+        self._stored = ModelledCache(capacity_tokens=self._store_tokens)
--- a/src/crocuswick/relay/replica_chooser.py
+++ b/src/crocuswick/relay/replica_chooser.py
@@ -204,7 +204,7 @@
         for count in range(len(shared), 0, -1):
             part_id = shared[count - 1].id
             tokens = sum(part.tokens for part in shared[:count])
-            if self._kv_map.holds(candidate.replica.incarnation, salt, part_id):
+            if self._has(candidate.replica.incarnation, salt, part_id):
                 return _Source(transfer_ms=0.0, address="", tokens=tokens)
             sources = self._sources(
                 part_id, tokens, salt, engine, candidate, peers, stores
@@ -213,6 +213,11 @@
                 return min(sources, key=lambda source: source.transfer_ms)
         return None
 
+    def _has(self, incarnation: str, salt: str, part_id: str) -> bool:
+        return self._kv_map.holds(incarnation, salt, part_id) or self._kv_map.expects(
+            incarnation, salt, part_id
+        )
+
     def _sources(
         self,
         part_id: str,
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -244,6 +244,11 @@
         without_store = configuration(kv_stores=())
         self.ask(RelayDispatcher.UseConfiguration(configuration=without_store))
         self.see("x")
-        self.place(self.request("r1"))
+        first = self.place(self.request("r1"))
+        self.ask(
+            RelayDispatcher.Begun(
+                request_id="r1", incarnation=first.attempt.incarnation
+            )
+        )
         self.see("x", started_ms=2, report_number=1)
         self.assertEqual(self.place(self.request("r2")).attempt.prefill_tokens, 12_000)
--- a/tests/relay/test_kv_map.py
+++ b/tests/relay/test_kv_map.py
@@ -42,7 +42,49 @@
 
     def test_the_store_evicts_as_well(self):
         kv_map = KvMap()
+        kv_map.use_store(30_000)
+        kv_map.engine("x", 99_000)
         for number in range(5):
-            kv_map.record_stored("s", str(number), 10_000, 30_000)
-        self.assertFalse(kv_map.is_stored("s", "0"))
-        self.assertTrue(kv_map.is_stored("s", "4"))
+            self.begin(kv_map, f"r{number}", part=f"p{number}", is_saved=True)
+            kv_map.computed(f"r{number}")
+        self.assertFalse(kv_map.is_stored("s", "p0"))
+        self.assertTrue(kv_map.is_stored("s", "p4"))
+
+    def begin(self, kv_map, request_id, *, part="a", is_saved=False):
+        kv_map.begin(
+            request_id, "x", "s", {part: 10_000}, other_tokens=0, is_saved=is_saved
+        )
+
+    def test_a_part_can_be_fetched_only_once_it_is_computed(self):
+        """Found on played days: parts were fetched from engines that were still
+        computing them, and were read again."""
+        kv_map = KvMap()
+        kv_map.use_store(99_000)
+        kv_map.engine("x", 99_000)
+        self.begin(kv_map, "r", is_saved=True)
+        self.assertTrue(kv_map.expects("x", "s", "a"))
+        self.assertTrue(kv_map.is_being_saved("s", "a"))
+        self.assertFalse(kv_map.holds("x", "s", "a"))
+        self.assertFalse(kv_map.is_stored("s", "a"))
+        kv_map.computed("r")
+        self.assertTrue(kv_map.holds("x", "s", "a"))
+        self.assertTrue(kv_map.is_stored("s", "a"))
+        self.assertFalse(kv_map.expects("x", "s", "a"))
+
+    def test_a_prompt_that_was_never_computed_leaves_nothing(self):
+        kv_map = KvMap()
+        kv_map.engine("x", 99_000)
+        self.begin(kv_map, "r")
+        kv_map.abandoned("r")
+        kv_map.computed("r")
+        self.assertFalse(kv_map.expects("x", "s", "a"))
+        self.assertFalse(kv_map.holds("x", "s", "a"))
+
+    def test_a_restarted_store_holds_nothing(self):
+        kv_map = KvMap()
+        kv_map.use_store(99_000)
+        kv_map.engine("x", 99_000)
+        self.begin(kv_map, "r", is_saved=True)
+        kv_map.computed("r")
+        kv_map.forget_stored()
+        self.assertFalse(kv_map.is_stored("s", "a"))
--- a/tests/relay/test_replica_chooser.py
+++ b/tests/relay/test_replica_chooser.py
@@ -65,6 +65,20 @@
         cache = self.kv_map.engine(replica(name).incarnation, CAPACITY)
         cache.use((salt, part), 10_000)
 
+    def store(self):
+        self.kv_map.use_store(STORE.capacity_tokens)
+        self.kv_map.engine("gone@1", CAPACITY)
+        self.kv_map.begin(
+            "r",
+            "gone@1",
+            cache_salt(routed(), 1),
+            {"a1": 10_000},
+            other_tokens=0,
+            is_saved=True,
+        )
+        self.kv_map.computed("r")
+        self.kv_map.forget("gone@1")
+
     def test_nobody_is_chosen_among_none(self):
         self.assertIsNone(self.choose())
 
@@ -104,15 +118,13 @@
 
     def test_the_store_gives_a_part_that_no_engine_holds(self):
         """A full cache: what engines evicted comes from the store."""
-        salt = cache_salt(routed(), 1)
-        self.kv_map.record_stored(salt, "a1", 10_000, STORE.capacity_tokens)
+        self.store()
         chosen = self.choose(candidate("x"), stores=[STORE])
         self.assertEqual(chosen.fetch_from, STORE.address)
 
     def test_a_transfer_that_takes_longer_than_prefill_still_counts_as_cached(self):
         slow = attrs.evolve(STORE, link_mbps=1_000)
-        salt = cache_salt(routed(), 1)
-        self.kv_map.record_stored(salt, "a1", 10_000, STORE.capacity_tokens)
+        self.store()
         chosen = self.choose(candidate("x"), stores=[slow])
         self.assertEqual(chosen.fetch_from, slow.address)
 
