Refuse requests that crashed two replicas, at all nodes

Cause: a request that crashes each replica that begins to run it comes again at any node. Peers are told. Tests: dispatcher (refused here and elsewhere, nobody else's, a lost connection alone is no crash).

--- a/src/crocuswick/fleet_news.py
+++ b/src/crocuswick/fleet_news.py
@@ -9,6 +9,7 @@
 from crocuswick.actor import Ticker
 from crocuswick.news.exchange import TICK_S, NewsExchange
 from crocuswick.news.messages import (
+    Crashed,
     News,
     NodeAddress,
     PartsUsed,
@@ -261,6 +262,11 @@
             )
         )
 
+    @handles(Crashed)
+    def on_crashed(self, news: Crashed, _sender: str) -> None:
+        """Note which request a replica may have crashed of."""
+        self._dispatcher.tell(RelayDispatcher.PeerCrash(crashed=news))
+
     @handles(ReplicaLoading)
     def on_replica_loading(self, news: ReplicaLoading, sender: str) -> None:
         """Send nothing to a replica that loads weights."""
--- a/src/crocuswick/quarantine.py
+++ b/src/crocuswick/quarantine.py
@@ -93,6 +93,11 @@
         self._max_fingerprints = max_fingerprints
         self._crash_times_by_fingerprint: dict[str, dict[str, float]] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no crash is remembered, so that no request need be checked."""
+        return not self._crash_times_by_fingerprint
+
     def add(self, reports: Iterable[CrashReport], *, now_s: float) -> list[CrashReport]:
         """Take in reports of this node or of others, in any order or twice.
 
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -11,12 +11,15 @@
 from crocuswick.actor import Actor, Message
 from crocuswick.errors import Refusal
 from crocuswick.news.messages import (
+    Crashed,
     PartsUsed,
     PromptBegun,
     PromptEnded,
     PromptPlaced,
 )
+from crocuswick.quarantine import CrashReport, Quarantine, request_fingerprint
 from crocuswick.relay.admission_bound import longest_wait_ms
+from crocuswick.relay.crash_blame import CrashBlame
 from crocuswick.relay.engine_load import EngineLoad
 from crocuswick.relay.engine_state import EngineState
 from crocuswick.relay.kv_map import KvMap, ModelledCache
@@ -152,6 +155,12 @@
     class TellParts(Message):
         """Tell the peers of small prompts that were sent since the last time."""
 
+    @attrs.frozen(kw_only=True)
+    class PeerCrash(Message):
+        """Another node has seen a crash."""
+
+        crashed: Crashed
+
     @attrs.frozen(kw_only=True)
     class PeerEnded(Message):
         """Another node's large prompt has ended."""
@@ -193,6 +202,8 @@
         attempt: Attempt
         result: AttemptResult
         weights_version: int | None = None
+        is_lost_unbegun: bool = False
+        """Whether the connection was lost before anything of the answer came."""
 
     @attrs.frozen(kw_only=True)
     class Engines(Message):
@@ -225,6 +236,8 @@
         self._nodes = MIN_NODES
         self._told_requests: set[str] = set()
         self._small_prompts = SmallPrompts()
+        self._quarantine = Quarantine()
+        self._blame = CrashBlame()
 
     def on_use_configuration(self, message: UseConfiguration) -> None:
         """Serve with a newer configuration."""
@@ -239,6 +252,7 @@
         before = self._table.find(replica.id, now_s)
         self._table.update(replica)
         if before is not None and before.incarnation != replica.incarnation:
+            self._report_crash(before.incarnation, now_s)
             self._forget(before.incarnation)
         for model, version in replica.weights_by_model.items():
             self._learn(replica.incarnation, model, version)
@@ -281,6 +295,14 @@
         for used in self._small_prompts.take():
             self._on_news(used)
 
+    def on_peer_crash(self, message: PeerCrash) -> None:
+        """Take a crash that another node has seen."""
+        report = CrashReport(
+            fingerprint=message.crashed.fingerprint,
+            endpoint_id=message.crashed.incarnation,
+        )
+        self._quarantine.add([report], now_s=time.monotonic())
+
     def on_peer_ended(self, message: PeerEnded) -> None:
         """Note the end of what another node has sent."""
         self._loads_by_incarnation[message.incarnation].record_ended(message.request_id)
@@ -311,6 +333,9 @@
         """Choose a replica for a request."""
         now_s = time.monotonic()
         request = message.request
+        poison = self._poison_refusal(request, now_s)
+        if poison is not None:
+            return poison
         service = self._configuration.services_by_name.get(request.service)
         if service is None:
             return _no_replica("the service has no definition", None)
@@ -359,6 +384,7 @@
             self._on_news(PromptEnded(request_id=request_id, incarnation=incarnation))
         health = self._health_by_incarnation[incarnation]
         health.record(message.result, now_s)
+        self._judge_crash(message, now_s)
         prompt = message.request.caller.prompt
         if prompt is None:
             return
@@ -367,6 +393,32 @@
         elif message.weights_version is not None:
             self._learn(incarnation, prompt.model, message.weights_version)
 
+    def _poison_refusal(self, request: RoutedRequest, now_s: float) -> Refusal | None:
+        """Refuse a request that crashed replicas, here or at other nodes."""
+        if self._quarantine.is_empty:
+            return None
+        checked = self._quarantine.check(_fingerprint(request), now_s=now_s)
+        return checked.err_value if checked.is_err() else None
+
+    def _judge_crash(self, message: Ended, now_s: float) -> None:
+        """Blame requests for a crash, or clear them."""
+        incarnation = message.attempt.incarnation
+        if message.result is AttemptResult.UNREACHABLE:
+            self._report_crash(incarnation, now_s)
+        elif message.result is AttemptResult.FAILED and message.is_lost_unbegun:
+            self._blame.record_loss(_fingerprint(message.request), incarnation, now_s)
+        elif message.result is AttemptResult.ANSWERED:
+            self._blame.answered(incarnation)
+            if not self._quarantine.is_empty:
+                self._quarantine.exonerate(_fingerprint(message.request))
+
+    def _report_crash(self, incarnation: str, now_s: float) -> None:
+        reports = self._blame.confirm(incarnation, now_s)
+        for report in self._quarantine.add(reports, now_s=now_s):
+            self._on_news(
+                Crashed(fingerprint=report.fingerprint, incarnation=incarnation)
+            )
+
     def _learn(self, incarnation: str, model: str, version: int) -> None:
         known = self._weights.served(incarnation, model)
         if self._weights.learn(incarnation, model, version) and known is not None:
@@ -554,6 +606,15 @@
         return self._kv_map.engine(incarnation, capacity_tokens)
 
 
+def _fingerprint(request: RoutedRequest) -> str:
+    """Return what repeats of a request have in common, whoever serves them."""
+    return request_fingerprint(
+        organisation=request.organisation.name if request.organisation else "",
+        model=f"{request.caller.method} {request.caller.host}{request.caller.target}",
+        body=request.caller.body,
+    )
+
+
 def _overloaded(expected_ms: float, excess_ms: float) -> Refusal:
     return Refusal(
         status=503,
--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -442,6 +442,7 @@
                 attempt=attempt,
                 result=result,
                 weights_version=head.weights_version if head else None,
+                is_lost_unbegun=head is None and self._progress.sent > 0,
             )
         )
         begun_s = self._begun_s
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -9,18 +9,21 @@
 
 from crocuswick.errors import Refusal
 from crocuswick.news.messages import (
+    Crashed,
     PartsUsed,
     PromptBegun,
     PromptEnded,
     PromptPlaced,
 )
 from crocuswick.outcome import Outcome
+from crocuswick.quarantine import request_fingerprint
 from crocuswick.relay.dispatcher import Placed, RelayDispatcher, Wait
 from crocuswick.relay.replica import ReplicaState
 from crocuswick.relay.replica_health import AttemptResult
 from tests.relay.samples import (
     BOUNDS,
     MODEL,
+    ORGANISATION,
     caller,
     configuration,
     prompt,
@@ -240,6 +243,67 @@
         self.end(request, self.place(request), AttemptResult.OTHER_WEIGHTS)
         self.assertEqual(self.doubts, ["x"])
 
+    def crash(self, request, name):
+        """Let a replica crash as it begins to run a request."""
+        placed = self.place(request)
+        self.assertEqual(placed.attempt.replica_id, name)
+        lost = RelayDispatcher.Ended(
+            request=request,
+            attempt=placed.attempt,
+            result=AttemptResult.FAILED,
+            is_lost_unbegun=True,
+        )
+        self.ask(lost)
+        other = self.request("other", target="/digest/other")
+        self.end(other, placed, AttemptResult.UNREACHABLE)
+
+    def test_a_request_that_crashed_two_replicas_is_refused_and_no_other(self):
+        """A request that crashes each replica that begins to run it."""
+        for name in ("x", "y"):
+            self.see(name)
+            self.crash(self.request(f"poison-{name}", target="/digest/p"), name)
+            self.see(name, started_ms=2, state=ReplicaState.DRAINING)
+        self.see("z")
+        refused = self.place(self.request("again", target="/digest/p"))
+        self.assertEqual((refused.status, refused.outcome), (422, Outcome.NOT_RUN))
+        self.assertIsInstance(self.place(self.request("r", target="/digest/q")), Placed)
+        crashes = [news for news in self.news if isinstance(news, Crashed)]
+        self.assertEqual(len(crashes), 2)
+
+    def test_a_request_that_crashed_replicas_elsewhere_is_refused_here(self):
+        self.see("z")
+        for incarnation in ("x@1", "y@1"):
+            self.ask(
+                RelayDispatcher.PeerCrash(
+                    crashed=Crashed(
+                        fingerprint=request_fingerprint(
+                            organisation=ORGANISATION.name,
+                            model="POST tents.example/digest/1",
+                            body=b"",
+                        ),
+                        incarnation=incarnation,
+                    )
+                )
+            )
+        self.assertEqual(self.place(self.request("p")).status, 422)
+
+    def test_a_lost_connection_is_no_crash(self):
+        self.see("x")
+        for number in range(4):
+            request = self.request(f"r{number}", target="/digest/p")
+            placed = self.place(request)
+            self.ask(
+                RelayDispatcher.Ended(
+                    request=request,
+                    attempt=placed.attempt,
+                    result=AttemptResult.FAILED,
+                    is_lost_unbegun=True,
+                )
+            )
+            small = self.request("s", prompt=prompt(shared=0, own=10))
+            self.end(small, self.place(small), AttemptResult.ANSWERED)
+        self.assertIsInstance(self.place(self.request("p", target="/digest/p")), Placed)
+
     def test_a_restarted_replica_has_lost_its_cache(self):
         without_store = configuration(kv_stores=())
         self.ask(RelayDispatcher.UseConfiguration(configuration=without_store))
