Admit large prompts by what they wait for others

Cause: a prompt whose own prefill takes longer than 1.3 goals was refused at idle engines, so the largest were starved. Any request may wait half a goal for others.

--- a/src/crocuswick/relay/admission_bound.py
+++ b/src/crocuswick/relay/admission_bound.py
@@ -13,6 +13,9 @@
 """Response-time goals that a request may wait. Whoever waits much longer is late in
 any case, and makes those behind it late too."""
 
+OTHERS_AIMS = 0.5
+"""Response-time goals that a request may wait for others, whatever its own size."""
+
 RETURNED_SHARE = 0.5
 """Part of the time left that a caller who has come back may wait."""
 
@@ -20,15 +23,18 @@
 """Part of the route's time below which a caller has spent some of it before."""
 
 
-def longest_wait_ms(request: RoutedRequest, now_s: float) -> float:
-    """Return the longest wait for which a request is still taken.
+def longest_wait_ms(request: RoutedRequest, own_ms: float, now_s: float) -> float:
+    """Return the longest time to the first event for which a request is taken.
 
     Args:
         request: The request.
+        own_ms: Time that its own prompt takes. However long that is, the request may
+            wait a part of its goal for others, so that large prompts don't starve.
         now_s: Monotonic time.
     """
     left_ms = (request.deadline_s - now_s) * 1000
-    goal_ms = FIRST_TIME_AIMS * request.route.target_latency_ms
+    aim_ms = request.route.target_latency_ms
+    goal_ms = max(FIRST_TIME_AIMS * aim_ms, own_ms + OTHERS_AIMS * aim_ms)
     if _has_come_back(request):
         goal_ms = max(goal_ms, RETURNED_SHARE * left_ms)
     return min(goal_ms, left_ms)
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -193,7 +193,7 @@
         )
         if choice is None:
             return self._wait_or_refuse(request, ready_in_s, now_s)
-        excess_ms = choice.expected_ms - longest_wait_ms(request, now_s)
+        excess_ms = choice.expected_ms - longest_wait_ms(request, choice.own_ms, now_s)
         if excess_ms > 0 and message.sent_before == 0:
             return _overloaded(choice.expected_ms, excess_ms)
         if message.is_repeat:
--- a/src/crocuswick/relay/replica_chooser.py
+++ b/src/crocuswick/relay/replica_chooser.py
@@ -76,6 +76,9 @@
     expected_ms: float
     """Expected time to the first event or the answer's start."""
 
+    own_ms: float
+    """Part of it that the request itself takes, without waiting for others."""
+
     prefill_tokens: int
     fetch_from: str
     """Address to fetch cached parts from, empty for none."""
@@ -151,6 +154,7 @@
         choice = Choice(
             candidate=candidate,
             expected_ms=0.0,
+            own_ms=0.0,
             prefill_tokens=0,
             fetch_from="",
             salt="",
@@ -173,14 +177,12 @@
         cached = source.tokens if source is not None else 0
         prefill_tokens = max(0, prompt.prompt_tokens - cached)
         fetch_ms = source.transfer_ms if source is not None else 0.0
-        expected_ms = (
-            candidate.load.wait_ms(engine_priority(request))
-            + prefill_tokens / rate
-            + fetch_ms
-        )
+        own_ms = prefill_tokens / rate + fetch_ms
+        expected_ms = candidate.load.wait_ms(engine_priority(request)) + own_ms
         choice = Choice(
             candidate=candidate,
             expected_ms=expected_ms,
+            own_ms=own_ms,
             prefill_tokens=prefill_tokens,
             fetch_from=source.address if source is not None else "",
             salt=salt,
