Serve metrics of fleet nodes on a port of the settings

Counters of requests, attempts and refusals, histograms of request and first-event times, and gauges; tests trace a failed request by its id and read the page.

--- a/src/crocuswick/decision_log.py
+++ b/src/crocuswick/decision_log.py
@@ -43,6 +43,7 @@
         self._waiting: deque[dict[str, Any]] = deque()
         self._lock = threading.Lock()
         self._dropped = 0
+        self.dropped_in_all = 0
         self._second = 0
         self._lines_in_second = 0
         self._stopped = threading.Event()
@@ -79,6 +80,7 @@
                 self._waiting.append(line)
             else:
                 self._dropped += 1
+                self.dropped_in_all += 1
 
     def _has_room(self, second: int, *, is_kept: bool) -> bool:
         if second != self._second:
--- /dev/null
+++ b/src/crocuswick/fleet_metrics.py
@@ -0,0 +1,84 @@
+"""Metrics of a fleet node."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from crocuswick.metrics import MetricRegistry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+__all__ = ["FleetMetrics"]
+
+SECONDS_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0)
+"""Upper bounds that tell the users' response-time goals apart."""
+
+EXPOSITION_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+class FleetMetrics(MetricRegistry):
+    """Counts what becomes of requests and of the attempts that serve them."""
+
+    def __init__(self, *, node_id: str):
+        super().__init__(node_id=node_id)
+        self._lock = threading.Lock()
+        self.requests = self._counter(
+            "crocuswick_requests_total", "Relayed requests by route and outcome."
+        )
+        self.attempts = self._counter(
+            "crocuswick_attempts_total", "Attempts at replicas by result."
+        )
+        self.refusals = self._counter("crocuswick_refusals_total", "Refusals by title.")
+        self.prefill_tokens = self._counter(
+            "crocuswick_prefill_tokens_total",
+            "Prompt tokens that engines are expected to compute.",
+        )
+        self.in_flight = self._gauge(
+            "crocuswick_requests_in_flight", "Requests under way."
+        )
+        self.is_ready = self._gauge(
+            "crocuswick_ready", "Whether the node takes new work."
+        )
+        self.configuration = self._gauge(
+            "crocuswick_configuration_version", "Version in force."
+        )
+        self.nodes_live = self._gauge(
+            "crocuswick_nodes_live", "Nodes that are heard, this one included."
+        )
+        self.log_lines_dropped = self._gauge(
+            "crocuswick_log_lines_dropped", "Log lines dropped since the start."
+        )
+        self._request_seconds = self._histogram(
+            "crocuswick_request_seconds",
+            "Time from the arrival of a request to the end of its answer.",
+            SECONDS_BUCKETS,
+        )
+        self._first_event_seconds = self._histogram(
+            "crocuswick_first_event_seconds",
+            "Time from the sending of a stream's request to its first event.",
+            SECONDS_BUCKETS,
+        )
+
+    def observe_request(self, route: str, outcome: str, seconds: float) -> None:
+        """Count a request that has ended."""
+        self.requests.inc({"route": route, "outcome": outcome})
+        with self._lock:
+            self._request_seconds.observe({}, seconds)
+
+    def observe_attempt(self, result: str, first_event_s: float | None) -> None:
+        """Count an attempt that has ended."""
+        self.attempts.inc({"result": result})
+        if first_event_s is not None:
+            with self._lock:
+                self._first_event_seconds.observe({}, first_event_s)
+
+    def page(self, _environment: dict, start_response: Callable) -> Iterable[bytes]:
+        """Answer the exposition; a WSGI application."""
+        body, _ = self.render()
+        start_response(
+            "200 OK",
+            [("Content-Type", EXPOSITION_TYPE), ("Content-Length", str(len(body)))],
+        )
+        return [body]
--- a/src/crocuswick/fleet_news.py
+++ b/src/crocuswick/fleet_news.py
@@ -119,6 +119,11 @@
             call=lambda: self.exchange.tell(NewsExchange.Tick()),
         )
 
+    @property
+    def live_nodes(self) -> int:
+        """Number of nodes that are heard, this one included."""
+        return len(self._live)
+
     def start(self) -> None:
         """Start hearing and telling."""
         self._server.start()
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -12,10 +12,10 @@
 from crocuswick.actor import Ticker
 from crocuswick.application import Application
 from crocuswick.decision_log import DecisionLog
+from crocuswick.fleet_metrics import FleetMetrics
 from crocuswick.fleet_news import FleetNews
 from crocuswick.fleet_platform import WantedWeights
 from crocuswick.http_server import HttpServer
-from crocuswick.metrics import Metrics
 from crocuswick.news.messages import WeightsServed
 from crocuswick.records.keeper import RecordKeeper
 from crocuswick.records.reader import TopicReader
@@ -49,6 +49,7 @@
 """Interval at which peers hear of small prompts; a part is used again after seconds."""
 
 READINESS_THREADS = 2
+METRICS_THREADS = 1
 OPERATIONS_WAIT_MS = 1_500
 REPLICAS_WAIT_MS = 1_500
 REPLICAS_PACE_S = 0.4
@@ -94,7 +95,7 @@
         self._store_lost = False
         self.application = Application()
         self._log = DecisionLog(node_id=settings.node_id)
-        self._metrics = Metrics(node_id=settings.node_id)
+        self._metrics = FleetMetrics(node_id=settings.node_id)
         self.application.add(self._log)
         self._dispatcher = RelayDispatcher.start(
             zone=settings.zone,
@@ -239,6 +240,25 @@
         )
         for component in (watch, stalls, self._relay_server, readiness):
             self.application.add(component)
+        if self._settings.metrics_port:
+            self._metrics.on_render(self._set_gauges)
+            self.application.add(
+                HttpServer(
+                    host=host,
+                    port=self._settings.metrics_port,
+                    application=self._metrics.page,
+                    threads=METRICS_THREADS,
+                )
+            )
+
+    def _set_gauges(self) -> None:
+        metrics = self._metrics
+        metrics.in_flight.set({}, self._relay_server.in_flight)
+        metrics.is_ready.set({}, int(self.is_ready))
+        metrics.nodes_live.set({}, self._news.live_nodes)
+        metrics.log_lines_dropped.set({}, self._log.dropped_in_all)
+        if self._configuration is not None:
+            metrics.configuration.set({}, self._configuration.version)
 
     def _readiness_page(
         self, _environment: dict, start_response: Callable
--- a/src/crocuswick/metrics.py
+++ b/src/crocuswick/metrics.py
@@ -9,9 +9,9 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Mapping, Sequence
 
-__all__ = ["Metrics", "ThreadedCounter"]
+__all__ = ["MetricRegistry", "Metrics", "ThreadedCounter"]
 
 TTFT_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0, 30.0)
 
@@ -53,8 +53,8 @@
             self._counter.set(dict(labels), value)
 
 
-class Metrics:
-    """All metrics of one node, registered in a registry of its own.
+class MetricRegistry:
+    """A registry with metrics of one node, and their exposition.
 
     Args:
         node_id: Value of the ``node`` label.
@@ -64,56 +64,98 @@
         self._registry = Registry()
         self._threaded: list[ThreadedCounter] = []
         self._render_hooks: list[Callable[[], None]] = []
-        labels = {"node": node_id}
+        self._labels = {"node": node_id}
+
+    def on_render(self, hook: Callable[[], None]) -> Callable[[], None]:
+        """Register a hook that sets gauges before they are read."""
+        self._render_hooks.append(hook)
+        return hook
+
+    def render(self, accept: str = "") -> tuple[bytes, dict[str, str]]:
+        """Return the exposition and its HTTP headers.
+
+        Args:
+            accept: Value of the ``Accept`` header.
+        """
+        for hook in self._render_hooks:
+            hook()
+        for counter in self._threaded:
+            counter.publish()
+        return render(self._registry, [accept] if accept else [])
+
+    def _counter(self, name: str, doc: str) -> ThreadedCounter:
+        exposed = Counter(name, doc, const_labels=self._labels, registry=self._registry)
+        counter = ThreadedCounter(counter=exposed)
+        self._threaded.append(counter)
+        return counter
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return Gauge(name, doc, const_labels=self._labels, registry=self._registry)
+
+    def _histogram(self, name: str, doc: str, buckets: Sequence[float]) -> Histogram:
+        return Histogram(
+            name,
+            doc,
+            const_labels=self._labels,
+            buckets=list(buckets),
+            registry=self._registry,
+        )
+
+
+class Metrics(MetricRegistry):
+    """All metrics of one node, registered in a registry of its own.
+
+    Args:
+        node_id: Value of the ``node`` label.
+    """
+
+    def __init__(self, *, node_id: str):
+        super().__init__(node_id=node_id)
         self.requests = self._counter(
-            "crocuswick_requests_total", "Requests by route and status.", labels
+            "crocuswick_requests_total", "Requests by route and status."
         )
         self.refusals = self._counter(
-            "crocuswick_refusals_total", "Refusals by title and outcome.", labels
+            "crocuswick_refusals_total", "Refusals by title and outcome."
         )
         self.retries = self._counter(
-            "crocuswick_retries_total", "Further attempts by cause.", labels
+            "crocuswick_retries_total", "Further attempts by cause."
         )
         self.stream_faults = self._counter(
-            "crocuswick_stream_faults_total", "Faults seen in answer streams.", labels
+            "crocuswick_stream_faults_total", "Faults seen in answer streams."
         )
         self.prompt_tokens = self._counter(
-            "crocuswick_prompt_tokens_total", "Prompt tokens sent to engines.", labels
+            "crocuswick_prompt_tokens_total", "Prompt tokens sent to engines."
         )
         self.cached_tokens = self._counter(
             "crocuswick_cached_prompt_tokens_total",
             "Prompt tokens that engines found in their cache.",
-            labels,
         )
         self.streams = self._gauge(
-            "crocuswick_streams_in_flight", "Requests in flight.", labels
+            "crocuswick_streams_in_flight", "Requests in flight."
         )
         self.revision = self._gauge(
-            "crocuswick_configuration_revision", "Revision in force.", labels
+            "crocuswick_configuration_revision", "Revision in force."
         )
         self.endpoints_ready = self._gauge(
-            "crocuswick_endpoints_ready", "Engines that take work.", labels
+            "crocuswick_endpoints_ready", "Engines that take work."
         )
         self.index_in_sync = self._gauge(
             "crocuswick_cache_index_in_sync",
             "Engines whose cache events are all known.",
-            labels,
         )
         self.index_blocks = self._gauge(
-            "crocuswick_cache_index_blocks", "Blocks in the cache index.", labels
+            "crocuswick_cache_index_blocks", "Blocks in the cache index."
         )
         self.nodes_live = self._gauge(
-            "crocuswick_nodes_live", "Nodes that are believed live.", labels
+            "crocuswick_nodes_live", "Nodes that are believed live."
         )
         self.heartbeat_bytes = self._gauge(
-            "crocuswick_heartbeat_bytes", "Bytes of heartbeats since the start.", labels
+            "crocuswick_heartbeat_bytes", "Bytes of heartbeats since the start."
         )
-        self.ttft = Histogram(
+        self.ttft = self._histogram(
             "crocuswick_time_to_first_token_seconds",
             "Time to first token.",
-            const_labels=labels,
-            buckets=list(TTFT_BUCKETS_S),
-            registry=self._registry,
+            TTFT_BUCKETS_S,
         )
 
     def note_prefill(self, *, prompt_tokens: int, cached_tokens: int) -> None:
@@ -125,29 +167,3 @@
         """
         self.prompt_tokens.add({}, prompt_tokens)
         self.cached_tokens.add({}, cached_tokens)
-
-    def on_render(self, hook: Callable[[], None]) -> Callable[[], None]:
-        """Register a hook that sets gauges before they are read."""
-        self._render_hooks.append(hook)
-        return hook
-
-    def render(self, accept: str = "") -> tuple[bytes, dict[str, str]]:
-        """Return the exposition and its HTTP headers.
-
-        Args:
-            accept: Value of the ``Accept`` header.
-        """
-        for hook in self._render_hooks:
-            hook()
-        for counter in self._threaded:
-            counter.publish()
-        return render(self._registry, [accept] if accept else [])
-
-    def _counter(self, name: str, doc: str, labels: dict[str, str]) -> ThreadedCounter:
-        exposed = Counter(name, doc, const_labels=labels, registry=self._registry)
-        counter = ThreadedCounter(counter=exposed)
-        self._threaded.append(counter)
-        return counter
-
-    def _gauge(self, name: str, doc: str, labels: dict[str, str]) -> Gauge:
-        return Gauge(name, doc, const_labels=labels, registry=self._registry)
--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -10,7 +10,7 @@
 
 from crocuswick.decision_log import DecisionLog
 from crocuswick.errors import Refusal
-from crocuswick.metrics import Metrics
+from crocuswick.fleet_metrics import FleetMetrics
 from crocuswick.outcome import Outcome
 from crocuswick.relay import dispatcher_messages
 from crocuswick.relay.dialect import Dialect
@@ -61,7 +61,7 @@
     dialect: Dialect
     stalls: StallWatch
     log: DecisionLog
-    metrics: Metrics
+    metrics: FleetMetrics
 
 
 @attrs.define(kw_only=True)
@@ -357,6 +357,7 @@
         return self._refuse(refusal)
 
     def _refuse(self, refusal: Refusal) -> str:
+        self._context.metrics.refusals.inc({"title": refusal.title})
         answer = refusal_answer(refusal, self._request.caller.request_id)
         return self._send_last(answer, "refused", refusal.detail)
 
@@ -384,6 +385,10 @@
 
     def _finish(self, outcome: str, detail: str = "") -> str:
         caller = self._request.caller
+        passed_s = time.monotonic() - caller.received_s
+        self._context.metrics.observe_request(
+            self._request.route.name, outcome, passed_s
+        )
         self._context.log.record(
             "request ended",
             request=caller.request_id,
@@ -393,7 +398,7 @@
             route=self._request.route.name,
             configuration=self._request.configuration_version,
             attempts=self._progress.sent,
-            ms=round((time.monotonic() - caller.received_s) * 1000),
+            ms=round(passed_s * 1000),
         )
         return outcome
 
@@ -447,6 +452,10 @@
             )
         )
         begun_s = self._begun_s
+        self._context.metrics.prefill_tokens.add({}, attempt.prefill_tokens)
+        self._context.metrics.observe_attempt(
+            result.name.lower(), None if begun_s is None else begun_s - started_s
+        )
         self._context.log.record(
             "attempt ended",
             request=self._request.caller.request_id,
--- a/src/crocuswick/relay/relay_server.py
+++ b/src/crocuswick/relay/relay_server.py
@@ -296,6 +296,7 @@
     ) -> None:
         if closes:
             self.req.close_connection = True
+        self._server.context.metrics.refusals.inc({"title": refusal.title})
         self._server.context.log.record(
             "request refused",
             failed=True,
--- a/tests/platform/node_process.py
+++ b/tests/platform/node_process.py
@@ -31,15 +31,15 @@
         seeds: tuple[str, ...] = (),
     ):
         self._folder = tempfile.TemporaryDirectory()
-        ports = stable_ports(3)
-        self.front, self.readiness, self.control = (
+        ports = stable_ports(4)
+        self.front, self.readiness, self.control, self.metrics = (
             f"127.0.0.1:{port}" for port in ports
         )
         self.settings_file = Path(self._folder.name) / "node.conf"
         self.settings_file.write_text(
             f"NodeName={name}\nZone={zone}\nZones.a=r\nZones.b=r\n"
             f"Listen.Front={self.front}\nListen.Ready={self.readiness}\n"
-            f"Listen.Control={self.control}\nInternalPorts=\n"
+            f"Listen.Control={self.control}\nInternalPorts={ports[3]},{ports[3]}\n"
             f"Seeds={','.join(seeds)}\nPlatform.Address={store_address}\n"
             "Bounds.GraceS=6\n"
         )
--- a/tests/platform/test_node_relay.py
+++ b/tests/platform/test_node_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import threading
 import time
 import unittest
@@ -317,6 +318,44 @@
         self.deployment.wait_until(lambda: self.ask("/lookup/1")[0] == 200)
 
 
+class NodeEvidenceTests(RelayCase):
+    def lines(self):
+        text = self.deployment.node.output.read_text()
+        return [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
+
+    def test_a_failed_request_can_be_traced_from_its_id(self):
+        self.deployment.script("desk", reset)
+        self.ask("/book/1", method="POST", request_id="f00d")
+        self.deployment.wait_until(
+            lambda: [line for line in self.lines() if line.get("request") == "f00d"]
+        )
+        time.sleep(0.3)
+        lines = [line for line in self.lines() if line.get("request") == "f00d"]
+        self.assertEqual(
+            [line["event"] for line in lines], ["request ended", "attempt ended"]
+        )
+        ended, attempt = lines
+        self.assertEqual((ended["outcome"], ended["attempts"]), ("failed", 1))
+        self.assertIn("desk-", attempt["replica"])
+        self.assertEqual(attempt["result"], "failed")
+
+    def test_metrics_are_served_in_the_text_format(self):
+        self.ask("/lookup/1")
+        page = (
+            RawCaller(self.deployment.node.metrics)
+            .exchange(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            .decode()
+        )
+        for name in (
+            "crocuswick_requests_total",
+            "crocuswick_attempts_total",
+            "crocuswick_request_seconds_bucket",
+            "crocuswick_configuration_version",
+        ):
+            self.assertIn(name, page)
+        self.assertRegex(page, "crocuswick_ready{[^}]*} 1")
+
+
 class NodeStopTests(unittest.TestCase):
     def test_a_stop_cuts_no_request(self):
         deployment = Deployment()
