--- a/src/crocuswick/relay/upstream.py
+++ b/src/crocuswick/relay/upstream.py
@@ -31,6 +31,9 @@
 CONNECT_TIMEOUT_S = 0.3
 """A handshake takes a few milliseconds; a lost packet is sent again after a second."""
 
+TIMEOUT_SLACK_S = 0.1
+"""Time by which a read may outlast its limit; final answers have half a second."""
+
 SILENT_PEER_TIMEOUT_MS = 3_000
 """Unacknowledged data ends a connection that a partition has silenced."""
 
@@ -71,6 +74,7 @@
         self._connection = HTTPConnection(host, int(port), timeout=CONNECT_TIMEOUT_S)
         self._socket: socket.socket | None = None
         self._response: HTTPResponse | None = None
+        self._timeout_s = 0.0
         self._received = 0
         self._is_bodiless = False
         self._lock = threading.Lock()
@@ -106,7 +110,7 @@
             The head, or an error after which the request may have run.
         """
         try:
-            self._connection.timeout = timeout_s
+            self._connection.timeout = self._timeout_s = timeout_s
             self._write(request)
             self._response = self._connection.getresponse()
         except (HTTPError, HTTPException, OSError, ValueError) as error:
@@ -132,7 +136,7 @@
         if self._response.closed:
             return Ok(b"")
         try:
-            self._socket.settimeout(timeout_s)
+            self._use_timeout(timeout_s)
             data = self._response.read1(READ_BYTES, decode_content=False)
         except (HTTPError, HTTPException, OSError, ValueError) as error:
             return Err(self._error("read", error, Outcome.UNKNOWN))
@@ -158,6 +162,15 @@
             self._connection.close()
             self._socket = None
 
+    def _use_timeout(self, timeout_s: float) -> None:
+        """Set the socket's timeout unless the present one is nearly the same.
+
+        Setting it is a system call, which would be made for each event.
+        """
+        if not 0 <= self._timeout_s - timeout_s <= TIMEOUT_SLACK_S:
+            self._timeout_s = timeout_s
+            self._socket.settimeout(timeout_s)
+
     def _write(self, request: UpstreamRequest) -> None:
         self._is_bodiless = request.method == "HEAD"
         headers = HTTPHeaderDict(request.headers)
