--- a/src/crocuswick/fleet_news.py
+++ b/src/crocuswick/fleet_news.py
@@ -90,14 +90,14 @@
         self._zonal_topic = zonal_topic
         self._read_s_by_topic = dict.fromkeys(topics, float("-inf"))
         self._lock = threading.Lock()
-        self._own = NodeAddress(
+        self.own = NodeAddress(
             node_id=settings.node_id,
             zone=settings.zone,
             address=settings.peers_address,
         )
-        self._live = frozenset({self._own})
+        self._live = frozenset({self.own})
         self.exchange = NewsExchange.start(
-            own=self._own,
+            own=self.own,
             seeds=settings.seeds,
             ends=self._topic_ends,
             on_news=self._on_news,
@@ -142,7 +142,7 @@
 
     def tell_all(self, news: News) -> None:
         """Take news as if a peer had told it, and tell the neighbours."""
-        self._on_news(news, self._own.node_id)
+        self._on_news(news, self.own.node_id)
         self.tell(news)
 
     def use_driver(self, driver: pykka.ActorRef) -> None:
@@ -169,7 +169,7 @@
         for a while reads for itself.
         """
         age_s = time.monotonic() - self._read_s_by_topic[topic]
-        return age_s > REREAD_S or self.rank(topic, zone=self._own.zone) == 0
+        return age_s > REREAD_S or self.rank(topic, zone=self.own.zone) == 0
 
     def rank(self, duty: str, *, zone: str | None = None) -> int:
         """Return this node's place among the live nodes for a duty, 0 for first.
@@ -179,7 +179,7 @@
             zone: Zone whose nodes share it, None for all zones.
         """
         members = [node.node_id for node in self._live if zone in (None, node.zone)]
-        return duty_rank(duty, self._own.node_id, members)
+        return duty_rank(duty, self.own.node_id, members)
 
     def _topic_ends(self) -> TopicEnds:
         now_s = time.monotonic()
@@ -313,7 +313,7 @@
         self._tell_driver(message, sender)
 
     def _tell_driver(self, message: Message, sender: str) -> None:
-        if self._driver is not None and sender != self._own.node_id:
+        if self._driver is not None and sender != self.own.node_id:
             self._driver.tell(message)
 
 
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -17,6 +17,7 @@
 from crocuswick.fleet_platform import WantedWeights
 from crocuswick.http_server import HttpServer
 from crocuswick.news.messages import WeightsServed
+from crocuswick.news.registry import NodeRegistry
 from crocuswick.records.keeper import RecordKeeper
 from crocuswick.records.reader import TopicReader
 from crocuswick.relay import dispatcher_messages
@@ -117,6 +118,14 @@
             zonal_topic=topics.replicas,
         )
         self.application.add(self._news)
+        self.application.add(
+            NodeRegistry(
+                own=self._news.own,
+                topic=topics.nodes,
+                store=platform.open_store(),
+                on_nodes=self._news.learn_nodes,
+            )
+        )
         self._build_rollouts()
         self._build_readers()
         self._build_servers()
--- /dev/null
+++ b/src/crocuswick/news/registry.py
@@ -0,0 +1,103 @@
+"""Makes a node known to the others by a record in the store, once at its start."""
+
+from __future__ import annotations
+
+import json
+import random
+import threading
+from typing import TYPE_CHECKING
+
+import logbook
+
+from crocuswick.news.messages import NodeAddress
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from crocuswick.records.mirror import KeyedRecord
+    from crocuswick.records.store import RecordStore
+
+__all__ = ["NodeRegistry", "decode_node"]
+
+logger = logbook.Logger(__name__)
+
+RETRY_S = 2.0
+"""Mean pause between attempts while the store does not answer."""
+
+
+class NodeRegistry:
+    """Writes this node's address and reads those of the others.
+
+    Seeds may all be gone when a node starts; the nodes that it finds here greet it
+    and tell of the rest.
+
+    Args:
+        own: This node.
+        topic: Keyed topic of the addresses.
+        store: Client of the store, used by this thread only.
+        on_nodes: Called with the addresses that were read.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: NodeAddress,
+        topic: str,
+        store: RecordStore,
+        on_nodes: Callable[[tuple[NodeAddress, ...]], None],
+    ):
+        self._own = own
+        self._topic = topic
+        self._store = store
+        self._on_nodes = on_nodes
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="node-registry", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start; the thread ends when the record is written and the others read."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Give up."""
+        self._stopped.set()
+
+    def _run(self) -> None:
+        steps = [self._read_others, self._write_own]
+        while steps and not self._stopped.is_set():
+            if steps[0]():
+                steps.pop(0)
+            else:
+                self._stopped.wait(RETRY_S * random.uniform(0.5, 1.5))
+
+    def _read_others(self) -> bool:
+        listed = self._store.list_newest(self._topic)
+        if listed.is_err():
+            logger.debug("reading the nodes failed: {}", listed.err_value)
+            return False
+        nodes = [decode_node(record) for record in listed.ok_value.records]
+        self._on_nodes(tuple(node for node in nodes if node is not None))
+        return True
+
+    def _write_own(self) -> bool:
+        value = json.dumps({"zone": self._own.zone, "address": self._own.address})
+        written = self._store.append_keyed(
+            self._topic, self._own.node_id, value.encode()
+        )
+        if written.is_err():
+            logger.debug("writing this node failed: {}", written.err_value)
+        return written.is_ok()
+
+
+def decode_node(record: KeyedRecord) -> NodeAddress | None:
+    """Read a node's record, or return None if it is none."""
+    try:
+        value = json.loads(record.value or b"")
+        zone, address = value["zone"], value["address"]
+        host, _, port = address.rpartition(":")
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return None
+    if not (isinstance(zone, str) and host and port.isdigit()):
+        return None
+    return NodeAddress(node_id=record.key, zone=zone, address=address)
