End a drained node only when idle connections are closed; wait for lapsed entries

Cause 2 (found on reading): nothing noted the store's return, so entries that lapsed during an outage counted as gone at once.

--- a/src/crocuswick/fleet_news.py
+++ b/src/crocuswick/fleet_news.py
@@ -45,6 +45,10 @@
 """Age of a peer's last read from which it is sent what it lacks; a reader reads its
 topic more often than that."""
 
+OUTAGE_S = 2.2
+"""Time without a read by any known reader that counts as an outage; readers read at
+least each 1.9 s, and replicas' entries last about as long."""
+
 REREAD_S = 2.5
 """Age of the last read by any known reader from which a node reads for itself."""
 
@@ -89,6 +93,7 @@
         self._topics = topics
         self._zonal_topic = zonal_topic
         self._read_s_by_topic = dict.fromkeys(topics, float("-inf"))
+        self._outage_ended_s_by_topic: dict[str, float] = {}
         self._lock = threading.Lock()
         self.own = NodeAddress(
             node_id=settings.node_id,
@@ -159,8 +164,18 @@
 
     def record_read(self, topic: str) -> None:
         """Note that this node has just read a topic."""
-        with self._lock:
-            self._read_s_by_topic[topic] = time.monotonic()
+        self._hear_read(topic, time.monotonic())
+
+    def outage_ended_s(self, topic: str) -> float:
+        """Return when a topic was read again after nobody had read it for a while.
+
+        Args:
+            topic: Name of the topic.
+
+        Returns:
+            Monotonic time, minus infinity if there was no outage.
+        """
+        return self._outage_ended_s_by_topic.get(topic, float("-inf"))
 
     def is_reader(self, topic: str) -> bool:
         """Whether this node is to read a topic now.
@@ -219,7 +234,12 @@
 
     def _hear_read(self, topic: str, read_s: float) -> None:
         with self._lock:
-            self._read_s_by_topic[topic] = max(self._read_s_by_topic[topic], read_s)
+            before_s = self._read_s_by_topic[topic]
+            if read_s <= before_s:
+                return
+            self._read_s_by_topic[topic] = read_s
+            if read_s - before_s > OUTAGE_S:
+                self._outage_ended_s_by_topic[topic] = read_s
 
     def _send_missing(self, topic: str, end: int, node_id: str) -> None:
         update = self._keeper.ask(RecordKeeper.Since(topic=topic, offset=max(0, end)))
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -12,6 +12,7 @@
 from crocuswick.actor import Ticker
 from crocuswick.application import Application
 from crocuswick.decision_log import DecisionLog
+from crocuswick.drain_progress import DrainProgress, DrainStep
 from crocuswick.fleet_metrics import FleetMetrics
 from crocuswick.fleet_news import FleetNews
 from crocuswick.fleet_platform import WantedWeights
@@ -56,26 +57,13 @@
 REPLICAS_PACE_S = 0.4
 """Pause between reads of the entries, a fifth of the time to stop using a replica."""
 
-ACCEPTING_S = 2.3
-"""Time for which a draining node takes connections: two readiness checks, one second
-apart, and a connection that was on its way."""
-
-RESIGN_S = 0.03
-"""Time in which the last news reach the peers."""
-
 DRAIN_POLL_S = 0.02
-DRAIN_IDLE_S = 0.1
-"""Time without a request after which a draining node ends; a request that has arrived
-is read within some milliseconds."""
-
-DRAIN_MARGIN_S = 0.6
-"""Time before the end of the grace at which a node ends in any case."""
 
 RETURN_GRACE_S = 1.8
 """Time for entries that were removed during an outage to be written again."""
 
 STEADY_STORE_S = 3.0
-"""Time without failures of the store after which a removal counts at once."""
+"""Time after an outage of the store from which a removal counts at once."""
 
 
 class FleetNode:
@@ -92,8 +80,6 @@
         self._configuration: ServingConfiguration | None = None
         self._replicas_known = False
         self._is_draining = False
-        self._regained_s = float("-inf")
-        self._store_lost = False
         self.application = Application()
         self._log = DecisionLog(node_id=settings.node_id)
         self._metrics = FleetMetrics(node_id=settings.node_id)
@@ -337,14 +323,17 @@
 
     def _remove_replica(self, replica_id: str) -> None:
         now_s = time.monotonic()
-        is_steady = now_s - self._regained_s > STEADY_STORE_S
+        ended_s = self._news.outage_ended_s(self._platform.topics.replicas)
+        is_steady = now_s - ended_s > STEADY_STORE_S
         takes_effect_s = now_s if is_steady else now_s + RETURN_GRACE_S
         self._dispatcher.tell(
             dispatcher_messages.ReplicaRemoved(
                 replica_id=replica_id, takes_effect_s=takes_effect_s
             )
         )
-        self._log.record_state("replica removed", replica=replica_id)
+        self._log.record_state(
+            "replica removed", replica=replica_id, after_outage=not is_steady
+        )
 
     # Shutdown.
 
@@ -352,25 +341,27 @@
         """Stop taking new callers and finish what is under way."""
         self._is_draining = True
         self._relay_server.is_draining = True
-        started_s = time.monotonic()
         self._log.record_state("draining", in_flight=self._relay_server.in_flight)
-        latest_s = started_s + self._settings.bounds.grace_ms / 1000 - DRAIN_MARGIN_S
-        idle_since_s = started_s
-        is_accepting = True
-        while (now_s := time.monotonic()) < latest_s:
-            if is_accepting and now_s - started_s >= ACCEPTING_S:
-                is_accepting = False
-                self._relay_server.stop_accepting()
-            if self._relay_server.in_flight:
-                idle_since_s = now_s
-            if not is_accepting and now_s - idle_since_s > DRAIN_IDLE_S:
-                break
-            time.sleep(DRAIN_POLL_S)
-        # The successor may order sooner when it knows of the last order.
-        self._driver.ask(RolloutDriver.Resign())
-        time.sleep(RESIGN_S)
+        self._finish_requests()
         self._log.record_state("drained", in_flight=self._relay_server.in_flight)
         self._log.stop()
         # Stopping the parts one by one would leave connections open that nobody
         # serves any more.
         os._exit(0)
+
+    def _finish_requests(self) -> None:
+        progress = DrainProgress(
+            started_s=time.monotonic(),
+            grace_s=self._settings.bounds.grace_ms / 1000,
+        )
+        while True:
+            step = progress.step(
+                time.monotonic(), in_flight=self._relay_server.in_flight
+            )
+            if step is DrainStep.END:
+                return
+            if step is DrainStep.STOP_ACCEPTING:
+                self._relay_server.stop_accepting()
+                # The successor may order sooner when it knows of the last order.
+                self._driver.tell(RolloutDriver.Resign())
+            time.sleep(DRAIN_POLL_S)
--- a/src/crocuswick/records/reader.py
+++ b/src/crocuswick/records/reader.py
@@ -40,7 +40,7 @@
         wait_ms: Longest time that the store waits for a record.
         pace_s: Pause after each read, which bounds the number of reads.
         is_on_duty: Whether to read now.
-        on_read: Called after each read that succeeded.
+        on_read: Called after each read that succeeded, before its records are passed on.
         log: Records when the store is lost and regained.
     """
 
@@ -99,6 +99,8 @@
         if read is None or (read.is_ok() and read.ok_value is None):
             read = self._store.list_newest(self._topic)
         if read.is_ok():
+            # What the records mean depends on how long the store was away.
+            self._on_read(self._topic)
             self._keeper.ask(RecordKeeper.Learned(update=read.ok_value))
         return read
 
@@ -110,7 +112,6 @@
                 after_ms=round((time.monotonic() - self._lost_s) * 1000),
             )
         self._failures = 0
-        self._on_read(self._topic)
 
     def _after_failure(self, error: PeerError) -> None:
         if not self._failures:
--- a/tests/platform/test_node_relay.py
+++ b/tests/platform/test_node_relay.py
@@ -318,6 +318,28 @@
         self.deployment.wait_until(lambda: self.ask("/lookup/1")[0] == 200)
 
 
+class NodeOutageTests(RelayCase):
+    def test_entries_that_lapsed_during_an_outage_are_waited_for(self):
+        """Found on reading: the node never noted that the store was back, so that
+        all replicas were gone until they had written again."""
+        store = self.deployment.store
+        store.fault = "busy"
+        time.sleep(3.0)
+        for name in self.deployment.replicas_by_id:
+            store.put("keyed.servers", name, None)
+        store.fault = ""
+        seen = []
+        deadline_s = time.monotonic() + 1.2
+        while time.monotonic() < deadline_s:
+            seen.append(self.ask("/lookup/1")[0])
+        self.assertEqual(set(seen), {200})
+        time.sleep(2.0)
+        self.assertEqual(self.ask("/lookup/1")[0], 503)
+        for name in self.deployment.replicas_by_id:
+            self.deployment.register(name, Sequence=9)
+        self.deployment.wait_until(lambda: self.ask("/lookup/1")[0] == 200)
+
+
 class NodeEvidenceTests(RelayCase):
     def lines(self):
         text = self.deployment.node.output.read_text()
