--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 ENDPOINTS ?= 6
 MINUTES ?= 1
 
-.PHONY: setup demo test scenario scenarios bench capacity soak format
+.PHONY: setup demo test scenario scenarios bench relay-cost capacity soak format
 
 setup: $(VENV)/.installed
 
@@ -39,6 +39,9 @@
 bench: setup
 	@$(BIN)/python -m tests.bench --policy=$(POLICY) --seed=$(SEED) --nodes=$(NODES) --endpoints=$(ENDPOINTS)
 
+relay-cost: setup
+	@$(BIN)/python -m tests.platform.relay_cost
+
 capacity: setup
 	@$(BIN)/python -m tests.capacity
 
