Know the holder before in every takeover of the right to order

Every takeover reads the record before; where it is gone the whole wait applies. The appends moved to right_claims.py.

--- a/src/crocuswick/rollouts/driver.py
+++ b/src/crocuswick/rollouts/driver.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-import uuid
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
@@ -17,13 +16,13 @@
     WeightsServed,
 )
 from crocuswick.rollouts.engine_orders import WeightsOrder
-from crocuswick.rollouts.order_right import (
-    OrderRight,
-    RightRecord,
-    decode_right,
-    encode_right,
-)
+from crocuswick.rollouts.order_right import OrderRight
 from crocuswick.rollouts.order_turn import OrderTurn
+from crocuswick.rollouts.right_claims import (
+    RightClaim,
+    RightClaims,
+    boot_clock_s,
+)
 from crocuswick.rollouts.rollout_plan import WeightsStep, behind, next_steps
 from crocuswick.rollouts.weights_load import LoadResult, WeightsLoad
 
@@ -37,7 +36,7 @@
     from crocuswick.relay.replica import Replica
     from crocuswick.rollouts.engine_orders import EngineOrders
 
-__all__ = ["RolloutDriver", "boot_clock_s"]
+__all__ = ["RolloutDriver"]
 
 TICK_S = 0.1
 HOLDER_INTERVAL_S = 0.3
@@ -59,13 +58,6 @@
 """Longest such pause, a part of the time within which new weights must be served."""
 
 WORKERS = 16
-FIRST_GUESS = 0
-"""Offset that a node that knows nothing of the topic tries first."""
-
-
-def boot_clock_s() -> float:
-    """Return the time of a clock that goes on while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 @attrs.define(kw_only=True)
@@ -76,18 +68,6 @@
     started_s: float
 
 
-@attrs.frozen(kw_only=True)
-class _Claim:
-    """What an attempt to take or renew the right led to."""
-
-    token: int | None
-    sent_s: float
-    previous: RightRecord | None = None
-    previous_token: int = -1
-    is_renewal: bool = False
-    error: str = ""
-
-
 class RolloutDriver(Actor):
     """Takes the right to order, gives orders and watches what becomes of them.
 
@@ -118,7 +98,7 @@
     class Claimed(Message):
         """An attempt at the right has ended."""
 
-        claim: _Claim
+        claim: RightClaim
 
     @attrs.frozen(kw_only=True)
     class LoadEnded(Message):
@@ -164,8 +144,7 @@
     ):
         super().__init__()
         self._node_id = node_id
-        self._topic = topic
-        self._store = store
+        self._claims = RightClaims(node_id=node_id, topic=topic, store=store)
         self._orders = orders
         self._engines = engines
         self._rank = rank
@@ -181,7 +160,6 @@
         self._next_word_s = float("-inf")
         self._newest_token = -1
         self._last_order_s: float | None = None
-        self._end_guess = FIRST_GUESS
         self._is_claiming = False
         self._is_resigned = False
         self._workers = ThreadPoolExecutor(WORKERS, thread_name_prefix="orders")
@@ -227,7 +205,6 @@
         if claim.token is None:
             self._after_failed_claim(claim)
             return
-        self._end_guess = claim.token + 1
         self._newest_token = max(self._newest_token, claim.token)
         if claim.is_renewal:
             self._right.renewed(claim.token, sent_s=claim.sent_s)
@@ -333,61 +310,14 @@
         if self._is_claiming:
             return
         self._is_claiming = True
-        record = RightRecord(
-            node_id=self._node_id, nonce=uuid.uuid4().hex[:12], clock_s=time.time()
-        )
-        self._submit(self._append_claim, record, self._right.token, self._end_guess)
+        self._submit(self._renew_or_take, self._right.token)
 
-    def _append_claim(
-        self, record: RightRecord, own_token: int | None, end_guess: int
-    ) -> None:
+    def _renew_or_take(self, own_token: int | None) -> None:
         """Append a claim; runs on a worker."""
-        sent_s = boot_clock_s()
-        at = end_guess if own_token is None else own_token + 1
-        claim = self._claim_at(record, at, sent_s, is_renewal=own_token is not None)
-        if claim.token is None and not claim.error:
-            claim = self._after_other_record(record, own_token, claim)
+        claim = self._claims.claim(own_token)
         self.actor_ref.tell(RolloutDriver.Claimed(claim=claim))
 
-    def _after_other_record(
-        self, record: RightRecord, own_token: int | None, claim: _Claim
-    ) -> _Claim:
-        """Go on after another record was found where the claim was to stand."""
-        if own_token is not None:
-            # Taking the right back would only keep both from using it.
-            return attrs.evolve(claim, error="another node has taken the right")
-        return self._claim_after(record, claim.previous_token)
-
-    def _claim_at(
-        self, record: RightRecord, at: int, sent_s: float, *, is_renewal: bool
-    ) -> _Claim:
-        ack = self._store.append(self._topic, encode_right(record), at=at)
-        if ack.is_err():
-            return _Claim(token=None, sent_s=sent_s, error=str(ack.err_value))
-        if not ack.ok_value.is_appended:
-            return _Claim(
-                token=None, sent_s=sent_s, previous_token=ack.ok_value.offset - 1
-            )
-        return _Claim(token=ack.ok_value.offset, sent_s=sent_s, is_renewal=is_renewal)
-
-    def _claim_after(self, record: RightRecord, last: int) -> _Claim:
-        sent_s = boot_clock_s()
-        previous = None
-        if last >= 0:
-            tail = self._store.read_tail(self._topic, start=last)
-            if tail.is_err():
-                return _Claim(token=None, sent_s=sent_s, error=str(tail.err_value))
-            if tail.ok_value is not None and tail.ok_value.records:
-                previous = decode_right(tail.ok_value.records[-1])
-        claim = self._claim_at(record, last + 1, sent_s, is_renewal=False)
-        return attrs.evolve(
-            claim,
-            previous=previous,
-            previous_token=last,
-            error=claim.error or ("" if claim.token is not None else "lost the race"),
-        )
-
-    def _take(self, claim: _Claim) -> None:
+    def _take(self, claim: RightClaim) -> None:
         now_s = boot_clock_s()
         self._right.taken(
             claim.token,
@@ -405,12 +335,11 @@
         )
         self._speak_as_holder(now_s)
 
-    def _after_failed_claim(self, claim: _Claim) -> None:
+    def _after_failed_claim(self, claim: RightClaim) -> None:
         self._log.record_state("right to order not renewed", error=claim.error)
         if self._right.token is not None:
             self._tell_resignation()
         self._right.lost()
-        self._end_guess = max(self._end_guess, claim.previous_token + 1)
         self._turn.claim_failed(boot_clock_s())
 
     def _tell_resignation(self) -> None:
--- /dev/null
+++ b/src/crocuswick/rollouts/right_claims.py
@@ -0,0 +1,120 @@
+"""Takes and renews the right to order by conditional appends to the log."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from typing import TYPE_CHECKING
+
+import attrs
+
+from crocuswick.rollouts.order_right import RightRecord, decode_right, encode_right
+
+if TYPE_CHECKING:
+    from crocuswick.records.store import RecordStore
+
+__all__ = ["RightClaim", "RightClaims", "boot_clock_s"]
+
+FIRST_GUESS = 0
+"""Offset that a node that knows nothing of the topic tries first."""
+
+
+def boot_clock_s() -> float:
+    """Return the time of a clock that goes on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@attrs.frozen(kw_only=True)
+class RightClaim:
+    """What an attempt to take or renew the right led to."""
+
+    token: int | None
+    """Offset of the new record, None if there is none as far as is known."""
+
+    sent_s: float
+    """Time at which the append was sent, by `boot_clock_s`."""
+
+    previous: RightRecord | None = None
+    """Record before it, None for the first one of the topic."""
+
+    last_offset: int = -1
+    """Offset of the last record that was found in place of the new one."""
+
+    is_renewal: bool = False
+    """Whether no other record stands between this node's records."""
+
+    error: str = ""
+
+
+class RightClaims:
+    """Appends claims; used by one worker at a time.
+
+    Args:
+        node_id: This node.
+        topic: Topic of the right.
+        store: Client of the store.
+    """
+
+    def __init__(self, *, node_id: str, topic: str, store: RecordStore):
+        self._node_id = node_id
+        self._topic = topic
+        self._store = store
+        self._end_guess = FIRST_GUESS
+
+    def claim(self, own_token: int | None) -> RightClaim:
+        """Renew the right, or take it from another holder.
+
+        Args:
+            own_token: Offset of this node's last record, None if it holds no right.
+
+        Returns:
+            The claim. After an error the append may still be carried out later.
+        """
+        claim = self._claim(own_token)
+        known = claim.last_offset if claim.token is None else claim.token
+        self._end_guess = max(self._end_guess, known + 1)
+        return claim
+
+    def _claim(self, own_token: int | None) -> RightClaim:
+        record = RightRecord(
+            node_id=self._node_id, nonce=uuid.uuid4().hex[:12], clock_s=time.time()
+        )
+        if own_token is not None:
+            claim = self._append(record, own_token + 1)
+            if claim.token is None and not claim.error:
+                # Taking the right back would only keep both from using it.
+                return attrs.evolve(claim, error="another node has taken the right")
+            return attrs.evolve(claim, is_renewal=True)
+        claim = self._append(record, self._end_guess)
+        if claim.token is None and not claim.error:
+            return self._claim_after(record, claim.last_offset)
+        return self._with_previous(claim, self._end_guess - 1)
+
+    def _append(self, record: RightRecord, at: int) -> RightClaim:
+        sent_s = boot_clock_s()
+        ack = self._store.append(self._topic, encode_right(record), at=at)
+        if ack.is_err():
+            return RightClaim(token=None, sent_s=sent_s, error=str(ack.err_value))
+        offset = ack.ok_value.offset
+        if ack.ok_value.is_appended:
+            return RightClaim(token=offset, sent_s=sent_s)
+        return RightClaim(token=None, sent_s=sent_s, last_offset=offset - 1)
+
+    def _claim_after(self, record: RightRecord, last: int) -> RightClaim:
+        claim = self._append(record, last + 1)
+        if claim.token is None:
+            return attrs.evolve(claim, error=claim.error or "lost the race")
+        return self._with_previous(claim, last)
+
+    def _with_previous(self, claim: RightClaim, last: int) -> RightClaim:
+        """Add the record before a claim that was appended."""
+        if claim.token is None or last < 0:
+            return claim
+        tail = self._store.read_tail(self._topic, start=last)
+        found = tail.ok_value if tail.is_ok() else None
+        previous = decode_right(found.records[0]) if found and found.records else None
+        if previous is None:
+            # The history may have been dropped at once, so the holder before may
+            # have given an order just now.
+            previous = RightRecord(node_id="", nonce="", clock_s=time.time())
+        return attrs.evolve(claim, previous=previous)
