Remove settings and methods that nothing reads

The check that zones are read goes with the field; the zone itself is checked in its place. Suspicion is checked by the share of failures that the choice uses.

--- a/src/crocuswick/fleet_settings.py
+++ b/src/crocuswick/fleet_settings.py
@@ -11,18 +11,9 @@
 class FleetBounds:
     """Bounds that the fleet's users state; defaults are those of small fleets."""
 
-    config_apply_ms: int
-    """Time within which an accepted configuration is in force."""
-
-    drain_ms: int
-    """Time after which a leaving replica gets no new request."""
-
     grace_ms: int
     """Time between the request to stop and the end of the process."""
 
-    stable_window_ms: int
-    """Calm time after which a node is expected to keep all bounds."""
-
     retry_ratio: float
     """Repeats allowed for each request of a service."""
 
@@ -38,12 +29,6 @@
     weights_ms: int
     """Time after which no request begins on weights older than the named ones."""
 
-    address_reuse_ms: int
-    """Time after which the address of an ended replica may be another's."""
-
-    prefix_reuse_ms: int
-    """Time for which a shared part is worth keeping after its last use."""
-
 
 @attrs.frozen(kw_only=True)
 class FleetSettings:
@@ -51,7 +36,6 @@
 
     node_id: str
     zone: str
-    zones: tuple[str, ...]
     callers_address: str
     """``host:port`` for callers."""
 
@@ -70,6 +54,4 @@
     store_address: str
     """``host:port`` of the platform's metadata store."""
 
-    memory_mb: int
-    max_descriptors: int
     bounds: FleetBounds
--- a/src/crocuswick/news/link.py
+++ b/src/crocuswick/news/link.py
@@ -55,11 +55,6 @@
             target=self._run, name=f"link-{address}", daemon=True
         )
 
-    @property
-    def is_connected(self) -> bool:
-        """Whether messages reach the peer, as far as is known."""
-        return self._connected.is_set()
-
     def start(self) -> None:
         """Start connecting."""
         self._thread.start()
--- a/src/crocuswick/platform/relay_dialect.py
+++ b/src/crocuswick/platform/relay_dialect.py
@@ -138,7 +138,6 @@
             replica_id=values_by_name.get(names.REPLICA_ID.lower()),
             weights_version=_number(values_by_name, names.WEIGHTS_VERSION),
             is_encoded=encoding.strip().lower() not in ("", "identity"),
-            retry_after_s=_number(values_by_name, "Retry-After"),
         )
 
 
--- a/src/crocuswick/platform/settings_file.py
+++ b/src/crocuswick/platform/settings_file.py
@@ -53,23 +53,17 @@
     """
     reader = _FieldReader(_values(text))
     bounds = FleetBounds(
-        config_apply_ms=reader.number("Bounds.ConfigApplyMs", default=2_000),
-        drain_ms=reader.number("Bounds.DrainMs", default=2_000),
         grace_ms=int(1000 * reader.fraction("Bounds.GraceS", default=8.0)),
-        stable_window_ms=reader.number("Bounds.StableWindowMs", default=3_000),
         retry_ratio=reader.fraction("Bounds.BudgetRatio", default=0.2),
         retry_window_ms=int(1000 * reader.fraction("Bounds.BudgetWindowS", default=10)),
         # The slack is shared by all nodes of the fleet.
         retry_slack=reader.number("Bounds.BudgetSlack", default=50),
         lease_ms=reader.number("Bounds.LeaseMs", default=3_000),
         weights_ms=reader.number("Bounds.VersionMs", default=10_000),
-        address_reuse_ms=int(1000 * reader.fraction("Bounds.ReuseAfterS", default=2)),
-        prefix_reuse_ms=int(1000 * reader.fraction("Bounds.ReuseWindowS", default=10)),
     )
     settings = FleetSettings(
         node_id=reader.text("NodeName"),
         zone=reader.text("Zone"),
-        zones=reader.names_under("Zones."),
         callers_address=reader.address("Listen.Front"),
         readiness_address=reader.address("Listen.Ready"),
         # The control listener carries the traffic between nodes.
@@ -77,8 +71,6 @@
         metrics_port=reader.first_port("InternalPorts"),
         seeds=reader.addresses("Seeds"),
         store_address=reader.address("Platform.Address"),
-        memory_mb=reader.number("Limits.MemoryMb", default=256),
-        max_descriptors=reader.number("Limits.MaxFds", default=1_024),
         bounds=bounds,
     )
     return Err(reader.faults) if reader.faults else Ok(settings)
@@ -150,14 +142,6 @@
             return 0
         return int(value)
 
-    def names_under(self, prefix: str) -> tuple[str, ...]:
-        """Return the names that follow a prefix."""
-        return tuple(
-            name.removeprefix(prefix)
-            for name in self._values
-            if name.startswith(prefix)
-        )
-
 
 def _is_address(value: str) -> bool:
     host, _, port = value.rpartition(":")
--- a/src/crocuswick/relay/kv_map.py
+++ b/src/crocuswick/relay/kv_map.py
@@ -148,15 +148,6 @@
         """Note that a request has ended, perhaps before its prompt was computed."""
         self._computing_by_request.pop(request_id, None)
 
-    def holders(self, salt: str, part_id: str) -> list[str]:
-        """Return the incarnations from which a part can be fetched."""
-        key = (salt, part_id)
-        return [
-            incarnation
-            for incarnation, cache in self._caches_by_incarnation.items()
-            if key in cache
-        ]
-
     def holds(self, incarnation: str, salt: str, part_id: str) -> bool:
         """Whether a part can be fetched from an engine."""
         cache = self._caches_by_incarnation.get(incarnation)
@@ -192,7 +183,3 @@
         ]
         for request_id in lost:
             del self._computing_by_request[request_id]
-
-    def forget_stored(self) -> None:
-        """Drop all that the store held."""
-        self._stored = ModelledCache(capacity_tokens=self._store_tokens)
--- a/src/crocuswick/relay/relay_request.py
+++ b/src/crocuswick/relay/relay_request.py
@@ -157,5 +157,3 @@
     weights_version: int | None
     is_encoded: bool
     """Whether the body is in a content encoding that nobody asked for."""
-
-    retry_after_s: float | None = None
--- a/src/crocuswick/relay/replica_health.py
+++ b/src/crocuswick/relay/replica_health.py
@@ -20,9 +20,6 @@
 BUSY_PAUSE_S = 0.15
 """Pause after a replica said that it is full."""
 
-SUSPECT_SHARE = 0.25
-"""Share of failures from which other replicas are preferred."""
-
 MIN_WEIGHT = 3.0
 """Results, weighted by age, below which no share of failures is worked out."""
 
@@ -80,10 +77,6 @@
         elif result in (AttemptResult.BUSY, AttemptResult.OTHER_WEIGHTS):
             self._paused_until_s = max(self._paused_until_s, now_s + BUSY_PAUSE_S)
 
-    def is_paused(self, now_s: float) -> bool:
-        """Whether the replica gets nothing for now."""
-        return now_s < self._paused_until_s
-
     def paused_for_s(self, now_s: float) -> float:
         """Return the time until the replica is tried again."""
         return max(0.0, self._paused_until_s - now_s)
@@ -96,10 +89,6 @@
             return 0.0
         return self._bad / total
 
-    def is_suspect(self, now_s: float) -> bool:
-        """Whether other replicas are to be preferred."""
-        return self.failure_share(now_s) >= SUSPECT_SHARE
-
     def _pause(self, now_s: float) -> None:
         pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**self._unreachable_in_a_row)
         self._unreachable_in_a_row += 1
--- a/src/crocuswick/relay/weights_table.py
+++ b/src/crocuswick/relay/weights_table.py
@@ -42,10 +42,6 @@
         """Return the wanted version, or None where none was named."""
         return self._named_by_model.get(model)
 
-    def all_named(self) -> list[NamedWeights]:
-        """Return the wanted version of each model."""
-        return list(self._named_by_model.values())
-
     def learn(self, incarnation: str, model: str, version: int) -> bool:
         """Note that a replica serves a version.
 
