Keep a stream's place over events without an id; end attempts aborted in a handshake

Both found on reading, both tests fail without the change: an event without an id made the node forget the place, so a resumed stream began anew; a caller that left during the handshake had its request sent all the same (GONE).

--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -24,8 +24,11 @@
 from crocuswick.relay.upstream import Upstream
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from crocuswick.errors import PeerError
     from crocuswick.relay.caller_exchange import CallerExchange
+    from crocuswick.relay.event_splitter import StreamEvent
     from crocuswick.relay.relay_request import Attempt, RoutedRequest
 
 __all__ = ["RelayContext", "RelayRun"]
@@ -239,18 +242,9 @@
             if not piece.ok_value:
                 break
             self._context.stalls.heard(attempt.incarnation, self._watched)
-            for event in splitter.feed(piece.ok_value):
-                if not self._follows(event.number):
-                    return self._after_bad_answer(attempt, f"event {event.number}")
-                self._note_event(attempt)
-                try:
-                    self._send_event(head, event.data)
-                except OSError as error:
-                    return (
-                        AttemptResult.CANCELLED,
-                        self._finish("caller left", detail=str(error)),
-                    )
-                self._progress.last_event = event.number
+            ended = self._relay_events(splitter.feed(piece.ok_value), attempt, head)
+            if ended is not None:
+                return ended
             if splitter.is_oversized:
                 return self._after_bad_answer(attempt, "event without an end")
         if splitter.has_partial_event:
@@ -260,6 +254,23 @@
             return AttemptResult.ANSWERED, self._deliver(head, b"")
         return AttemptResult.ANSWERED, self._end_stream()
 
+    def _relay_events(
+        self, events: Sequence[StreamEvent], attempt: Attempt, head: AnswerHead
+    ) -> tuple[AttemptResult, str | None] | None:
+        """Pass events on; returns how the attempt ended, None if it goes on."""
+        for event in events:
+            if not self._follows(event.number):
+                return self._after_bad_answer(attempt, f"event {event.number}")
+            self._note_event(attempt)
+            try:
+                self._send_event(head, event.data)
+            except OSError as error:
+                outcome = self._finish("caller left", detail=str(error))
+                return AttemptResult.CANCELLED, outcome
+            if event.number is not None:
+                self._progress.last_event = event.number
+        return None
+
     def _end_stream(self) -> str:
         try:
             self._exchange.end_stream()
--- a/src/crocuswick/relay/relay_server.py
+++ b/src/crocuswick/relay/relay_server.py
@@ -19,11 +19,12 @@
 from crocuswick.relay.strict_head import HeaderFields, StrictHeaderReader
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from crocuswick.errors import Refusal
     from crocuswick.relay.caller_watch import CallerWatch
     from crocuswick.relay.refusal_answer import WholeAnswer
+    from crocuswick.relay.relay_request import RoutedRequest
     from crocuswick.relay.serving import CallerLimits, ServingConfiguration
 
 __all__ = ["RelayServer"]
@@ -94,7 +95,6 @@
         watch: Notices callers that leave.
         configuration: Returns the configuration in force, or None.
         threads: Requests served at once.
-        log_refusal: Called with each refusal before routing.
     """
 
     def __init__(
@@ -162,7 +162,7 @@
         self.body_timeout_s = limits.idle_timeout_ms / 1000
 
     @contextlib.contextmanager
-    def counted(self):
+    def counted(self) -> Iterator[None]:
         """Count a request as under way."""
         with self._lock:
             self._in_flight += 1
@@ -280,7 +280,7 @@
             return
         self._relay(routed.ok_value)
 
-    def _relay(self, routed) -> None:
+    def _relay(self, routed: RoutedRequest) -> None:
         descriptor = self.req.conn.socket.fileno()
         self._server.watch.watch(descriptor, self._on_left)
         try:
--- a/src/crocuswick/relay/upstream.py
+++ b/src/crocuswick/relay/upstream.py
@@ -89,12 +89,16 @@
         self._connection.timeout = min(CONNECT_TIMEOUT_S, timeout_s)
         try:
             self._connection.connect()
-            self._socket = self._connection.sock
-            self._socket.setsockopt(
+            self._connection.sock.setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_PEER_TIMEOUT_MS
             )
         except (HTTPError, OSError) as error:
             return Err(self._error("connect", error, Outcome.NOT_RUN))
+        with self._lock:
+            self._socket = self._connection.sock
+            if self._is_aborted:
+                aborted = ConnectionAbortedError("aborted during the handshake")
+                return Err(self._error("connect", aborted, Outcome.NOT_RUN))
         return Ok(None)
 
     def send(
--- a/tests/platform/test_node_relay.py
+++ b/tests/platform/test_node_relay.py
@@ -226,6 +226,18 @@
         self.assertTrue(body.endswith(b"0\r\n\r\n"))
         self.assertEqual(body.count(b"HTTP/1.1"), 0)
 
+    def test_an_event_without_an_id_does_not_lose_the_place(self):
+        """Found on reading: the place was forgotten, and the stream began anew."""
+
+        def broken(each: ReceivedRequest) -> None:
+            each.send(stream_head(each) + event(1) + event(2) + b"8\r\ndata: \n\n\r\n")
+            time.sleep(0.05)
+            each.reset()
+
+        self.once("engine", broken, stream(1, 5))
+        _, body = self.stream()
+        self.assertEqual(self.numbers(body), [1, 2, 3, 4, 5])
+
     def test_a_caller_may_resume_a_stream_itself(self):
         self.deployment.script("engine", stream(1, 9))
         _, body = self.stream(headers={"Last-Event-Id": "6"})
--- /dev/null
+++ b/tests/relay/test_upstream.py
@@ -0,0 +1,50 @@
+"""Tests of one exchange with a replica."""
+
+from __future__ import annotations
+
+import unittest
+
+from crocuswick.outcome import Outcome
+from crocuswick.relay.upstream import Upstream, UpstreamRequest
+from tests.platform.scripted_replica import ScriptedReplica
+
+REQUEST = UpstreamRequest(
+    method="GET", target="/x", headers=(("Host", "a.example"),), body=b""
+)
+
+
+class UpstreamTests(unittest.TestCase):
+    def setUp(self):
+        self.replica = ScriptedReplica("r")
+        self.addCleanup(self.replica.stop)
+        self.upstream = Upstream(replica_id="r", address=self.replica.address)
+        self.addCleanup(self.upstream.close)
+
+    def test_an_answer_is_read_to_its_end(self):
+        self.assertTrue(self.upstream.connect(1.0).is_ok())
+        head = self.upstream.send(REQUEST, 1.0).ok_value
+        self.assertEqual(head.status, 200)
+        self.assertEqual(self.upstream.read(1.0).ok_value, b"ok")
+        self.assertEqual(self.upstream.read(1.0).ok_value, b"")
+
+    def test_a_caller_that_leaves_during_the_handshake_ends_the_attempt(self):
+        """Found on reading: the abort came before there was a socket, and the request
+        was sent all the same."""
+        self.upstream.abort()
+        connected = self.upstream.connect(1.0)
+        self.assertIs(connected.err_value.outcome, Outcome.NOT_RUN)
+        self.assertEqual(self.replica.requests, [])
+
+    def test_a_refused_connection_has_run_nothing(self):
+        self.replica.stop()
+        error = self.upstream.connect(1.0).err_value
+        self.assertIs(error.outcome, Outcome.NOT_RUN)
+        self.assertEqual(error.peer, "r")
+
+    def test_an_abort_ends_a_read(self):
+        self.replica.script = lambda each: each.is_closed_within(3.0)
+        self.upstream.connect(1.0)
+        self.upstream.abort()
+        self.assertIs(
+            self.upstream.send(REQUEST, 2.0).err_value.outcome, Outcome.UNKNOWN
+        )
