Don't take a refused connection to an engine for silence

Cause: NewConnectionError is a subclass of ConnectTimeoutError in urllib3, so EngineClient reported a connection that a killed engine's port had refused as timed out. CompletionRun then took the loss for one of a live engine, which spends the budget of retries; the scenario had drained that budget with busy engines, so the stream ended with an error while another engine lived.

Ruled out: the listener or a kept connection of a dying engine (all 338 load calls after a loss failed, with a refused or reset connection), the number of attempts (1 or 2 of 5 were used), the checker (the engine was up until it was doomed).

Conclusion: only a connection that nobody answers is silence.

--- a/src/crocuswick/endpoints/engine_client.py
+++ b/src/crocuswick/endpoints/engine_client.py
@@ -300,10 +300,18 @@
             peer=self._endpoint_id,
             detail=str(error),
             outcome=outcome,
-            timed_out=isinstance(error, ReadTimeoutError | ConnectTimeoutError),
+            timed_out=_is_silence(error),
         )
 
 
+def _is_silence(error: Exception) -> bool:
+    """Return whether the engine's machine gave no sign of life."""
+    if isinstance(error, NewConnectionError):
+        # A subclass of the time-out, which also stands for a refused connection.
+        return not isinstance(error.__cause__, ConnectionError)
+    return isinstance(error, ReadTimeoutError | ConnectTimeoutError)
+
+
 def _token_event(data: dict[str, Any]) -> TokenEvent:
     return TokenEvent(
         request_id=data["request_id"],
--- a/tests/endpoints/test_engine_client.py
+++ b/tests/endpoints/test_engine_client.py
@@ -122,6 +122,22 @@
         client = EngineClient(endpoint_id="e", address=address)
         self.assertIs(client.open(ORDER).err_value.outcome, Outcome.NOT_RUN)
 
+    def test_a_refused_connection_is_no_silence(self):
+        """A killed engine's port answers at once that nobody listens."""
+        closed = socket.create_server(("127.0.0.1", 0))
+        address = "{}:{}".format(*closed.getsockname())
+        closed.close()
+        client = EngineClient(endpoint_id="e", address=address)
+        for error in (client.load().err_value, client.open(ORDER).err_value):
+            self.assertFalse(error.timed_out, error)
+
+    def test_an_engine_that_does_not_answer_in_time_is_silent(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        address = "{}:{}".format(*listener.getsockname())
+        client = EngineClient(endpoint_id="e", address=address)
+        self.assertTrue(client.load().err_value.timed_out)
+
     def test_stream_without_chunks_ends_with_its_connection(self):
         plain = b"".join(event(index).split(b"\r\n")[1] for index in range(2))
         body = plain + b"data: [DONE]\n\n"
