Count a request for the budget of repeats once, not each time it asks again

Place now says whether it asks again after Wait.

Ruled out: other callers of record_request (there are none).

Before: the new test took 50 repeats after one waiting request had asked 500 times. After: at most 5.2 (0.2 for the request, 5 of slack).

Conclusion: an outage no longer raises the budget just when repeats are dangerous. The unread zone of the dispatcher is gone.

--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -76,7 +76,6 @@
     ):
         super().__init__()
         self._on_doubt = on_doubt
-        self._zone = zone
         self._on_news = on_news
         self._bounds = bounds
         self._configuration: ServingConfiguration | None = None
@@ -183,9 +182,9 @@
         if service is None:
             return _no_replica("the service has no definition", None)
         budget = self._budget(request.service)
-        if message.sent_before == 0:
+        if message.sent_before == 0 and not message.has_waited:
             budget.record_request(now_s)
-        elif message.is_repeat and not budget.can_take(now_s):
+        if message.is_repeat and not budget.can_take(now_s):
             return _no_replica("the budget of repeats is spent", RETRY_AFTER_S)
         candidates, ready_in_s = self._candidates(request, message.tried, now_s)
         choice = self._chooser.choose(
--- a/src/crocuswick/relay/dispatcher_messages.py
+++ b/src/crocuswick/relay/dispatcher_messages.py
@@ -161,6 +161,9 @@
     sent_before: int = 0
     """Replicas that were tried before, whether they received it or not."""
 
+    has_waited: bool = False
+    """Whether this asks again after `Wait`."""
+
 
 @attrs.frozen(kw_only=True)
 class Begun(Message):
--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -80,6 +80,9 @@
     tried: list[str] = attrs.Factory(list)
     """Incarnations that are not asked again."""
 
+    has_waited: bool = False
+    """Whether no replica could take the request when it was first placed."""
+
     head: AnswerHead | None = None
     """Head that the caller has."""
 
@@ -125,6 +128,7 @@
                 return self._finish("caller left")
             placed = self._context.dispatcher.ask(self._place_message())
             if isinstance(placed, Wait):
+                self._progress.has_waited = True
                 time.sleep(placed.seconds)
                 continue
             if isinstance(placed, Refusal):
@@ -140,6 +144,7 @@
             tried=tuple(progress.tried),
             is_repeat=progress.sent > 0,
             sent_before=progress.sent + len(progress.tried),
+            has_waited=progress.has_waited,
         )
 
     def _attempt(self, placed: Placed) -> str | None:
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -61,13 +61,14 @@
         received = caller(request_id=request_id, received_s=now_s, **changes)
         return routed(caller=received, deadline_s=now_s + 6.0)
 
-    def place(self, request=None, *, tried=(), sent=0):
+    def place(self, request=None, *, tried=(), sent=0, has_waited=False):
         return self.ask(
             messages.Place(
                 request=request or self.request(),
                 tried=tried,
                 is_repeat=sent > 0,
                 sent_before=sent,
+                has_waited=has_waited,
             )
         )
 
@@ -164,6 +165,27 @@
         self.assertLessEqual(repeats, 0.2 * 100 + slack)
         self.assertGreater(repeats, 10)
 
+    def test_a_request_that_waits_earns_repeats_once(self):
+        """An outage of all replicas: waiting requests ask again and again."""
+        self.see("x")
+        waiting = self.request("w")
+        self.ask(
+            messages.ReplicaLoading(incarnation=replica("x").incarnation, for_s=2.0)
+        )
+        self.assertIsInstance(self.place(waiting), Wait)
+        for _ in range(500):
+            self.place(waiting, has_waited=True)
+        self.see("y", "z")
+        repeats = 0
+        for number in range(50):
+            request = self.request(f"r{number}", prompt=prompt(shared=0, own=10))
+            again = self.place(request, sent=1)
+            if isinstance(again, Placed):
+                repeats += 1
+                self.end(request, again, AttemptResult.CANCELLED)
+        slack = BOUNDS.retry_slack / MIN_NODES
+        self.assertLessEqual(repeats, 0.2 * 1 + slack)
+
     def test_peers_are_told_of_large_prompts_only(self):
         self.see("x")
         small = self.request("s", prompt=prompt(shared=92, own=291))
