Wait for parts that another engine computes instead of reading them again

Ruled out: evictions that nodes don't know of (28 readings, most after more than the 10 s in which they count), lost knowledge of prompts that were done (22, most after their engine had failed).

Change: KvSources looks once for all candidates who has each run of parts, who computes it and how long that takes. A request may be held until the part can be fetched, where that is expected to be sooner, and reading known parts again counts twice, since the prompts behind wait as long. Every part of a saved prompt counts as stored.

--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -40,6 +40,10 @@
 WAIT_STEP_S = 0.05
 """Time after which a request that found no replica asks again."""
 
+PARTS_WAIT_S = 0.1
+"""Longest time after which a request that waits for parts is placed anew: by then the
+replicas' load may have changed."""
+
 WEIGHTS_MARGIN_S = 1.0
 """Time before the bound of older weights at which they get no more requests."""
 
@@ -195,6 +199,8 @@
         excess_ms = choice.expected_ms - longest_wait_ms(request, choice.own_ms, now_s)
         if excess_ms > 0 and message.sent_before == 0:
             return _overloaded(choice.expected_ms, excess_ms)
+        if choice.ready_in_ms > 0:
+            return Wait(seconds=min(PARTS_WAIT_S, choice.ready_in_ms / 1000))
         if message.is_repeat:
             budget.take(now_s)
         return self._place(request, choice, now_s)
--- a/src/crocuswick/relay/engine_load.py
+++ b/src/crocuswick/relay/engine_load.py
@@ -18,6 +18,15 @@
 PRIORITIES = 10
 """Ranks that engines know."""
 
+OVERDUE_FACTOR = 1.5
+"""Multiple of a prompt's expected time after which it is no longer waited for."""
+
+OVERDUE_MS = 100.0
+"""Delay beyond that multiple that news between nodes may take."""
+
+SOONEST_MS = 10.0
+"""Least expected time of a prompt that is not computed yet."""
+
 LONGEST_REQUEST_S = 12.0
 """Age at which a request counts as ended although nobody said so."""
 
@@ -42,6 +51,11 @@
         self._kv_tokens = 0
         self.prefill_tokens_per_ms = DEFAULT_PREFILL_TOKENS_PER_MS
 
+    @property
+    def rate(self) -> float:
+        """Prompt tokens that the replica computes in a millisecond, 1 or more."""
+        return max(1.0, self.prefill_tokens_per_ms)
+
     @property
     def requests(self) -> int:
         """Number of outstanding requests."""
@@ -68,7 +82,27 @@
         """
         ahead = sum(self._prefill_by_priority[: priority + 1])
         ahead += self._prompt_under_way(priority)
-        return ahead / max(1.0, self.prefill_tokens_per_ms)
+        return ahead / self.rate
+
+    def remaining_ms(self, request_id: str, now_s: float) -> float | None:
+        """Return the expected time until a prompt has been computed.
+
+        Args:
+            request_id: Its request.
+            now_s: Monotonic time.
+
+        Returns:
+            None where it is not being computed, or has taken so much longer than
+            expected that nothing can be said.
+        """
+        sent = self._sent_by_request.get(request_id)
+        if sent is None or sent.has_begun:
+            return None
+        expected_ms = (sent.queued_before + sent.prefill_tokens) / self.rate
+        passed_ms = (now_s - sent.sent_s) * 1000
+        if passed_ms > OVERDUE_FACTOR * expected_ms + OVERDUE_MS:
+            return None
+        return max(SOONEST_MS, expected_ms - passed_ms)
 
     def _prompt_under_way(self, priority: int) -> float:
         """Return the mean tokens of the less urgent prompts, 0 where there are none."""
--- a/src/crocuswick/relay/kv_map.py
+++ b/src/crocuswick/relay/kv_map.py
@@ -86,6 +86,7 @@
         self._stored: ModelledCache | None = None
         self._store_tokens = 0
         self._computing_by_request: dict[str, _Prompt] = {}
+        self._incarnations_by_part: dict[PartKey, dict[str, str]] = {}
 
     def use_store(self, capacity_tokens: int) -> None:
         """Set the room of the store, 0 for no store."""
@@ -122,7 +123,8 @@
             is_saved: Whether the engine saves the parts to the store.
         """
         while len(self._computing_by_request) >= MAX_COMPUTING:
-            del self._computing_by_request[next(iter(self._computing_by_request))]
+            self._take(next(iter(self._computing_by_request)))
+        self._take(request_id)
         self._computing_by_request[request_id] = _Prompt(
             incarnation=incarnation,
             salt=salt,
@@ -130,37 +132,45 @@
             other_tokens=other_tokens,
             is_saved=is_saved,
         )
+        for part_id in tokens_by_part:
+            computing = self._incarnations_by_part.setdefault((salt, part_id), {})
+            computing[request_id] = incarnation
 
     def computed(self, request_id: str) -> None:
         """Note that a prompt has been computed: its parts are cached."""
-        prompt = self._computing_by_request.pop(request_id, None)
+        prompt = self._take(request_id)
         cache = self._caches_by_incarnation.get(prompt.incarnation) if prompt else None
         if cache is None:
             return
         for part_id, tokens in prompt.tokens_by_part.items():
             cache.use((prompt.salt, part_id), tokens)
         cache.fill(prompt.other_tokens)
-        if prompt.is_saved and self._stored is not None and prompt.tokens_by_part:
-            tokens = sum(prompt.tokens_by_part.values()) + prompt.other_tokens
-            self._stored.use((prompt.salt, list(prompt.tokens_by_part)[-1]), tokens)
+        if prompt.is_saved and self._stored is not None:
+            for part_id, tokens in prompt.tokens_by_part.items():
+                self._stored.use((prompt.salt, part_id), tokens)
+            self._stored.fill(prompt.other_tokens)
 
     def abandoned(self, request_id: str) -> None:
         """Note that a request has ended, perhaps before its prompt was computed."""
-        self._computing_by_request.pop(request_id, None)
+        self._take(request_id)
 
     def holds(self, incarnation: str, salt: str, part_id: str) -> bool:
         """Whether a part can be fetched from an engine."""
         cache = self._caches_by_incarnation.get(incarnation)
         return cache is not None and (salt, part_id) in cache
 
-    def expects(self, incarnation: str, salt: str, part_id: str) -> bool:
-        """Whether an engine computes a part now, for whoever comes after."""
-        return any(
-            prompt.incarnation == incarnation
-            and prompt.salt == salt
-            and part_id in prompt.tokens_by_part
-            for prompt in self._computing_by_request.values()
-        )
+    def computing(self, salt: str, part_id: str) -> Mapping[str, str]:
+        """Return who computes a part now, for whoever comes after.
+
+        Args:
+            salt: Salt of the part.
+            part_id: Its id.
+
+        Returns:
+            For each request, in the order in which they were sent, the incarnation of
+            its engine.
+        """
+        return self._incarnations_by_part.get((salt, part_id), {})
 
     def is_stored(self, salt: str, part_id: str) -> bool:
         """Whether a part can be fetched from the store."""
@@ -169,8 +179,8 @@
     def is_being_saved(self, salt: str, part_id: str) -> bool:
         """Whether an engine will save a part to the store."""
         return any(
-            prompt.is_saved and prompt.salt == salt and part_id in prompt.tokens_by_part
-            for prompt in self._computing_by_request.values()
+            self._computing_by_request[request_id].is_saved
+            for request_id in self.computing(salt, part_id)
         )
 
     def forget(self, incarnation: str) -> None:
@@ -182,4 +192,16 @@
             if prompt.incarnation == incarnation
         ]
         for request_id in lost:
-            del self._computing_by_request[request_id]
+            self._take(request_id)
+
+    def _take(self, request_id: str) -> _Prompt | None:
+        prompt = self._computing_by_request.pop(request_id, None)
+        if prompt is None:
+            return None
+        for part_id in prompt.tokens_by_part:
+            part = (prompt.salt, part_id)
+            computing = self._incarnations_by_part[part]
+            del computing[request_id]
+            if not computing:
+                del self._incarnations_by_part[part]
+        return prompt
--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -480,6 +480,7 @@
             replica=attempt.replica_id,
             weights=attempt.expected_weights,
             part=attempt.shared_part,
+            salt=attempt.cache_salt,
             fetch=attempt.fetch_kv_from,
             saved=bool(attempt.store_kv_to),
             prefill=attempt.prefill_tokens,
--- a/src/crocuswick/relay/replica_chooser.py
+++ b/src/crocuswick/relay/replica_chooser.py
@@ -8,6 +8,7 @@
 import attrs
 
 from crocuswick.relay.engine_load import PRIORITIES, EngineLoad
+from crocuswick.relay.kv_sources import KvPeer, KvSources
 from crocuswick.relay.replica import Replica
 from crocuswick.relay.replica_health import ReplicaHealth
 
@@ -15,7 +16,8 @@
     from collections.abc import Sequence
 
     from crocuswick.relay.kv_map import KvMap
-    from crocuswick.relay.relay_request import Prompt, RoutedRequest
+    from crocuswick.relay.kv_sources import KvSource
+    from crocuswick.relay.relay_request import RoutedRequest
     from crocuswick.relay.serving import EngineTraits, KvStore, Service
 
 __all__ = ["Candidate", "Choice", "ReplicaChooser", "cache_salt", "engine_priority"]
@@ -47,11 +49,9 @@
 KV_MEMORY_SHARE = 0.9
 """Share of an engine's memory that running requests may fill without preemption."""
 
-TRANSFER_LATENCY_MS = 2.0
-"""Fixed time of a fetch."""
-
-OTHER_ZONE_TRANSFER = 2.0
-"""Factor of a transfer's time between zones."""
+READ_AGAIN_WEIGHT = 1.0
+"""Part of the time of computing known tokens again that counts once more, since the
+prompts behind wait as long."""
 
 
 @attrs.frozen(kw_only=True)
@@ -84,18 +84,8 @@
     """Address to fetch cached parts from, empty for none."""
 
     salt: str
-
-
-@attrs.frozen(kw_only=True)
-class _Source:
-    """Where an engine gets a prompt's shared parts."""
-
-    transfer_ms: float
-    address: str
-    """Address to fetch from, empty if the engine holds them itself."""
-
-    tokens: int
-    """Tokens of the parts that need not be computed."""
+    ready_in_ms: float = 0.0
+    """Time until the parts can be fetched; the request is best held that long."""
 
 
 class ReplicaChooser:
@@ -132,16 +122,12 @@
         Returns:
             The best choice, or None if there is no candidate.
         """
-        choices = []
-        for candidate in candidates:
-            if service.engine is None or request.caller.prompt is None:
-                choices.append(self._plain_choice(candidate, now_s))
-            else:
-                choices.append(
-                    self._engine_choice(
-                        request, service.engine, candidate, candidates, stores, now_s
-                    )
-                )
+        if service.engine is None or request.caller.prompt is None:
+            choices = [self._plain_choice(each, now_s) for each in candidates]
+        else:
+            choices = self._engine_choices(
+                request, service.engine, candidates, stores, now_s
+            )
         self._random.shuffle(choices)
         best = min(choices, key=lambda pair: pair[0], default=None)
         return best[1] if best else None
@@ -161,102 +147,37 @@
         )
         return cost, choice
 
-    def _engine_choice(
+    def _engine_choices(
         self,
         request: RoutedRequest,
         engine: EngineTraits,
-        candidate: Candidate,
-        peers: Sequence[Candidate],
+        candidates: Sequence[Candidate],
         stores: Sequence[KvStore],
         now_s: float,
-    ) -> tuple[float, Choice]:
-        prompt = request.caller.prompt
-        salt = cache_salt(request, candidate.weights)
-        rate = max(1.0, candidate.load.prefill_tokens_per_ms)
-        source = self._source(prompt, salt, engine, candidate, peers, stores)
-        cached = source.tokens if source is not None else 0
-        prefill_tokens = max(0, prompt.prompt_tokens - cached)
-        fetch_ms = source.transfer_ms if source is not None else 0.0
-        own_ms = prefill_tokens / rate + fetch_ms
-        expected_ms = candidate.load.wait_ms(engine_priority(request)) + own_ms
-        choice = Choice(
-            candidate=candidate,
-            expected_ms=expected_ms,
-            own_ms=own_ms,
-            prefill_tokens=prefill_tokens,
-            fetch_from=source.address if source is not None else "",
-            salt=salt,
-        )
-        cost = expected_ms + self._penalty_ms(request, engine, candidate, now_s)
-        return cost, choice
-
-    def _source(
-        self,
-        prompt: Prompt,
-        salt: str,
-        engine: EngineTraits,
-        candidate: Candidate,
-        peers: Sequence[Candidate],
-        stores: Sequence[KvStore],
-    ) -> _Source | None:
-        """Return where a prompt's shared parts come from, None if from nowhere."""
-        shared = prompt.shared_parts
-        # The longest run of parts that is cached anywhere; a part is of use only
-        # with all parts before it.
-        for count in range(len(shared), 0, -1):
-            part_id = shared[count - 1].id
-            tokens = sum(part.tokens for part in shared[:count])
-            if self._has(candidate.replica.incarnation, salt, part_id):
-                return _Source(transfer_ms=0.0, address="", tokens=tokens)
-            sources = self._sources(
-                part_id, tokens, salt, engine, candidate, peers, stores
-            )
-            if sources:
-                return min(sources, key=lambda source: source.transfer_ms)
-        return None
-
-    def _has(self, incarnation: str, salt: str, part_id: str) -> bool:
-        return self._kv_map.holds(incarnation, salt, part_id) or self._kv_map.expects(
-            incarnation, salt, part_id
+    ) -> list[tuple[float, Choice]]:
+        """Return the choices among engines with their costs in milliseconds."""
+        sources = KvSources(
+            prompt=request.caller.prompt,
+            engine=engine,
+            peers=[
+                KvPeer(replica=candidate.replica, load=candidate.load)
+                for candidate in candidates
+            ],
+            stores=stores,
+            kv_map=self._kv_map,
+            now_s=now_s,
         )
-
-    def _sources(
-        self,
-        part_id: str,
-        tokens: int,
-        salt: str,
-        engine: EngineTraits,
-        candidate: Candidate,
-        peers: Sequence[Candidate],
-        stores: Sequence[KvStore],
-    ) -> list[_Source]:
-        """Return whence an engine can fetch a part and those before it."""
-        sources = [
-            self._transfer(tokens, engine, engine.link_mbps, candidate, peer.replica)
-            for peer in peers
-            if self._kv_map.holds(peer.replica.incarnation, salt, part_id)
-        ]
-        if self._kv_map.is_stored(salt, part_id):
-            sources += [
-                self._transfer(tokens, engine, store.link_mbps, candidate, store)
-                for store in stores
-            ]
-        return sources
-
-    def _transfer(
-        self,
-        tokens: int,
-        engine: EngineTraits,
-        link_mbps: float,
-        candidate: Candidate,
-        holder: Replica | KvStore,
-    ) -> _Source:
-        bits = tokens * engine.kv_bytes_per_token * 8
-        mbps = max(1.0, min(link_mbps, engine.link_mbps))
-        is_near = holder.zone == candidate.replica.zone
-        factor = 1.0 if is_near else OTHER_ZONE_TRANSFER
-        transfer_ms = TRANSFER_LATENCY_MS + factor * bits / (mbps * 1000)
-        return _Source(transfer_ms=transfer_ms, address=holder.address, tokens=tokens)
+        choices = []
+        for candidate in candidates:
+            salt = cache_salt(request, candidate.weights)
+            known_tokens = sources.known_tokens(salt)
+            penalty_ms = self._penalty_ms(request, engine, candidate, now_s)
+            for source in sources.options(candidate.replica, salt):
+                choice = _engine_choice(request, candidate, salt, source)
+                again_ms = (known_tokens - source.tokens) / candidate.load.rate
+                cost_ms = choice.expected_ms + READ_AGAIN_WEIGHT * again_ms
+                choices.append((cost_ms + penalty_ms, choice))
+        return choices
 
     def _penalty_ms(
         self,
@@ -281,6 +202,24 @@
         return penalty_ms
 
 
+def _engine_choice(
+    request: RoutedRequest, candidate: Candidate, salt: str, source: KvSource
+) -> Choice:
+    load = candidate.load
+    prefill_tokens = max(0, request.caller.prompt.prompt_tokens - source.tokens)
+    own_ms = prefill_tokens / load.rate + source.transfer_ms
+    begin_ms = max(load.wait_ms(engine_priority(request)), source.ready_in_ms)
+    return Choice(
+        candidate=candidate,
+        expected_ms=begin_ms + own_ms,
+        own_ms=own_ms,
+        prefill_tokens=prefill_tokens,
+        fetch_from=source.address,
+        salt=salt,
+        ready_in_ms=source.ready_in_ms,
+    )
+
+
 def engine_priority(request: RoutedRequest) -> int:
     """Return the urgency of a request at engines, 0 first."""
     return min(PRIORITIES - 1, request.priority)
--- a/tests/relay/test_kv_map.py
+++ b/tests/relay/test_kv_map.py
@@ -62,14 +62,14 @@
         kv_map.use_store(99_000)
         kv_map.engine("x", 99_000)
         self.begin(kv_map, "r", is_saved=True)
-        self.assertTrue(kv_map.expects("x", "s", "a"))
+        self.assertIn("x", kv_map.computing("s", "a").values())
         self.assertTrue(kv_map.is_being_saved("s", "a"))
         self.assertFalse(kv_map.holds("x", "s", "a"))
         self.assertFalse(kv_map.is_stored("s", "a"))
         kv_map.computed("r")
         self.assertTrue(kv_map.holds("x", "s", "a"))
         self.assertTrue(kv_map.is_stored("s", "a"))
-        self.assertFalse(kv_map.expects("x", "s", "a"))
+        self.assertNotIn("x", kv_map.computing("s", "a").values())
 
     def test_a_prompt_that_was_never_computed_leaves_nothing(self):
         kv_map = KvMap()
@@ -77,5 +77,5 @@
         self.begin(kv_map, "r")
         kv_map.abandoned("r")
         kv_map.computed("r")
-        self.assertFalse(kv_map.expects("x", "s", "a"))
+        self.assertNotIn("x", kv_map.computing("s", "a").values())
         self.assertFalse(kv_map.holds("x", "s", "a"))
--- /dev/null
+++ b/tests/relay/test_kv_sources.py
@@ -0,0 +1,99 @@
+"""Tests of whence engines get the shared parts of prompts."""
+
+from __future__ import annotations
+
+import unittest
+
+import attrs
+
+from crocuswick.relay.engine_load import EngineLoad
+from crocuswick.relay.kv_map import KvMap
+from crocuswick.relay.kv_sources import KvPeer, KvSource, KvSources
+from tests.relay.samples import ENGINE, STORE, prompt, replica
+
+CAPACITY = ENGINE.kv_capacity_tokens
+SALT = "m/1/"
+
+
+class KvSourcesTests(unittest.TestCase):
+    def setUp(self):
+        self.kv_map = KvMap()
+        self.kv_map.use_store(STORE.capacity_tokens)
+        self.peers = [KvPeer(replica=replica(name), load=EngineLoad()) for name in "xy"]
+
+    def sources(self, *, now_s=0.0) -> KvSources:
+        return KvSources(
+            prompt=prompt(),
+            engine=ENGINE,
+            peers=self.peers,
+            stores=[STORE],
+            kv_map=self.kv_map,
+            now_s=now_s,
+        )
+
+    def compute(self, name="y", request_id="r", *, tokens=12_000, is_saved=False):
+        peer = next(each for each in self.peers if each.replica.id == name)
+        incarnation = peer.replica.incarnation
+        self.kv_map.engine(incarnation, CAPACITY)
+        peer.load.record_sent(
+            request_id, prefill_tokens=tokens, kv_tokens=tokens, priority=1, now_s=0.0
+        )
+        self.kv_map.begin(
+            request_id,
+            incarnation,
+            SALT,
+            {"a1": 10_000},
+            other_tokens=2_000,
+            is_saved=is_saved,
+        )
+
+    def test_parts_that_nobody_has_are_computed(self):
+        sources = self.sources()
+        self.assertEqual(sources.options(replica("x"), SALT), [KvSource(tokens=0)])
+        self.assertEqual(sources.known_tokens(SALT), 0)
+
+    def test_parts_that_another_engine_computes_can_be_waited_for(self):
+        """A hot prefix that is new: it was read again while it was computed."""
+        self.compute()
+        sources = self.sources()
+        self.assertEqual(sources.known_tokens(SALT), 10_000)
+        waiting, computing = sources.options(replica("x"), SALT)
+        self.assertEqual(waiting.address, replica("y").address)
+        self.assertAlmostEqual(waiting.ready_in_ms, 12_000 / 40)
+        self.assertEqual(computing, KvSource(tokens=0))
+        own = sources.options(replica("y"), SALT)
+        self.assertEqual(own, [KvSource(tokens=10_000)])
+
+    def test_a_prompt_that_is_long_overdue_is_not_waited_for(self):
+        self.compute()
+        sources = self.sources(now_s=5.0)
+        self.assertEqual(sources.options(replica("x"), SALT), [KvSource(tokens=0)])
+
+    def test_what_can_be_fetched_is_not_waited_for(self):
+        self.compute(request_id="done")
+        self.kv_map.computed("done")
+        self.compute()
+        (fetch,) = self.sources().options(replica("x"), SALT)
+        self.assertEqual((fetch.address, fetch.ready_in_ms), (replica("y").address, 0))
+
+    def test_every_part_of_a_saved_prompt_is_in_the_store(self):
+        self.compute(is_saved=True)
+        self.kv_map.computed("r")
+        self.kv_map.forget(replica("y").incarnation)
+        (fetch,) = self.sources().options(replica("x"), SALT)
+        self.assertEqual(fetch.address, STORE.address)
+
+    def test_another_computation_remains_when_the_first_is_given_up(self):
+        self.compute(request_id="first")
+        self.compute(request_id="second")
+        self.kv_map.abandoned("first")
+        waiting = self.sources().options(replica("x"), SALT)[0]
+        self.assertGreater(waiting.ready_in_ms, 300)
+
+    def test_another_zone_takes_twice_as_long(self):
+        self.compute()
+        self.kv_map.computed("r")
+        near = self.sources().options(replica("x"), SALT)[0]
+        far_replica = attrs.evolve(replica("x"), zone="b")
+        far = self.sources().options(far_replica, SALT)[0]
+        self.assertGreater(far.transfer_ms, 1.5 * near.transfer_ms)
--- a/tests/relay/test_replica_chooser.py
+++ b/tests/relay/test_replica_chooser.py
@@ -122,6 +122,35 @@
         chosen = self.choose(candidate("x"), stores=[STORE])
         self.assertEqual(chosen.fetch_from, STORE.address)
 
+    def computing(self, name, *, tokens=12_000):
+        load = EngineLoad()
+        load.record_sent(
+            "c", prefill_tokens=tokens, kv_tokens=tokens, priority=1, now_s=0.0
+        )
+        incarnation = replica(name).incarnation
+        self.kv_map.engine(incarnation, CAPACITY)
+        self.kv_map.begin(
+            "c",
+            incarnation,
+            cache_salt(routed(), 1),
+            {"a1": 10_000},
+            other_tokens=2_000,
+            is_saved=False,
+        )
+        return candidate(name, load=load)
+
+    def test_a_part_that_is_being_computed_is_not_computed_beside_that(self):
+        """A hot prefix that is new: the second request waits for the first."""
+        chosen = self.choose(candidate("x"), self.computing("y"))
+        self.assertEqual(chosen.prefill_tokens, 2_000)
+        self.assertLessEqual(chosen.expected_ms, 400)
+
+    def test_a_part_in_a_long_queue_is_computed_elsewhere(self):
+        """Reading again is better than being late."""
+        chosen = self.choose(candidate("x"), self.computing("y", tokens=60_000))
+        self.assertEqual(chosen.candidate.replica.id, "x")
+        self.assertEqual((chosen.prefill_tokens, chosen.ready_in_ms), (12_000, 0))
+
     def test_a_transfer_that_takes_longer_than_prefill_still_counts_as_cached(self):
         slow = attrs.evolve(STORE, link_mbps=1_000)
         self.store()
