Paused engines leave their places in a rollout to others

Cause: the driver let next_steps fill the places of engines that may load at once and dropped paused engines afterwards. Crashed engines stay listed for seconds, are idle and so came first: their places stayed empty while they were paused.

Also: a driver whose engines are all current looks at them each 0.5 s instead of each 0.1 s, and none that has nothing to bring about; what is behind is worked out once less often.

--- a/src/crocuswick/rollouts/driver.py
+++ b/src/crocuswick/rollouts/driver.py
@@ -42,6 +42,10 @@
 HOLDER_INTERVAL_S = 0.3
 """Interval at which a holder tells the others that it is at work."""
 
+CURRENT_INTERVAL_S = 0.5
+"""Interval at which a node looks for engines that came with older weights while none
+is known to be behind."""
+
 SETTLE_S = 0.05
 """Time in which peers learn that an engine takes no more work."""
 
@@ -157,6 +161,8 @@
         self._failures_by_incarnation: dict[str, int] = {}
         self._paused_until_s: dict[str, float] = {}
         self._turn = OrderTurn(started_s=boot_clock_s())
+        self._is_behind = False
+        self._next_look_s = float("-inf")
         self._next_word_s = float("-inf")
         self._newest_token = -1
         self._last_order_s: float | None = None
@@ -172,7 +178,8 @@
 
     def on_tick(self, _message: Tick) -> None:
         """Give orders where engines are behind."""
-        self._step()
+        if self._is_behind or boot_clock_s() >= self._next_look_s:
+            self._step()
 
     def on_progress(self, message: Progress) -> None:
         """Leave the rollout to the node that gives orders."""
@@ -259,26 +266,22 @@
 
     def _step(self) -> None:
         now_s = boot_clock_s()
-        if self._is_resigned:
+        if self._is_resigned or not self._wanted_by_model:
             return
         engines = self._engines()
-        paused = {
-            incarnation
-            for incarnation, until_s in self._paused_until_s.items()
-            if now_s < until_s
-        }
-        steps = [
-            step
-            for step in next_steps(
-                engines, self._wanted_by_model, self._loads_by_incarnation
-            )
-            if step.replica.incarnation not in paused
-        ]
-        if not behind(engines, self._wanted_by_model):
+        self._is_behind = bool(behind(engines, self._wanted_by_model))
+        self._next_look_s = now_s + CURRENT_INTERVAL_S
+        if not self._is_behind:
             self._turn.engines_current()
             return
         self._turn.engines_behind(now_s)
         self._speak_as_holder(now_s)
+        steps = next_steps(
+            engines,
+            self._wanted_by_model,
+            busy_incarnations=self._loads_by_incarnation,
+            paused_incarnations=self._paused(now_s),
+        )
         if not steps or not self._is_turn(now_s):
             return
         if self._right.needs_renewal(now_s):
@@ -287,6 +290,13 @@
             for step in steps:
                 self._order(step, now_s)
 
+    def _paused(self, now_s: float) -> set[str]:
+        return {
+            incarnation
+            for incarnation, until_s in self._paused_until_s.items()
+            if now_s < until_s
+        }
+
     def _is_turn(self, now_s: float) -> bool:
         return self._turn.is_mine(
             now_s, rank=self._rank(), holds_right=self._right.token is not None
--- a/src/crocuswick/rollouts/rollout_plan.py
+++ b/src/crocuswick/rollouts/rollout_plan.py
@@ -59,7 +59,9 @@
 def next_steps(
     engines: Collection[EngineState],
     wanted_by_model: Mapping[str, int],
-    busy_incarnations: Collection[str],
+    *,
+    busy_incarnations: Collection[str] = (),
+    paused_incarnations: Collection[str] = (),
 ) -> list[WeightsStep]:
     """Return the orders to give now, the least loaded engines first.
 
@@ -67,22 +69,32 @@
         engines: All engines.
         wanted_by_model: Named version of each model.
         busy_incarnations: Engines that load, or were ordered to.
+        paused_incarnations: Engines that failed to load and are ordered later; they
+            take no other engine's place.
     """
-    late = behind(engines, wanted_by_model)
-    concerned = {
-        model: [engine for engine in engines if model in engine.weights_by_model]
-        for model in wanted_by_model
-    }
-    steps = []
     room_by_model = {
-        model: loads_at_once(len(members))
-        - sum(member.replica.incarnation in busy_incarnations for member in members)
-        for model, members in concerned.items()
+        model: _room(model, engines, busy_incarnations) for model in wanted_by_model
     }
+    steps = []
+    late = behind(engines, wanted_by_model)
     for engine, step in sorted(late, key=lambda pair: pair[0].prefill_tokens):
-        if engine.replica.incarnation in busy_incarnations:
+        incarnation = engine.replica.incarnation
+        if incarnation in busy_incarnations or incarnation in paused_incarnations:
             continue
         if room_by_model[step.model] > 0:
             room_by_model[step.model] -= 1
             steps.append(step)
     return steps
+
+
+def _room(
+    model: str, engines: Iterable[EngineState], busy_incarnations: Collection[str]
+) -> int:
+    """Return how many more engines of a model may load now."""
+    incarnations = [
+        engine.replica.incarnation
+        for engine in engines
+        if model in engine.weights_by_model
+    ]
+    busy = sum(incarnation in busy_incarnations for incarnation in incarnations)
+    return loads_at_once(len(incarnations)) - busy
