A node that starts learns from engines and the store what they hold

Ruled out: evictions (the parts were 1 to 9 s old, engines keep about 100 parts between them) and crashes of the holders (2 of the 22 that were looked at).

Change: KvWarmUp reads the newest events of each engine and of the store once within 4 s of a node's start (about 500 events each, one call, no price) and replays them into the modelled caches.

The new test failed without the node's part.

--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -24,6 +24,7 @@
 from crocuswick.relay import dispatcher_messages
 from crocuswick.relay.caller_watch import CallerWatch
 from crocuswick.relay.dispatcher import RelayDispatcher
+from crocuswick.relay.kv_warm_up import KvWarmUp
 from crocuswick.relay.relay_run import RelayContext
 from crocuswick.relay.relay_server import RelayServer
 from crocuswick.relay.serving import CallerLimits, ServingConfiguration
@@ -112,6 +113,10 @@
                 on_nodes=self._news.learn_nodes,
             )
         )
+        self._warm_up = KvWarmUp(
+            events=platform.kv_events, dispatcher=self._dispatcher, log=self._log
+        )
+        self.application.add(self._warm_up)
         self._build_rollouts()
         self._build_readers()
         self._build_servers()
@@ -295,6 +300,7 @@
         )
         self._relay_server.use_limits(configuration.limits)
         self._configuration = configuration
+        self._warm_up.use_stores(configuration.kv_stores)
         self._log.record_state("configuration in force", version=configuration.version)
 
     def _want_weights(self, wanted: WantedWeights) -> None:
@@ -319,7 +325,10 @@
             )
             return
         self._replicas_known = True
-        self._dispatcher.tell(dispatcher_messages.ReplicaSeen(replica=decoded.ok_value))
+        replica = decoded.ok_value
+        self._dispatcher.tell(dispatcher_messages.ReplicaSeen(replica=replica))
+        if replica.weights_by_model:
+            self._warm_up.see_engine(replica)
 
     def _remove_replica(self, replica_id: str) -> None:
         now_s = time.monotonic()
--- a/src/crocuswick/platform/adapter.py
+++ b/src/crocuswick/platform/adapter.py
@@ -15,6 +15,7 @@
     decode_replica,
 )
 from crocuswick.platform.engine_orders import EngineOrdersClient
+from crocuswick.platform.kv_events import KvEventsClient
 from crocuswick.platform.relay_dialect import RelayDialect
 from crocuswick.platform.store_client import StoreClient
 
@@ -41,6 +42,7 @@
         decode_operation=_decode_operation,
         decode_replica=_decode_replica,
         engine_orders=EngineOrdersClient(),
+        kv_events=KvEventsClient(),
     )
 
 
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -130,6 +130,18 @@
         """Send nothing to a replica while it loads."""
         self._loading_until_s[message.incarnation] = time.monotonic() + message.for_s
 
+    def on_cache_read(self, message: messages.CacheRead) -> None:
+        """Enter what an engine holds into its modelled cache."""
+        engine = self._engine_of(message.incarnation)
+        if engine is not None:
+            self._ledger.kv_map.learn(
+                message.incarnation, engine.kv_capacity_tokens, message.events
+            )
+
+    def on_store_read(self, message: messages.StoreRead) -> None:
+        """Enter what the store of KV cache holds."""
+        self._ledger.kv_map.learn_stored(message.events)
+
     def on_peer_placed(self, message: messages.PeerPlaced) -> None:
         """Count what another node has sent."""
         placed = message.placed
--- a/src/crocuswick/relay/dispatcher_messages.py
+++ b/src/crocuswick/relay/dispatcher_messages.py
@@ -6,6 +6,7 @@
 
 from crocuswick.actor import Message
 from crocuswick.news.messages import Crashed, PartsUsed, PromptPlaced
+from crocuswick.relay.kv_events import KvEvent
 from crocuswick.relay.relay_request import Attempt, RoutedRequest
 from crocuswick.relay.replica import Replica
 from crocuswick.relay.replica_health import AttemptResult
@@ -13,6 +14,7 @@
 
 __all__ = [
     "Begun",
+    "CacheRead",
     "Ended",
     "Engines",
     "NodesKnown",
@@ -25,6 +27,7 @@
     "ReplicaLoading",
     "ReplicaRemoved",
     "ReplicaSeen",
+    "StoreRead",
     "TellParts",
     "UseConfiguration",
     "Wait",
@@ -101,6 +104,21 @@
     for_s: float
 
 
+@attrs.frozen(kw_only=True)
+class CacheRead(Message):
+    """An engine has told what its cache holds."""
+
+    incarnation: str
+    events: tuple[KvEvent, ...]
+
+
+@attrs.frozen(kw_only=True)
+class StoreRead(Message):
+    """The store of KV cache has told what it holds."""
+
+    events: tuple[KvEvent, ...]
+
+
 @attrs.frozen(kw_only=True)
 class PeerPlaced(Message):
     """Another node has sent a large prompt to a replica."""
--- a/src/crocuswick/relay/kv_map.py
+++ b/src/crocuswick/relay/kv_map.py
@@ -7,10 +7,14 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
+from typing import TYPE_CHECKING
 
 import attrs
 
+if TYPE_CHECKING:
+    from crocuswick.relay.kv_events import KvEvent
+
 __all__ = ["KvMap", "ModelledCache"]
 
 PartKey = tuple[str, str]
@@ -48,6 +52,19 @@
         self._tokens += tokens
         self._evict()
 
+    def drop(self, part: PartKey) -> None:
+        """Note that a part was evicted."""
+        self._tokens -= self._tokens_by_part.pop(part, 0)
+
+    def replay(self, events: Iterable[KvEvent]) -> None:
+        """Take what the cache itself has told, the oldest first."""
+        for event in events:
+            part = (event.salt, event.part_id)
+            if event.is_held:
+                self.use(part, event.tokens)
+            else:
+                self.drop(part)
+
     def fill(self, tokens: int) -> None:
         """Note tokens that no other request will look for."""
         self._uncounted_tokens += tokens
@@ -102,6 +119,17 @@
             self._caches_by_incarnation[incarnation] = cache
         return cache
 
+    def learn(
+        self, incarnation: str, capacity_tokens: int, events: Iterable[KvEvent]
+    ) -> None:
+        """Take what an engine has told of its cache."""
+        self.engine(incarnation, capacity_tokens).replay(events)
+
+    def learn_stored(self, events: Iterable[KvEvent]) -> None:
+        """Take what the store has told, where there is one."""
+        if self._stored is not None:
+            self._stored.replay(events)
+
     def begin(
         self,
         request_id: str,
--- a/tests/platform/scripted_replica.py
+++ b/tests/platform/scripted_replica.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import socket
 import struct
 import threading
@@ -62,6 +63,8 @@
     def __init__(self, replica_id: str):
         self.id = replica_id
         self.requests: list[ReceivedRequest] = []
+        self.kv_events: list[list] = []
+        """Answer to each call for cache events, which are not among the requests."""
         self.script: Callable[[ReceivedRequest], None] = plain_script
         self._socket = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
@@ -98,6 +101,10 @@
                 b"X-Replica-Id: %b\r\n\r\n" % self.id.encode()
             )
             return
+        if request.target.startswith("/kv-events"):
+            events = {"BootEpoch": 1, "NextToken": 9, "Events": self.kv_events}
+            request.send(plain_answer(request, json.dumps(events).encode()))
+            return
         self.requests.append(request)
         self.script(request)
 
--- /dev/null
+++ b/tests/platform/test_kv_events.py
@@ -0,0 +1,60 @@
+"""Tests of a node that learns at its start what engines hold."""
+
+from __future__ import annotations
+
+import unittest
+
+from crocuswick.platform.kv_events import KvEventsClient
+from tests.platform.deployment import Deployment, request
+from tests.platform.scripted_replica import ScriptedReplica
+
+
+class KvEventsClientTests(unittest.TestCase):
+    def test_events_are_read_in_their_order(self):
+        engine = ScriptedReplica("e")
+        self.addCleanup(engine.stop)
+        engine.kv_events = [
+            [1, "+", "s", "aa", 700, "m"],
+            [2, "-", "s", "aa", 0, "m"],
+        ]
+        events = KvEventsClient().newest("e", engine.address).ok_value
+        self.assertEqual([event.is_held for event in events], [True, False])
+        self.assertEqual((events[0].part_id, events[0].tokens), ("aa", 700))
+
+    def test_what_is_no_event_is_an_error_that_names_the_engine(self):
+        engine = ScriptedReplica("e")
+        self.addCleanup(engine.stop)
+        for events in ([["no"]], [[1, "+", "s", "aa", "many", "m"]], None):
+            engine.kv_events = events
+            error = KvEventsClient().newest("e", engine.address).err_value
+            self.assertEqual((error.step, error.peer), ("decode cache events", "e"))
+
+    def test_an_engine_that_is_gone_is_an_error(self):
+        engine = ScriptedReplica("e")
+        engine.stop()
+        error = KvEventsClient().newest("e", engine.address).err_value
+        self.assertEqual(error.step, "cache events")
+
+
+class WarmUpTests(unittest.TestCase):
+    def test_a_node_that_starts_uses_the_parts_that_engines_hold(self):
+        """Power loss of all nodes: the engines still hold what they computed."""
+        deployment = Deployment()
+        self.addCleanup(deployment.stop)
+        # Parts are looked for under the text that an earlier request was sent with.
+        deployment.node.start()
+        deployment.ask(request("/ask/1", host="ai.example"))
+        salt = deployment.received("engine")[0].headers["x-cache-salt"]
+        deployment.node.process.kill()
+        deployment.node.process.wait(10)
+        deployment.reset_scripts()
+        engine = deployment.replicas_by_id["engine-2"]
+        engine.kv_events = [[1, "+", salt, "aa", 700, "m"]]
+        deployment.node.start()
+        told = '"cache": "engine-2", "events": 1'
+        deployment.wait_until(lambda: told in deployment.node.output.read_text())
+        for number in range(6):
+            deployment.ask(request(f"/ask/{number}", host="ai.example"))
+        self.assertGreater(len(engine.requests), 0)
+        for sent in deployment.replicas_by_id["engine-1"].requests:
+            self.assertEqual(sent.headers.get("x-kv-fetch-from"), engine.address)
--- a/tests/relay/test_kv_map.py
+++ b/tests/relay/test_kv_map.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from crocuswick.relay.kv_events import KvEvent
 from crocuswick.relay.kv_map import KvMap, ModelledCache
 
 
@@ -71,6 +72,21 @@
         self.assertTrue(kv_map.is_stored("s", "a"))
         self.assertNotIn("x", kv_map.computing("s", "a").values())
 
+    def test_what_an_engine_tells_takes_the_place_of_a_model(self):
+        """Found on played days: nodes that restarted had parts read again."""
+        kv_map = KvMap()
+        kv_map.use_store(99_000)
+        events = [
+            KvEvent(salt="s", part_id=part, tokens=10_000, is_held=is_held)
+            for part, is_held in (("a", True), ("b", True), ("a", False))
+        ]
+        kv_map.learn("x", 99_000, events)
+        kv_map.learn_stored(events)
+        self.assertTrue(kv_map.holds("x", "s", "b"))
+        self.assertFalse(kv_map.holds("x", "s", "a"))
+        self.assertTrue(kv_map.is_stored("s", "b"))
+        self.assertFalse(kv_map.is_stored("s", "a"))
+
     def test_a_prompt_that_was_never_computed_leaves_nothing(self):
         kv_map = KvMap()
         kv_map.engine("x", 99_000)
