Take over changed settings while running; start a fleet node as crocuswickd

Cause: SIGHUP was logged only, and a file that changes without a signal was never read again; the platform's form had an entry of its own beside crocuswickd.

Seeds and bounds are taken over on SIGHUP and every 2 s; what needs a restart is said; a bad file changes nothing and is reported once. crocuswickd without arguments runs a fleet node where the platform names a settings file. make bench ends with the cost of a relayed request and event.

Before: tests.platform.test_node_input's new test had nothing to wait for. After: 26 tests of settings, input and daemon pass.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 
 bench: setup
 	@$(BIN)/python -m tests.bench --policy=$(POLICY) --seed=$(SEED) --nodes=$(NODES) --endpoints=$(ENDPOINTS)
+	@$(BIN)/python -m tests.platform.relay_cost
 
 relay-cost: setup
 	@$(BIN)/python -m tests.platform.relay_cost
--- a/src/crocuswick/fleet_news.py
+++ b/src/crocuswick/fleet_news.py
@@ -150,6 +150,10 @@
         self._on_news(news, self.own.node_id)
         self.tell(news)
 
+    def use_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Greet other nodes in place of the seeds known so far."""
+        self.exchange.tell(NewsExchange.UseSeeds(seeds=seeds))
+
     def use_driver(self, driver: pykka.ActorRef) -> None:
         """Set who is told of other nodes' orders."""
         self._driver = driver
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -16,6 +16,7 @@
 from crocuswick.fleet_metrics import FleetMetrics
 from crocuswick.fleet_news import FleetNews
 from crocuswick.fleet_platform import WantedWeights
+from crocuswick.fleet_reload import SettingsReload
 from crocuswick.http_server import HttpServer
 from crocuswick.news.messages import WeightsServed
 from crocuswick.news.registry import NodeRegistry
@@ -34,6 +35,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from result import Result
+
     from crocuswick.fleet_platform import FleetPlatform
     from crocuswick.fleet_settings import FleetSettings
     from crocuswick.records.mirror import KeyedRecord
@@ -73,9 +76,16 @@
     Args:
         settings: Checked settings.
         platform: Adapter of the platform.
+        load_settings: Reads the settings again.
     """
 
-    def __init__(self, *, settings: FleetSettings, platform: FleetPlatform):
+    def __init__(
+        self,
+        *,
+        settings: FleetSettings,
+        platform: FleetPlatform,
+        load_settings: Callable[[], Result[FleetSettings, list[str]]],
+    ):
         self._settings = settings
         self._platform = platform
         self._configuration: ServingConfiguration | None = None
@@ -121,7 +131,14 @@
         self._build_readers()
         self._build_servers()
         self.application.on_start(self._announce)
-        self.application.on_reload(lambda: self._log.record_state("settings reloaded"))
+        reload = SettingsReload(
+            settings=settings,
+            load=load_settings,
+            on_change=self._use_settings,
+            log=self._log,
+        )
+        self.application.add(reload)
+        self.application.on_reload(reload.check)
         self.application.on_drain(self._drain)
 
     @property
@@ -133,6 +150,13 @@
             and self._replicas_known
         )
 
+    def _use_settings(self, settings: FleetSettings) -> None:
+        self._settings = settings
+        bounds = settings.bounds
+        self._dispatcher.tell(dispatcher_messages.UseBounds(bounds=bounds))
+        self._driver.tell(RolloutDriver.UseLease(lease_s=bounds.lease_ms / 1000))
+        self._news.use_seeds(settings.seeds)
+
     def run(self) -> None:
         """Run until shutdown."""
         self.application.run()
--- /dev/null
+++ b/src/crocuswick/fleet_reload.py
@@ -0,0 +1,98 @@
+"""Takes over settings that change while a fleet node runs."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+import attrs
+
+from crocuswick.actor import Ticker
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from result import Result
+
+    from crocuswick.decision_log import DecisionLog
+    from crocuswick.fleet_settings import FleetSettings
+
+__all__ = ["SettingsReload"]
+
+CHECK_INTERVAL_S = 2.0
+"""Interval at which the file is read, since it may change without a signal."""
+
+_TAKEN_AT_ONCE = ("seeds", "bounds")
+"""Fields that a running node takes over; the others need a restart."""
+
+
+class SettingsReload:
+    """Reads the settings on request and every few seconds.
+
+    A file that can't be read or has faults changes nothing.
+
+    Args:
+        settings: Settings in force.
+        load: Reads and checks the file.
+        on_change: Called with the settings now in force.
+        log: Log of decisions.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: FleetSettings,
+        load: Callable[[], Result[FleetSettings, list[str]]],
+        on_change: Callable[[FleetSettings], None],
+        log: DecisionLog,
+    ):
+        self._in_force = settings
+        self._last_read = settings
+        self._last_faults: list[str] = []
+        self._load = load
+        self._on_change = on_change
+        self._log = log
+        self._lock = threading.Lock()
+        self._ticker = Ticker(
+            name="settings", interval_s=CHECK_INTERVAL_S, call=self.check
+        )
+
+    def start(self) -> None:
+        """Start checking."""
+        self._ticker.start()
+
+    def stop(self) -> None:
+        """Stop checking."""
+        self._ticker.stop()
+
+    def check(self) -> None:
+        """Read the file and take over what has changed."""
+        with self._lock:
+            loaded = self._load()
+            if loaded.is_err():
+                self._note_faults(loaded.err_value)
+                return
+            self._last_faults = []
+            if loaded.ok_value != self._last_read:
+                self._last_read = loaded.ok_value
+                self._take(loaded.ok_value)
+
+    def _note_faults(self, faults: list[str]) -> None:
+        if faults != self._last_faults:
+            self._last_faults = faults
+            self._log.record_state("settings not taken", faults=faults)
+
+    def _take(self, read: FleetSettings) -> None:
+        changed = [
+            field.name
+            for field in attrs.fields(type(read))
+            if getattr(read, field.name) != getattr(self._in_force, field.name)
+        ]
+        taken = {name: getattr(read, name) for name in _TAKEN_AT_ONCE}
+        self._in_force = attrs.evolve(self._in_force, **taken)
+        self._on_change(self._in_force)
+        self._log.record_state(
+            "settings reloaded",
+            taken=[name for name in changed if name in _TAKEN_AT_ONCE],
+            need_restart=[name for name in changed if name not in _TAKEN_AT_ONCE],
+        )
--- a/src/crocuswick/news/exchange.py
+++ b/src/crocuswick/news/exchange.py
@@ -76,6 +76,12 @@
 
         addresses: tuple[NodeAddress, ...]
 
+    @attrs.frozen(kw_only=True)
+    class UseSeeds(Message):
+        """Other nodes may be there than those named at the start."""
+
+        seeds: tuple[str, ...]
+
     def __init__(
         self,
         *,
@@ -99,6 +105,11 @@
         self._live: frozenset[NodeAddress] = frozenset()
         self._ticks = 0
 
+    def on_use_seeds(self, message: UseSeeds) -> None:
+        """Greet other seeds from now on."""
+        self._seeds = [seed for seed in message.seeds if seed != self._own.address]
+        self._keep_links()
+
     def on_tick(self, _message: Tick) -> None:
         """Connect to neighbours and tell them how far this node knows the topics."""
         self._ticks += 1
--- a/src/crocuswick/platform/main.py
+++ b/src/crocuswick/platform/main.py
@@ -31,7 +31,11 @@
         return EXIT_BAD_SETTINGS
     logbook.StreamHandler(sys.stderr, level=logbook.INFO).push_application()
     settings = loaded.ok_value
-    node = FleetNode(settings=settings, platform=fleet_platform(settings))
+    node = FleetNode(
+        settings=settings,
+        platform=fleet_platform(settings),
+        load_settings=lambda: load_fleet_settings(path),
+    )
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: node.application.shut_down_once())
     signal.signal(signal.SIGHUP, lambda *_: node.application.reload())
--- a/src/crocuswick/platform/settings_file.py
+++ b/src/crocuswick/platform/settings_file.py
@@ -14,11 +14,21 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-__all__ = ["load_fleet_settings", "parse_fleet_settings", "settings_path"]
+__all__ = [
+    "has_settings",
+    "load_fleet_settings",
+    "parse_fleet_settings",
+    "settings_path",
+]
 
 MAX_PORT = 65_535
 
 
+def has_settings() -> bool:
+    """Whether the platform has named a settings file for this process."""
+    return names.SETTINGS_VARIABLE in os.environ
+
+
 def settings_path() -> Path:
     """Return the path of the settings file that the platform names."""
     return Path(os.environ.get(names.SETTINGS_VARIABLE, names.DEFAULT_SETTINGS_PATH))
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -101,6 +101,16 @@
         stores = message.configuration.kv_stores
         self._ledger.kv_map.use_store(stores[0].capacity_tokens if stores else 0)
 
+    def on_use_bounds(self, message: messages.UseBounds) -> None:
+        """Keep to other bounds from now on."""
+        self._bounds = message.bounds
+        for budget in self._budgets_by_service.values():
+            budget.use_bounds(
+                ratio=self._bounds.retry_ratio,
+                slack=self._own_slack(),
+                window_s=self._bounds.retry_window_ms / 1000,
+            )
+
     def on_replica_seen(self, message: messages.ReplicaSeen) -> None:
         """Take a replica's entry."""
         replica = message.replica
--- a/src/crocuswick/relay/dispatcher_messages.py
+++ b/src/crocuswick/relay/dispatcher_messages.py
@@ -5,6 +5,7 @@
 import attrs
 
 from crocuswick.actor import Message
+from crocuswick.fleet_settings import FleetBounds
 from crocuswick.news.messages import Crashed, PartsUsed, PromptPlaced
 from crocuswick.relay.kv_events import KvEvent
 from crocuswick.relay.relay_request import Attempt, RoutedRequest
@@ -29,6 +30,7 @@
     "ReplicaSeen",
     "StoreRead",
     "TellParts",
+    "UseBounds",
     "UseConfiguration",
     "Wait",
     "WeightsNamed",
@@ -56,6 +58,13 @@
     """Time after which to ask again."""
 
 
+@attrs.frozen(kw_only=True)
+class UseBounds(Message):
+    """The users' bounds have changed."""
+
+    bounds: FleetBounds
+
+
 @attrs.frozen(kw_only=True)
 class UseConfiguration(Message):
     """A newer configuration is in force."""
--- a/src/crocuswick/relay/repeat_budget.py
+++ b/src/crocuswick/relay/repeat_budget.py
@@ -23,6 +23,12 @@
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
+    def use_bounds(self, *, ratio: float, slack: float, window_s: float) -> None:
+        """Set all bounds anew; what was counted stays."""
+        self._ratio = ratio
+        self._slack = slack
+        self._window_s = window_s
+
     def use_slack(self, slack: float) -> None:
         """Set this node's part of the repeats allowed beyond the ratio."""
         self._slack = slack
--- a/src/crocuswick/rollouts/driver.py
+++ b/src/crocuswick/rollouts/driver.py
@@ -129,6 +129,12 @@
         token: int | None = None
         """Offset of the holder's record, None where it is not known."""
 
+    @attrs.frozen(kw_only=True)
+    class UseLease(Message):
+        """The users have changed the time between the orders of two holders."""
+
+        lease_s: float
+
     @attrs.frozen(kw_only=True)
     class Resign(Message):
         """This node shuts down and gives no more orders."""
@@ -205,6 +211,10 @@
         self._tell_resignation()
         self._right.lost()
 
+    def on_use_lease(self, message: UseLease) -> None:
+        """Keep to another time between the orders of two holders."""
+        self._right.use_lease(message.lease_s)
+
     def on_claimed(self, message: Claimed) -> None:
         """Take the result of an attempt at the right."""
         claim = message.claim
--- a/src/crocuswick/rollouts/order_right.py
+++ b/src/crocuswick/rollouts/order_right.py
@@ -80,6 +80,10 @@
         """Offset of this node's last record, None if another node took the right."""
         return self._token
 
+    def use_lease(self, lease_s: float) -> None:
+        """Set the time between the orders of two holders."""
+        self._lease_s = lease_s
+
     def may_order(self, now_s: float) -> bool:
         """Whether an order may be sent now."""
         is_valid = now_s + FLIGHT_S < self._valid_until_s
--- a/tests/platform/node_process.py
+++ b/tests/platform/node_process.py
@@ -50,7 +50,7 @@
         """Start the process and wait until it is ready."""
         with self.output.open("ab") as output:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "crocuswick.platform"],
+                [sys.executable, "-m", "crocuswick"],
                 env={**os.environ, "CROCUSWICK_BOOT": str(self.settings_file)},
                 stdout=output,
                 stderr=output,
@@ -75,6 +75,12 @@
         """Ask the process to stop."""
         self.process.send_signal(signal.SIGTERM)
 
+    def rewrite_settings(self, old: str, new: str) -> None:
+        """Change the settings file of the running node and tell it so."""
+        text = self.settings_file.read_text()
+        self.settings_file.write_text(text.replace(old, new))
+        self.process.send_signal(signal.SIGHUP)
+
     def stop(self) -> None:
         """End the process and remove its files."""
         if self.process is not None and self.process.poll() is None:
--- a/tests/platform/test_node_input.py
+++ b/tests/platform/test_node_input.py
@@ -31,6 +31,18 @@
         self.assertEqual(self.status(request("/lookup/1")), 200)
         self.deployment.reset_scripts()
 
+    def test_settings_are_taken_over_while_it_runs(self):
+        node = self.deployment.node
+        node.rewrite_settings("Bounds.GraceS=6", "Bounds.GraceS=soon")
+        self.deployment.wait_until(
+            lambda: "must be a number of 0 or more" in node.output.read_text()
+        )
+        node.rewrite_settings("Bounds.GraceS=soon", "Bounds.GraceS=5\nZone=b")
+        self.deployment.wait_until(
+            lambda: '"need_restart": ["zone"]' in node.output.read_text()
+        )
+        self.assertEqual(self.status(request("/lookup/1")), 200)
+
     def test_unknown_routes_and_keys(self):
         self.assert_refused(request("/other/1"), 404)
         self.assert_refused(request("/lookup/1", host="x.example"), 404)
--- /dev/null
+++ b/tests/test_fleet_reload.py
@@ -0,0 +1,70 @@
+"""Tests of settings that change while a node runs."""
+
+from __future__ import annotations
+
+import unittest
+
+import attrs
+from result import Err, Ok
+
+from crocuswick.fleet_reload import SettingsReload
+from crocuswick.platform.settings_file import parse_fleet_settings
+from tests.platform.test_settings_file import TEXT
+
+SETTINGS = parse_fleet_settings(TEXT).ok_value
+
+
+class RecordedLog:
+    """Keeps what was recorded."""
+
+    def __init__(self):
+        self.lines = []
+
+    def record_state(self, event, **fields):
+        """Keep a line."""
+        self.lines.append((event, fields))
+
+
+class SettingsReloadTests(unittest.TestCase):
+    def setUp(self):
+        self.file = Ok(SETTINGS)
+        self.taken = []
+        self.log = RecordedLog()
+        self.reload = SettingsReload(
+            settings=SETTINGS,
+            load=lambda: self.file,
+            on_change=self.taken.append,
+            log=self.log,
+        )
+
+    def write(self, **changes):
+        self.file = Ok(attrs.evolve(SETTINGS, **changes))
+        self.reload.check()
+
+    def test_a_file_that_did_not_change_is_not_taken_again(self):
+        self.reload.check()
+        self.assertEqual((self.taken, self.log.lines), ([], []))
+
+    def test_seeds_and_bounds_are_taken_over(self):
+        bounds = attrs.evolve(SETTINGS.bounds, retry_slack=1)
+        self.write(seeds=("10.9.0.1:1",), bounds=bounds)
+        self.reload.check()
+        self.assertEqual(len(self.taken), 1)
+        self.assertEqual(self.taken[0].seeds, ("10.9.0.1:1",))
+        self.assertEqual(self.taken[0].bounds.retry_slack, 1)
+
+    def test_what_needs_a_restart_is_said_and_left(self):
+        self.write(zone="elsewhere", seeds=())
+        self.assertEqual(self.taken[0].zone, SETTINGS.zone)
+        event, fields = self.log.lines[0]
+        self.assertEqual(event, "settings reloaded")
+        self.assertEqual(fields, {"taken": ["seeds"], "need_restart": ["zone"]})
+
+    def test_a_bad_file_changes_nothing_and_is_reported_once(self):
+        self.file = Err(["Zone: is missing"])
+        self.reload.check()
+        self.reload.check()
+        self.assertEqual(self.taken, [])
+        self.assertEqual([event for event, _ in self.log.lines], ["settings not taken"])
+        self.write(seeds=())
+        self.assertEqual(len(self.taken), 1)
