--- /dev/null
+++ b/src/crocuswick/explaining/__init__.py
@@ -0,0 +1,6 @@
+"""Finds out from the logs of all nodes what became of a request, and why."""
+
+from crocuswick.explaining.explanation import Explanation, explain_request
+from crocuswick.explaining.log_line import LogLine, LogLines, read_log_lines
+
+__all__ = ["Explanation", "LogLine", "LogLines", "explain_request", "read_log_lines"]
--- a/src/crocuswick/operators/_commands.py
+++ b/src/crocuswick/operators/_commands.py
@@ -22,6 +22,7 @@
     to_record,
 )
 from crocuswick.configuration.submission import change_between
+from crocuswick.operators._log_explain import explain_from_logs
 from crocuswick.operators._reports import (
     Context,
     print_change,
@@ -204,7 +205,9 @@
 
 @_command("explain", argument="REQUEST_ID")
 def explain(context: Context, request_id: str) -> ExitCode:
-    """Show what happened to one request."""
+    """Show what happened to one request, from a node or from logs."""
+    if context.log_files:
+        return explain_from_logs(context, request_id)
     return _show_events(context, f"requests/{request_id}", title=request_id)
 
 
--- a/src/crocuswick/operators/_reports.py
+++ b/src/crocuswick/operators/_reports.py
@@ -44,6 +44,9 @@
     picture_file: str = ""
     """File to write events to as a page with a picture, or an empty string."""
 
+    log_files: tuple[str, ...] = ()
+    """Files with logs of nodes; ``-`` stands for standard input."""
+
 
 def report_accepted(
     context: Context, verdict: dict[str, Any], missing: list[str]
--- a/src/crocuswick/operators/ctl.py
+++ b/src/crocuswick/operators/ctl.py
@@ -23,6 +23,11 @@
 _WAIT_S = flags.DEFINE_float(
     "wait_s", 10.0, "Longest time that apply waits for all nodes; 0: do not wait."
 )
+_LOGS = flags.DEFINE_multi_string(
+    "log",
+    [],
+    "File with nodes' logs, - for standard input; explain needs no node then.",
+)
 _PICTURE = flags.DEFINE_string(
     "picture", "", "File to which timeline and explain write a page with a picture."
 )
@@ -35,6 +40,7 @@
   crocuswickctl --node=10.0.0.7:8081 --key_file=operator.key --json nodes
   crocuswickctl --node=10.0.0.7:8081 --key_file=operator.key \\
       --picture=timeline.html timeline
+  crocuswickctl --log=node-1.log --log=node-2.log explain 5a1e0b7c9d3f2468
 """
 
 
@@ -62,6 +68,7 @@
         output=output,
         wait_s=_WAIT_S.value,
         picture_file=_PICTURE.value,
+        log_files=tuple(_LOGS.value),
     )
     argument = argv[2] if command.argument else ""
     return command.run(context, argument)
@@ -80,7 +87,7 @@
 
 
 def _secret(command: Command) -> str:
-    if not command.needs_node:
+    if not command.needs_node or _LOGS.value:
         return ""
     if not _KEY_FILE.value:
         _fail_usage("--key_file is missing")
@@ -102,7 +109,7 @@
         usage = f"{command.name} {command.argument}".strip()
         lines.append(f"  {usage:<22}{command.summary}")
     lines += ["", "Flags:"]
-    for flag in (_NODE, _KEY_FILE, _JSON, _WAIT_S, _PICTURE):
+    for flag in (_NODE, _KEY_FILE, _JSON, _WAIT_S, _LOGS, _PICTURE):
         lines.append(f"  --{flag.name:<20}{flags.FLAGS[flag.name].help}")
     lines += ["", "Exit codes:"]
     lines += [f"  {code.value}  {code.name.lower()}" for code in ExitCode]
--- /dev/null
+++ b/tests/explaining/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of explanations from logs."""
--- a/tests/operators/test_ctl.py
+++ b/tests/operators/test_ctl.py
@@ -191,6 +191,18 @@
         self.assertEqual(self.ctl("drain").returncode, ExitCode.OK)
         self.assertEqual(self.drained, [True])
 
+    def test_a_request_is_explained_from_logs_without_a_node(self):
+        line = '{"t": 1, "node": "n", "event": "request ended", "request": "r9", '
+        line += '"outcome": "caller left", "ms": 12}\n'
+        (self.folder / "n.log").write_text(line)
+        found = self.ctl(f"--log={self.folder / 'n.log'}", "explain", "r9", key="wrong")
+        self.assertEqual(found.returncode, ExitCode.OK)
+        self.assertIn("closed its connection after 12 ms", found.stdout)
+        found = self.ctl(f"--log={self.folder / 'n.log'}", "explain", "r8")
+        self.assertEqual(found.returncode, ExitCode.FAULTY)
+        found = self.ctl("--log=/nowhere.log", "explain", "r9")
+        self.assertEqual(found.returncode, ExitCode.USAGE)
+
     def test_usage_faults(self):
         for arguments in (("nope",), (), ("apply",), ("--nope", "get")):
             with self.subTest(arguments=arguments):
