--- a/src/crocuswick/fleet_news.py
+++ b/src/crocuswick/fleet_news.py
@@ -52,6 +52,10 @@
 REREAD_S = 2.5
 """Age of the last read by any known reader from which a node reads for itself."""
 
+ENDS_AGE_S = 0.1
+"""Age of what the mirror holds with which a peer's message is compared; a peer that
+seems to lack records is sent them once more at worst."""
+
 _handlers_by_type: dict[type, Callable[[FleetNews, Any, str], None]] = {}
 
 
@@ -94,6 +98,8 @@
         self._zonal_topic = zonal_topic
         self._read_s_by_topic = dict.fromkeys(topics, float("-inf"))
         self._outage_ended_s_by_topic: dict[str, float] = {}
+        self._ends_by_topic: dict[str, int] = {}
+        self._ends_s = float("-inf")
         self._lock = threading.Lock()
         self.own = NodeAddress(
             node_id=settings.node_id,
@@ -226,7 +232,7 @@
     def on_topic_ends(self, news: TopicEnds, sender: str) -> None:
         """Note what a peer has read, and send it what it lacks."""
         now_s = time.monotonic()
-        known = self._keeper.ask(RecordKeeper.Ends())
+        known = self._known_ends(now_s)
         for topic in self._topics:
             end = news.ends_by_topic.get(topic, -1)
             age_s = news.ages_ms_by_topic.get(topic, 1e9) / 1000
@@ -236,6 +242,13 @@
             if own_end > end and (age_s > STALE_S or end < 0):
                 self._send_missing(topic, end, sender)
 
+    def _known_ends(self, now_s: float) -> dict[str, int]:
+        """Return how far this node has read, which may be a moment old."""
+        if now_s - self._ends_s > ENDS_AGE_S:
+            self._ends_by_topic = self._keeper.ask(RecordKeeper.Ends())
+            self._ends_s = now_s
+        return self._ends_by_topic
+
     def _hear_read(self, topic: str, read_s: float) -> None:
         with self._lock:
             before_s = self._read_s_by_topic[topic]
--- a/src/crocuswick/news/exchange.py
+++ b/src/crocuswick/news/exchange.py
@@ -8,12 +8,12 @@
 import attrs
 
 from crocuswick.actor import Actor, Message
-from crocuswick.news.link import PeerLink
+from crocuswick.news.link import PeerLink, pack_news
 from crocuswick.news.messages import Hello, News, NodeAddress, TopicEnds
 from crocuswick.news.peers import FORGET_S, PeerTable
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from crocuswick.decision_log import DecisionLog
 
@@ -22,6 +22,11 @@
 TICK_S = 0.3
 """Interval at which nodes of a zone speak."""
 
+MANY_NEIGHBOURS = 12
+MANY_NEIGHBOURS_TICKS = 2
+"""Ticks between messages within a zone to more neighbours than that, so that a node
+has not more to hear; two of them may be lost before a node counts as gone."""
+
 OTHER_ZONE_TICKS = 3
 """Ticks between messages to other zones, where each byte is priced."""
 
@@ -115,23 +120,31 @@
         self._ticks += 1
         self._keep_links()
         self._report_changes()
-        ends = self._ends()
-        reaches_others = self._ticks % OTHER_ZONE_TICKS == 0
-        for address in self._table.neighbours():
-            if address.zone == self._own.zone or reaches_others:
-                self._tell(address, ends)
+        neighbours = self._table.neighbours()
+        is_large = len(neighbours) > MANY_NEIGHBOURS
+        own_zone_ticks = MANY_NEIGHBOURS_TICKS if is_large else 1
+        addresses = []
+        if self._ticks % own_zone_ticks == 0:
+            addresses = [address for address in neighbours if self._is_near(address)]
+        if self._ticks % OTHER_ZONE_TICKS == 0:
+            addresses += [
+                address for address in neighbours if not self._is_near(address)
+            ]
+        if addresses:
+            self._tell(addresses, self._ends())
 
     def on_tell(self, message: Tell) -> None:
         """Tell the neighbours."""
-        for address in self._table.neighbours():
-            if not message.is_zonal or address.zone == self._own.zone:
-                self._tell(address, message.news)
+        addresses = self._table.neighbours()
+        if message.is_zonal:
+            addresses = [address for address in addresses if self._is_near(address)]
+        self._tell(addresses, message.news)
 
     def on_tell_one(self, message: TellOne) -> None:
         """Tell one node."""
-        for address in self._table.addresses():
-            if address.node_id == message.node_id:
-                self._tell(address, message.news)
+        addresses = self._table.addresses()
+        one = [each for each in addresses if each.node_id == message.node_id]
+        self._tell(one, message.news)
 
     def on_heard(self, message: Heard) -> None:
         """Take a message."""
@@ -176,10 +189,15 @@
         self._keep_links()
         self._report_changes()
 
-    def _tell(self, address: NodeAddress, news: News) -> None:
-        link = self._links_by_address.get(address.address)
-        if link is not None:
-            link.tell(news)
+    def _is_near(self, address: NodeAddress) -> bool:
+        return address.zone == self._own.zone
+
+    def _tell(self, addresses: Iterable[NodeAddress], news: News) -> None:
+        packed = pack_news(news)
+        for address in addresses:
+            link = self._links_by_address.get(address.address)
+            if link is not None:
+                link.tell(packed)
 
     def _keep_links(self) -> None:
         """Open links to neighbours and seeds, and close those to nobody."""
--- a/src/crocuswick/news/link.py
+++ b/src/crocuswick/news/link.py
@@ -20,7 +20,7 @@
 
     from crocuswick.news.messages import News
 
-__all__ = ["PeerLink"]
+__all__ = ["PeerLink", "pack_news"]
 
 logger = logbook.Logger(__name__)
 
@@ -36,6 +36,11 @@
 LONGEST_BACKOFF_S = 3.0
 
 
+def pack_news(news: News) -> bytes:
+    """Return a message as it goes over the wire."""
+    return msgpack.packb(encode_news(news))
+
+
 class PeerLink:
     """Sends messages to one peer on a thread of its own, and connects anew.
 
@@ -47,7 +52,7 @@
     def __init__(self, *, address: str, greet: Callable[[], list[News]]):
         self.address = address
         self._greet = greet
-        self._queue: queue.Queue[News | None] = queue.Queue(maxsize=MAX_QUEUED)
+        self._queue: queue.Queue[bytes | None] = queue.Queue(maxsize=MAX_QUEUED)
         self._connected = threading.Event()
         self._stopped = threading.Event()
         self.failed_since_s: float | None = time.monotonic()
@@ -65,12 +70,12 @@
         with contextlib.suppress(queue.Full):
             self._queue.put_nowait(None)
 
-    def tell(self, news: News) -> None:
-        """Queue a message; it is dropped while there is no connection."""
+    def tell(self, packed: bytes) -> None:
+        """Queue a packed message; it is dropped while there is no connection."""
         if not self._connected.is_set():
             return
         try:
-            self._queue.put_nowait(news)
+            self._queue.put_nowait(packed)
         except queue.Full:
             logger.warning("peer {} is too slow, a message was dropped", self.address)
 
@@ -102,19 +107,19 @@
     def _send_until_closed(self, connection: socket.socket) -> None:
         self._drop_queued()
         for news in self._greet():
-            connection.sendall(msgpack.packb(encode_news(news)))
+            connection.sendall(pack_news(news))
         self.failed_since_s = None
         self._connected.set()
         while True:
-            news = self._queue.get()
-            if news is None:
+            packed = self._queue.get()
+            if packed is None:
                 return
-            pieces = [msgpack.packb(encode_news(news))]
+            pieces = [packed]
             while not self._queue.empty():
                 more = self._queue.get_nowait()
                 if more is None:
                     return
-                pieces.append(msgpack.packb(encode_news(more)))
+                pieces.append(more)
             connection.sendall(b"".join(pieces))
 
     def _drop_queued(self) -> None:
--- a/src/crocuswick/news/peers.py
+++ b/src/crocuswick/news/peers.py
@@ -44,6 +44,7 @@
     def __init__(self, *, own: NodeAddress):
         self._own = own
         self._peers_by_id: dict[str, _Peer] = {}
+        self._neighbours: list[NodeAddress] | None = None
 
     def add(self, address: NodeAddress) -> bool:
         """Take a node's address.
@@ -57,11 +58,13 @@
         if known is not None and known.address == address:
             return False
         self._peers_by_id[address.node_id] = _Peer(address=address)
+        self._neighbours = None
         return True
 
     def forget(self, node_id: str) -> None:
         """Drop a node that is gone."""
         self._peers_by_id.pop(node_id, None)
+        self._neighbours = None
 
     def hear(self, node_id: str, now_s: float) -> None:
         """Note that a peer has spoken."""
@@ -100,7 +103,13 @@
         """Return the nodes that this one tells its news directly.
 
         Their number is bounded, so that a node's work doesn't grow with the fleet.
+        They are worked out anew only when the known nodes change.
         """
+        if self._neighbours is None:
+            self._neighbours = self._choose_neighbours()
+        return self._neighbours
+
+    def _choose_neighbours(self) -> list[NodeAddress]:
         by_zone: dict[str, list[NodeAddress]] = {}
         for peer in self._peers_by_id.values():
             by_zone.setdefault(peer.address.zone, []).append(peer.address)
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -56,6 +56,10 @@
 EXPECTED_OUTAGE_S = 3.0
 """Time for which replicas that are paused or load weights are worth waiting for."""
 
+PARTS_NODES = 12
+"""Nodes for each tick between messages about small prompts, so that a node has not more
+to hear in a larger fleet."""
+
 MIN_NODES = 8
 """Nodes among which the slack of repeats is shared out before more are known."""
 
@@ -94,6 +98,7 @@
         self._loading_until_s: dict[str, float] = {}
         self._budgets_by_service: dict[str, RepeatBudget] = {}
         self._nodes = MIN_NODES
+        self._parts_ticks = 0
 
     def on_use_configuration(self, message: messages.UseConfiguration) -> None:
         """Serve with a newer configuration."""
@@ -164,7 +169,11 @@
         self._ledger.peer_parts(used, self._engine_of(used.incarnation))
 
     def on_tell_parts(self, _message: messages.TellParts) -> None:
-        """Tell the peers of small prompts."""
+        """Tell the peers of small prompts, less often the more nodes there are."""
+        self._parts_ticks += 1
+        if self._parts_ticks * PARTS_NODES < self._nodes:
+            return
+        self._parts_ticks = 0
         self._ledger.tell_small_prompts()
 
     def on_peer_crash(self, message: messages.PeerCrash) -> None:
--- a/tests/news/test_peers.py
+++ b/tests/news/test_peers.py
@@ -44,6 +44,13 @@
         bound = MAX_ZONE_NEIGHBOURS + 13 * MAX_OTHER_NEIGHBOURS
         self.assertEqual(len(self.table.neighbours()), bound)
 
+    def test_neighbours_follow_the_nodes_that_are_known(self):
+        self.assertEqual(self.table.neighbours(), [])
+        self.table.add(address(1))
+        self.assertEqual(self.table.neighbours(), [address(1)])
+        self.table.forget("a1")
+        self.assertEqual(self.table.neighbours(), [])
+
     def test_a_replaced_node_is_found_at_its_new_address(self):
         self.table.add(address(1))
         moved = NodeAddress(node_id="a1", zone="a", address="10.0.0.99:80")
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -18,7 +18,7 @@
 from crocuswick.outcome import Outcome
 from crocuswick.quarantine import request_fingerprint
 from crocuswick.relay import dispatcher_messages as messages
-from crocuswick.relay.dispatcher import MIN_NODES, RelayDispatcher
+from crocuswick.relay.dispatcher import MIN_NODES, PARTS_NODES, RelayDispatcher
 from crocuswick.relay.dispatcher_messages import Placed, Wait
 from crocuswick.relay.replica import ReplicaState
 from crocuswick.relay.replica_health import AttemptResult
@@ -202,6 +202,17 @@
             [PromptPlaced, PromptBegun, PromptEnded],
         )
 
+    def test_a_large_fleet_is_told_of_small_prompts_less_often(self):
+        self.see("x")
+        self.ask(messages.NodesKnown(count=3 * PARTS_NODES))
+        small = self.request("s", prompt=prompt(shared=92, own=291))
+        self.place(small)
+        for _ in range(2):
+            self.ask(messages.TellParts())
+        self.assertEqual(self.news, [])
+        self.ask(messages.TellParts())
+        self.assertEqual(len(self.news), 1)
+
     def test_what_peers_send_counts_as_load(self):
         self.see("x", "y")
         for number in range(4):
