Count each version of weights from its own naming, as peers know it

Ruled out: the rollout itself (the holder was killed and its successor frozen, so the right was not usable before the bound; refusing is all that is left), the margin of 1 s.

Change: the table remembers up to 16 named versions, an engine is behind since the first that it lacks, and nodes tell a peer the ages first on each connection.

Records of the store carry no time; when all nodes restart at once the age is still unknown, but the rule's stretch begins anew then.

--- a/src/crocuswick/fleet_news.py
+++ b/src/crocuswick/fleet_news.py
@@ -21,6 +21,7 @@
     RightResigned,
     RightTaken,
     TopicEnds,
+    WeightsNews,
     WeightsServed,
 )
 from crocuswick.news.peers import duty_rank
@@ -111,6 +112,7 @@
             own=self.own,
             seeds=settings.seeds,
             ends=self._topic_ends,
+            introduce=self._introduce,
             on_news=self._on_news,
             on_peers=self._on_peers,
             log=log,
@@ -219,6 +221,10 @@
             ages_ms_by_topic=ages_ms,
         )
 
+    def _introduce(self) -> list[News]:
+        """Return what a node that has just started can't learn from the store."""
+        return [self._dispatcher.ask(dispatcher_messages.NamedWeights())]
+
     def _on_peers(self, live: frozenset[NodeAddress]) -> None:
         self._live = live
         self._dispatcher.tell(dispatcher_messages.NodesKnown(count=len(live)))
@@ -330,6 +336,16 @@
             )
         )
 
+    @handles(WeightsNews)
+    def on_weights_news(self, news: WeightsNews, _sender: str) -> None:
+        """Take over how long ago versions were named."""
+        for model, version, age_ms in news.versions:
+            self._dispatcher.tell(
+                dispatcher_messages.WeightsNamed(
+                    model=model, version=version, age_s=age_ms / 1000
+                )
+            )
+
     @handles(RightResigned)
     def on_right_resigned(self, news: RightResigned, sender: str) -> None:
         """Note that the holder of the right to order gives it up."""
--- a/src/crocuswick/news/exchange.py
+++ b/src/crocuswick/news/exchange.py
@@ -38,6 +38,7 @@
         own: This node.
         seeds: Addresses of nodes that may be there.
         ends: Returns how far this node knows each topic.
+        introduce: Returns what else a peer is told first on each connection.
         on_news: Called with each message and the id of its sender.
         on_peers: Called with the live nodes, this one included, when they change.
         log: Records peers that are lost and regained.
@@ -93,6 +94,7 @@
         own: NodeAddress,
         seeds: tuple[str, ...],
         ends: Callable[[], TopicEnds],
+        introduce: Callable[[], list[News]],
         on_news: Callable[[News, str], None],
         on_peers: Callable[[frozenset[NodeAddress]], None],
         log: DecisionLog,
@@ -101,6 +103,7 @@
         self._own = own
         self._seeds = [seed for seed in seeds if seed != own.address]
         self._ends = ends
+        self._introduce = introduce
         self._on_news = on_news
         self._on_peers = on_peers
         self._log = log
@@ -236,6 +239,7 @@
                 peers=peers,
             ),
             self._ends(),
+            *self._introduce(),
         ]
 
     def _report_changes(self) -> None:
--- a/src/crocuswick/news/messages.py
+++ b/src/crocuswick/news/messages.py
@@ -26,6 +26,7 @@
     "RightResigned",
     "RightTaken",
     "TopicEnds",
+    "WeightsNews",
     "WeightsServed",
     "decode_news",
     "encode_news",
@@ -162,6 +163,15 @@
     version: int
 
 
+@message("named")
+@attrs.frozen(kw_only=True)
+class WeightsNews(News):
+    """Versions that operators named, told to a node that may have just started."""
+
+    versions: list[list[Any]]
+    """For each: model, version, milliseconds since it was named."""
+
+
 @message("taken")
 @attrs.frozen(kw_only=True)
 class RightTaken(News):
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -8,6 +8,7 @@
 
 from crocuswick.actor import Actor
 from crocuswick.errors import Refusal
+from crocuswick.news.messages import WeightsNews
 from crocuswick.relay.admission_bound import longest_wait_ms
 from crocuswick.relay.dispatcher_messages import Placed, Wait
 from crocuswick.relay.engine_state import EngineState
@@ -134,7 +135,18 @@
 
     def on_weights_named(self, message: messages.WeightsNamed) -> None:
         """Note newer weights."""
-        self._weights.name(message.model, message.version, time.monotonic())
+        named_s = time.monotonic() - message.age_s
+        self._weights.name(message.model, message.version, named_s)
+
+    def on_named_weights(self, _message: messages.NamedWeights) -> WeightsNews:
+        """Return what is known of named versions, to be told to a peer."""
+        now_s = time.monotonic()
+        return WeightsNews(
+            versions=[
+                [each.model, each.version, round((now_s - each.named_s) * 1000)]
+                for each in self._weights.all_named()
+            ]
+        )
 
     def on_weights_served(self, message: messages.WeightsServed) -> None:
         """Note the weights of a replica, which has ended loading."""
@@ -334,9 +346,9 @@
         prompt = request.caller.prompt
         if prompt is not None:
             weights = self._weights.served(replica.incarnation, prompt.model)
-            named = self._weights.named(prompt.model)
-            if named is not None and (weights or 0) < named.version:
-                age_s = now_s - named.named_s
+            behind_since_s = self._weights.behind_since(prompt.model, weights)
+            if behind_since_s is not None:
+                age_s = now_s - behind_since_s
         return Candidate(
             replica=replica,
             load=self._ledger.load(replica.incarnation),
--- a/src/crocuswick/relay/dispatcher_messages.py
+++ b/src/crocuswick/relay/dispatcher_messages.py
@@ -18,6 +18,7 @@
     "CacheRead",
     "Ended",
     "Engines",
+    "NamedWeights",
     "NodesKnown",
     "PeerCrash",
     "PeerEnded",
@@ -94,6 +95,13 @@
 
     model: str
     version: int
+    age_s: float = 0.0
+    """Time since they were named, as far as this node or a peer knows."""
+
+
+@attrs.frozen(kw_only=True)
+class NamedWeights(Message):
+    """Asks which versions were named, and when."""
 
 
 @attrs.frozen(kw_only=True)
--- a/src/crocuswick/relay/weights_table.py
+++ b/src/crocuswick/relay/weights_table.py
@@ -7,40 +7,67 @@
 __all__ = ["NamedWeights", "WeightsTable"]
 
 
+MAX_NAMED = 16
+"""Versions of a model that are remembered; older ones are long out of bounds."""
+
+
 @attrs.frozen(kw_only=True)
 class NamedWeights:
-    """The version of a model's weights that replicas are to serve."""
+    """A version of a model's weights that replicas are to serve."""
 
     model: str
     version: int
     named_s: float
-    """Monotonic time at which this node learned of it."""
+    """Monotonic time since when it is known to have been named."""
 
 
 class WeightsTable:
     """Merges entries, answers and orders; versions of an incarnation only rise."""
 
     def __init__(self):
-        self._named_by_model: dict[str, NamedWeights] = {}
+        self._named_by_model: dict[str, list[NamedWeights]] = {}
         self._served_by_key: dict[tuple[str, str], int] = {}
 
-    def name(self, model: str, version: int, now_s: float) -> bool:
+    def name(self, model: str, version: int, named_s: float) -> None:
         """Take a version that was named.
 
-        Returns:
-            Whether it is newer than the one known.
+        Several nodes may tell of the same version; the earliest time counts.
+
+        Args:
+            model: The model.
+            version: The version.
+            named_s: Monotonic time since when it is known to have been named.
         """
-        known = self._named_by_model.get(model)
-        if known is not None and version <= known.version:
-            return False
-        self._named_by_model[model] = NamedWeights(
-            model=model, version=version, named_s=now_s
-        )
-        return True
+        known = self._named_by_model.get(model, [])
+        same = [each for each in known if each.version == version]
+        earliest_s = min([named_s, *(each.named_s for each in same)])
+        others = [each for each in known if each.version != version]
+        others.append(NamedWeights(model=model, version=version, named_s=earliest_s))
+        others.sort(key=lambda each: each.version)
+        self._named_by_model[model] = others[-MAX_NAMED:]
 
-    def named(self, model: str) -> NamedWeights | None:
-        """Return the wanted version, or None where none was named."""
-        return self._named_by_model.get(model)
+    def all_named(self) -> list[NamedWeights]:
+        """Return the newest versions of all models."""
+        return [each for named in self._named_by_model.values() for each in named]
+
+    def behind_since(self, model: str, served: int | None) -> float | None:
+        """Return since when a version newer than the served one has been named.
+
+        Each version counts from its own naming, however many follow it.
+
+        Args:
+            model: The model.
+            served: Version that a replica serves, None where it is not known.
+
+        Returns:
+            Monotonic time, None where the served version is the newest.
+        """
+        newer_s = [
+            each.named_s
+            for each in self._named_by_model.get(model, [])
+            if each.version > (served or 0)
+        ]
+        return min(newer_s, default=None)
 
     def learn(self, incarnation: str, model: str, version: int) -> bool:
         """Note that a replica serves a version.
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -125,6 +125,19 @@
         )
         self.assertIsInstance(placed, Wait)
 
+    def test_a_peer_is_told_since_when_weights_are_named(self):
+        self.ask(messages.WeightsNamed(model=MODEL, version=2, age_s=4.0))
+        ((model, version, age_ms),) = self.ask(messages.NamedWeights()).versions
+        self.assertEqual((model, version), (MODEL, 2))
+        self.assertAlmostEqual(age_ms, 4_000, delta=500)
+
+    def test_newer_weights_do_not_make_older_ones_younger(self):
+        """Weights named again before the last ones are in place."""
+        self.see("x")
+        for version, age_s in ((2, 9.5), (3, 0.0)):
+            self.ask(messages.WeightsNamed(model=MODEL, version=version, age_s=age_s))
+        self.assertIsInstance(self.place(), Wait)
+
     def test_what_would_wait_too_long_is_refused_with_a_time_to_come_back(self):
         """Overload: the queue is bounded by what is still on time."""
         self.see("x")
