--- a/src/crocuswick/endpoints/engine_client.py
+++ b/src/crocuswick/endpoints/engine_client.py
@@ -19,6 +19,7 @@
 
 from crocuswick.cache_index import CacheEvent, CacheEvents, CacheSnapshot
 from crocuswick.errors import PeerError
+from crocuswick.host_port import HostPort
 from crocuswick.load import LoadReport
 from crocuswick.outcome import Outcome
 from crocuswick.stream_guard import TokenEvent
@@ -138,10 +139,9 @@
     ):
         self._endpoint_id = endpoint_id
         self._progress_timeout_s = progress_timeout_s
-        self._host, _, port = address.rpartition(":")
-        self._port = int(port)
+        self._peer = HostPort.parse(address)
         self._control_pool = urllib3.HTTPConnectionPool(
-            self._host, self._port, maxsize=2, retries=False
+            self._peer.host, self._peer.port, maxsize=2, retries=False
         )
 
     @property
@@ -228,7 +228,7 @@
         self, method: str, path: str, step: str, body: Any
     ) -> Result[EngineStream, PeerError]:
         # A kept connection may have gone silent for good; streams use new ones.
-        pool = StreamPool(self._host, self._port, maxsize=1, retries=False)
+        pool = StreamPool(self._peer.host, self._peer.port, maxsize=1, retries=False)
         sent = self._send(pool, method, path, step, body, self._progress_timeout_s)
         if sent.is_err():
             return sent
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -17,6 +17,7 @@
 from crocuswick.fleet_news import FleetNews
 from crocuswick.fleet_platform import WantedWeights
 from crocuswick.fleet_reload import SettingsReload
+from crocuswick.host_port import HostPort
 from crocuswick.http_server import HttpServer
 from crocuswick.news.messages import WeightsServed
 from crocuswick.news.registry import NodeRegistry
@@ -255,10 +256,10 @@
             threads=CALLER_THREADS,
         )
         self._relay_server.use_limits(CallerLimits())
-        host, _, port = self._settings.readiness_address.rpartition(":")
+        listen = HostPort.parse(self._settings.readiness_address)
         readiness = HttpServer(
-            host=host,
-            port=int(port),
+            host=listen.host,
+            port=listen.port,
             application=self._readiness_page,
             threads=READINESS_THREADS,
         )
@@ -268,7 +269,7 @@
             self._metrics.on_render(self._set_gauges)
             self.application.add(
                 HttpServer(
-                    host=host,
+                    host=listen.host,
                     port=self._settings.metrics_port,
                     application=self._metrics.page,
                     threads=METRICS_THREADS,
--- a/src/crocuswick/news/link.py
+++ b/src/crocuswick/news/link.py
@@ -13,6 +13,7 @@
 import logbook
 import msgpack
 
+from crocuswick.host_port import HostPort
 from crocuswick.news.messages import encode_news
 
 if TYPE_CHECKING:
@@ -95,8 +96,8 @@
             self._stopped.wait(longest_s * random.uniform(0.5, 1.0))
 
     def _connect(self) -> socket.socket:
-        host, _, port = self.address.rpartition(":")
-        connection = socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S)
+        peer = HostPort.parse(self.address)
+        connection = socket.create_connection((peer.host, peer.port), CONNECT_TIMEOUT_S)
         connection.settimeout(SEND_TIMEOUT_S)
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection.setsockopt(
--- a/src/crocuswick/news/server.py
+++ b/src/crocuswick/news/server.py
@@ -10,6 +10,7 @@
 import logbook
 import msgpack
 
+from crocuswick.host_port import HostPort
 from crocuswick.news.messages import decode_news
 
 if TYPE_CHECKING:
@@ -46,8 +47,8 @@
         on_news: Callable[[News, int], None],
         on_closed: Callable[[int], None],
     ):
-        host, _, port = address.rpartition(":")
-        self._bind_address = (host, int(port))
+        listen = HostPort.parse(address)
+        self._bind_address = (listen.host, listen.port)
         self._on_news = on_news
         self._on_closed = on_closed
         self._socket: socket.socket | None = None
--- /dev/null
+++ b/src/crocuswick/platform/_engine_call.py
@@ -0,0 +1,64 @@
+"""Calls to engines and stores of KV cache, each on a new connection."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import urllib3
+from result import Err, Ok, Result
+from urllib3.exceptions import HTTPError
+
+from crocuswick.errors import PeerError
+from crocuswick.host_port import HostPort
+from crocuswick.outcome import Outcome
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+__all__ = ["call", "call_error"]
+
+
+def call(
+    step: str,
+    name: str,
+    address: str,
+    *,
+    method: str,
+    path: str,
+    headers: Mapping[str, str],
+    timeout: urllib3.Timeout,
+    body: bytes | None = None,
+) -> Result[urllib3.BaseHTTPResponse, PeerError]:
+    """Make one call and read its whole answer.
+
+    Args:
+        step: What is being done, used in errors.
+        name: Id of the engine or name of the store, used in errors.
+        address: ``host:port``.
+        method: Method of the request.
+        path: Path and query.
+        headers: Headers beside those of the connection.
+        timeout: Longest handshake and longest silence.
+        body: Body, None for none.
+    """
+    peer = HostPort.parse(address)
+    pool = urllib3.HTTPConnectionPool(peer.host, peer.port, maxsize=1, retries=False)
+    try:
+        return Ok(
+            pool.request(
+                method,
+                path,
+                body=body,
+                headers={**headers, "Connection": "close"},
+                timeout=timeout,
+            )
+        )
+    except (HTTPError, OSError) as error:
+        return Err(call_error(step, name, f"{type(error).__name__}: {error}"))
+    finally:
+        pool.close()
+
+
+def call_error(step: str, name: str, detail: str) -> PeerError:
+    """Return an error after which the call may have had its effect."""
+    return PeerError(step=step, peer=name, detail=detail, outcome=Outcome.UNKNOWN)
--- a/src/crocuswick/platform/engine_orders.py
+++ b/src/crocuswick/platform/engine_orders.py
@@ -7,14 +7,13 @@
 
 import urllib3
 from result import Err, Ok, Result
-from urllib3.exceptions import HTTPError
 
-from crocuswick.errors import PeerError
-from crocuswick.outcome import Outcome
 from crocuswick.platform import _names as names
+from crocuswick.platform._engine_call import call, call_error
 from crocuswick.rollouts.engine_orders import EngineReport, OrderAnswer, WeightsOrder
 
 if TYPE_CHECKING:
+    from crocuswick.errors import PeerError
     from crocuswick.relay.replica import Replica
 
 __all__ = ["EngineOrdersClient"]
@@ -45,11 +44,13 @@
         if answer.is_err():
             return answer
         if answer.ok_value.status != 200:
-            return Err(_error("report", replica, f"status {answer.ok_value.status}"))
+            return Err(
+                call_error("report", replica.id, f"status {answer.ok_value.status}")
+            )
         try:
             return Ok(_decode_report(json.loads(answer.ok_value.data)))
         except (KeyError, TypeError, ValueError) as error:
-            return Err(_error("decode report", replica, str(error)))
+            return Err(call_error("decode report", replica.id, str(error)))
 
     def order(
         self, replica: Replica, order: WeightsOrder
@@ -76,30 +77,28 @@
             return answer
         meaning = _ANSWERS_BY_STATUS.get(answer.ok_value.status)
         if meaning is None:
-            return Err(_error("order", replica, f"status {answer.ok_value.status}"))
+            return Err(
+                call_error("order", replica.id, f"status {answer.ok_value.status}")
+            )
         return Ok(meaning)
 
 
 def _call(
     step: str, replica: Replica, method: str, path: str, body: bytes | None = None
 ) -> Result[urllib3.BaseHTTPResponse, PeerError]:
-    host, _, port = replica.address.rpartition(":")
-    headers = {names.EXPECTED_REPLICA: replica.id, "Connection": "close"}
+    headers = {names.EXPECTED_REPLICA: replica.id}
     if body is not None:
         headers["Content-Type"] = "application/json"
-    pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=1, retries=False)
-    try:
-        return Ok(
-            pool.request(method, path, body=body, headers=headers, timeout=TIMEOUT)
-        )
-    except (HTTPError, OSError) as error:
-        return Err(_error(step, replica, f"{type(error).__name__}: {error}"))
-    finally:
-        pool.close()
-
-
-def _error(step: str, replica: Replica, detail: str) -> PeerError:
-    return PeerError(step=step, peer=replica.id, detail=detail, outcome=Outcome.UNKNOWN)
+    return call(
+        step,
+        replica.id,
+        replica.address,
+        method=method,
+        path=path,
+        headers=headers,
+        timeout=TIMEOUT,
+        body=body,
+    )
 
 
 def _decode_report(value: dict[str, Any]) -> EngineReport:
--- a/src/crocuswick/platform/kv_events.py
+++ b/src/crocuswick/platform/kv_events.py
@@ -7,15 +7,15 @@
 
 import urllib3
 from result import Err, Ok, Result
-from urllib3.exceptions import HTTPError
 
-from crocuswick.errors import PeerError
-from crocuswick.outcome import Outcome
+from crocuswick.platform._engine_call import call, call_error
 from crocuswick.relay.kv_events import KvEvent
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from crocuswick.errors import PeerError
+
 __all__ = ["KvEventsClient"]
 
 WAIT_MS = 200
@@ -37,24 +37,24 @@
             name: Id of the engine or name of the store, used in errors.
             address: ``host:port``.
         """
-        host, _, port = address.rpartition(":")
-        pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=1, retries=False)
-        headers = {"Wait-Ms": str(WAIT_MS), "Connection": "close"}
-        try:
-            answer = pool.request(
-                "GET", "/kv-events?Since=0", headers=headers, timeout=TIMEOUT
-            )
-        except (HTTPError, OSError) as error:
-            return Err(_error("cache events", name, error))
-        finally:
-            pool.close()
+        read = call(
+            "cache events",
+            name,
+            address,
+            method="GET",
+            path="/kv-events?Since=0",
+            headers={"Wait-Ms": str(WAIT_MS)},
+            timeout=TIMEOUT,
+        )
+        if read.is_err():
+            return read
+        answer = read.ok_value
         if answer.status != 200:
-            status = ValueError(f"status {answer.status}")
-            return Err(_error("cache events", name, status))
+            return Err(call_error("cache events", name, f"status {answer.status}"))
         try:
             return Ok([_event(each) for each in json.loads(answer.data)["Events"]])
         except (KeyError, TypeError, ValueError) as error:
-            return Err(_error("decode cache events", name, error))
+            return Err(call_error("decode cache events", name, str(error)))
 
 
 def _event(value: list[Any]) -> KvEvent:
@@ -65,12 +65,3 @@
         tokens=int(tokens),
         is_held=sign == HELD,
     )
-
-
-def _error(step: str, name: str, error: Exception) -> PeerError:
-    return PeerError(
-        step=step,
-        peer=name,
-        detail=f"{type(error).__name__}: {error}",
-        outcome=Outcome.UNKNOWN,
-    )
--- a/src/crocuswick/platform/store_client.py
+++ b/src/crocuswick/platform/store_client.py
@@ -14,6 +14,7 @@
 from urllib3.exceptions import HTTPError
 
 from crocuswick.errors import PeerError
+from crocuswick.host_port import HostPort
 from crocuswick.outcome import Outcome
 from crocuswick.records.mirror import KeyedRecord, TopicUpdate
 from crocuswick.records.store import AppendAck, LogTail
@@ -40,9 +41,9 @@
     """
 
     def __init__(self, *, address: str):
-        host, _, port = address.rpartition(":")
+        peer = HostPort.parse(address)
         self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=1, retries=False
+            peer.host, peer.port, maxsize=1, retries=False
         )
 
     def list_newest(self, topic: str) -> Result[TopicUpdate, PeerError]:
--- a/src/crocuswick/relay/relay_server.py
+++ b/src/crocuswick/relay/relay_server.py
@@ -11,6 +11,7 @@
 
 from cheroot import server
 
+from crocuswick.host_port import HostPort
 from crocuswick.http_server import Connection, Request
 from crocuswick.relay.refusal_answer import refusal_answer
 from crocuswick.relay.relay_run import RelayContext, RelayRun
@@ -106,7 +107,7 @@
         configuration: Callable[[], ServingConfiguration | None],
         threads: int,
     ):
-        host, _, port = address.rpartition(":")
+        listen = HostPort.parse(address)
         self.context = context
         self.watch = watch
         self.configuration = configuration
@@ -115,7 +116,7 @@
         self._in_flight = 0
         self._lock = threading.Lock()
         self._server = _CherootServer(
-            (host, int(port)),
+            (listen.host, listen.port),
             lambda request: RelayGateway(request, self),
             minthreads=threads,
             maxthreads=threads,
--- a/src/crocuswick/relay/upstream.py
+++ b/src/crocuswick/relay/upstream.py
@@ -18,6 +18,7 @@
 from urllib3.util import SKIP_HEADER
 
 from crocuswick.errors import PeerError
+from crocuswick.host_port import HostPort
 from crocuswick.outcome import Outcome
 
 if TYPE_CHECKING:
@@ -70,9 +71,11 @@
     """
 
     def __init__(self, *, replica_id: str, address: str):
-        host, _, port = address.rpartition(":")
+        peer = HostPort.parse(address)
         self._replica_id = replica_id
-        self._connection = HTTPConnection(host, int(port), timeout=CONNECT_TIMEOUT_S)
+        self._connection = HTTPConnection(
+            peer.host, peer.port, timeout=CONNECT_TIMEOUT_S
+        )
         self._socket: socket.socket | None = None
         self._response: HTTPResponse | None = None
         self._timeout_s = 0.0
