--- a/src/crocuswick/relay/event_splitter.py
+++ b/src/crocuswick/relay/event_splitter.py
@@ -50,6 +50,8 @@
         Returns:
             The events that are whole now.
         """
+        if not self._pending and _is_one_event(data):
+            return [_event(data)]
         self._pending += data
         events = []
         start = 0
@@ -60,6 +62,11 @@
         return events
 
 
+def _is_one_event(data: bytes) -> bool:
+    """Whether received bytes are just one event, as they mostly are."""
+    return data.find(b"\n\n") == len(data) - 2 > 0 and b"\r" not in data
+
+
 def _event(data: bytes) -> StreamEvent:
     found = _ID_LINE.search(data)
     return StreamEvent(data=data, number=int(found[1]) if found else None)
