Split what a relayed request reports from how it is relayed; bound a list

No behaviour changes but one: engines seen before the first configuration are kept by incarnation, so that a long outage of the store no longer lengthens a list with each heartbeat.

--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -27,7 +27,7 @@
 from crocuswick.relay.caller_watch import CallerWatch
 from crocuswick.relay.dispatcher import RelayDispatcher
 from crocuswick.relay.kv_warm_up import KvWarmUp
-from crocuswick.relay.relay_run import RelayContext
+from crocuswick.relay.relay_context import RelayContext
 from crocuswick.relay.relay_server import RelayServer
 from crocuswick.relay.serving import CallerLimits, ServingConfiguration
 from crocuswick.relay.stall_watch import StallWatch
@@ -151,13 +151,6 @@
             and self._replicas_known
         )
 
-    def _use_settings(self, settings: FleetSettings) -> None:
-        self._settings = settings
-        bounds = settings.bounds
-        self._dispatcher.tell(dispatcher_messages.UseBounds(bounds=bounds))
-        self._driver.tell(RolloutDriver.UseLease(lease_s=bounds.lease_ms / 1000))
-        self._news.use_seeds(settings.seeds)
-
     def run(self) -> None:
         """Run until shutdown."""
         self.application.run()
@@ -296,6 +289,13 @@
         self._log.record_state("started", zone=self._settings.zone)
         logger.info("{} serves callers", self._settings.node_id)
 
+    def _use_settings(self, settings: FleetSettings) -> None:
+        self._settings = settings
+        bounds = settings.bounds
+        self._dispatcher.tell(dispatcher_messages.UseBounds(bounds=bounds))
+        self._driver.tell(RolloutDriver.UseLease(lease_s=bounds.lease_ms / 1000))
+        self._news.use_seeds(settings.seeds)
+
     # What is learned from the store and from peers.
 
     def _on_record(self, topic: str, record: KeyedRecord) -> None:
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -7,11 +7,15 @@
 from typing import TYPE_CHECKING
 
 from crocuswick.actor import Actor
-from crocuswick.errors import Refusal
 from crocuswick.news.messages import WeightsNews
 from crocuswick.relay.admission_bound import longest_wait_ms
 from crocuswick.relay.dispatcher_messages import Placed, Wait
 from crocuswick.relay.engine_state import EngineState
+from crocuswick.relay.place_refusals import (
+    RETRY_AFTER_S,
+    no_replica,
+    overloaded,
+)
 from crocuswick.relay.poison_guard import PoisonGuard
 from crocuswick.relay.prompt_ledger import PromptLedger
 from crocuswick.relay.relay_request import Attempt
@@ -28,6 +32,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from crocuswick.errors import Refusal
     from crocuswick.fleet_settings import FleetBounds
     from crocuswick.news.messages import Crashed, News
     from crocuswick.relay import dispatcher_messages as messages
@@ -48,12 +53,6 @@
 WEIGHTS_MARGIN_S = 1.0
 """Time before the bound of older weights at which they get no more requests."""
 
-MIN_RETRY_AFTER_S = 0.3
-"""Shortest time to come back; within less an engine's queue hardly changes."""
-
-RETRY_AFTER_S = 1.0
-"""Retry-After where nothing is known of when a replica is back."""
-
 EXPECTED_OUTAGE_S = 3.0
 """Time for which replicas that are paused or load weights are worth waiting for."""
 
@@ -227,12 +226,12 @@
             return poison
         service = self._configuration.services_by_name.get(request.service)
         if service is None:
-            return _no_replica("the service has no definition", None)
+            return no_replica("the service has no definition", None)
         budget = self._budget(request.service)
         if message.sent_before == 0 and not message.has_waited:
             budget.record_request(now_s)
         if message.is_repeat and not budget.can_take(now_s):
-            return _no_replica("the budget of repeats is spent", RETRY_AFTER_S)
+            return no_replica("the budget of repeats is spent", RETRY_AFTER_S)
         candidates, ready_in_s = self._candidates(request, message.tried, now_s)
         choice = self._chooser.choose(
             request, service, candidates, self._configuration.kv_stores, now_s
@@ -241,7 +240,7 @@
             return self._wait_or_refuse(request, ready_in_s, now_s)
         excess_ms = choice.expected_ms - longest_wait_ms(request, choice.own_ms, now_s)
         if excess_ms > 0 and message.sent_before == 0:
-            return _overloaded(choice.expected_ms, excess_ms)
+            return overloaded(choice.expected_ms, excess_ms)
         if choice.ready_in_ms > 0:
             return Wait(seconds=min(PARTS_WAIT_S, choice.ready_in_ms / 1000))
         if message.is_repeat:
@@ -366,9 +365,9 @@
     ) -> Wait | Refusal:
         remaining_s = request.deadline_s - now_s
         if ready_in_s is None:
-            return _no_replica("no replica is known to be up", RETRY_AFTER_S)
+            return no_replica("no replica is known to be up", RETRY_AFTER_S)
         if ready_in_s > min(remaining_s, EXPECTED_OUTAGE_S):
-            return _no_replica("no replica is up in time", ready_in_s)
+            return no_replica("no replica is up in time", ready_in_s)
         return Wait(seconds=min(WAIT_STEP_S, ready_in_s))
 
     def _place(self, request: RoutedRequest, choice: Choice, now_s: float) -> Placed:
@@ -404,26 +403,3 @@
     def _kv_store(self) -> KvStore | None:
         stores = self._configuration.kv_stores
         return stores[0] if stores else None
-
-
-def _overloaded(expected_ms: float, excess_ms: float) -> Refusal:
-    return Refusal(
-        status=503,
-        title="overloaded",
-        detail=(
-            "The request was not run: its first event is expected after "
-            f"{expected_ms:.0f} ms."
-        ),
-        step="place",
-        retry_after_s=max(MIN_RETRY_AFTER_S, excess_ms / 1000),
-    )
-
-
-def _no_replica(detail: str, retry_after_s: float | None) -> Refusal:
-    return Refusal(
-        status=503,
-        title="no-replica",
-        detail=f"The request was not run: {detail}.",
-        step="place",
-        retry_after_s=retry_after_s or RETRY_AFTER_S,
-    )
--- a/src/crocuswick/relay/kv_warm_up.py
+++ b/src/crocuswick/relay/kv_warm_up.py
@@ -47,7 +47,7 @@
         self._log = log
         self._until_s = time.monotonic() + WARM_UP_S
         self._is_configured = False
-        self._early_engines: list[Replica] = []
+        self._early_engines_by_incarnation: dict[str, Replica] = {}
         self._seen: set[str] = set()
         self._workers = ThreadPoolExecutor(WORKERS, thread_name_prefix="kv-warm-up")
 
@@ -64,15 +64,15 @@
             if self._is_new(store.address):
                 self._workers.submit(self._read_store, store)
         self._is_configured = True
-        for replica in self._early_engines:
+        for replica in self._early_engines_by_incarnation.values():
             self.see_engine(replica)
-        self._early_engines = []
+        self._early_engines_by_incarnation.clear()
 
     def see_engine(self, replica: Replica) -> None:
         """Read an engine's cache, if the node has just started."""
         if not self._is_configured:
             # The configuration tells the size of its cache.
-            self._early_engines.append(replica)
+            self._early_engines_by_incarnation[replica.incarnation] = replica
         elif self._is_new(replica.incarnation):
             self._workers.submit(self._read_engine, replica)
 
--- /dev/null
+++ b/src/crocuswick/relay/relay_context.py
@@ -0,0 +1,24 @@
+"""What the relay of a request needs of its node."""
+
+from __future__ import annotations
+
+import attrs
+import pykka
+
+from crocuswick.decision_log import DecisionLog
+from crocuswick.fleet_metrics import FleetMetrics
+from crocuswick.relay.dialect import Dialect
+from crocuswick.relay.stall_watch import StallWatch
+
+__all__ = ["RelayContext"]
+
+
+@attrs.frozen(kw_only=True)
+class RelayContext:
+    """What a relayed request needs of its node."""
+
+    dispatcher: pykka.ActorRef
+    dialect: Dialect
+    stalls: StallWatch
+    log: DecisionLog
+    metrics: FleetMetrics
--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -6,21 +6,18 @@
 from typing import TYPE_CHECKING
 
 import attrs
-import pykka
 
-from crocuswick.decision_log import DecisionLog
 from crocuswick.errors import Refusal
-from crocuswick.fleet_metrics import FleetMetrics
 from crocuswick.outcome import Outcome
 from crocuswick.relay import dispatcher_messages
-from crocuswick.relay.dialect import Dialect
 from crocuswick.relay.dispatcher_messages import Placed, Wait
 from crocuswick.relay.event_splitter import EventSplitter
 from crocuswick.relay.refusal_answer import WholeAnswer, refusal_answer
 from crocuswick.relay.relay_request import AnswerHead
 from crocuswick.relay.replica_health import AttemptResult
+from crocuswick.relay.run_report import EndedAttempt, RunReport
 from crocuswick.relay.serving import RouteKind
-from crocuswick.relay.stall_watch import StallWatch, WatchedAttempt
+from crocuswick.relay.stall_watch import WatchedAttempt
 from crocuswick.relay.upstream import Upstream
 
 if TYPE_CHECKING:
@@ -29,9 +26,10 @@
     from crocuswick.errors import PeerError
     from crocuswick.relay.caller_exchange import CallerExchange
     from crocuswick.relay.event_splitter import StreamEvent
+    from crocuswick.relay.relay_context import RelayContext
     from crocuswick.relay.relay_request import Attempt, RoutedRequest
 
-__all__ = ["RelayContext", "RelayRun"]
+__all__ = ["RelayRun"]
 
 MISDIRECTED = 421
 SERVER_ERROR = 500
@@ -56,17 +54,6 @@
 """Time kept for the final answer before the caller stops waiting."""
 
 
-@attrs.frozen(kw_only=True)
-class RelayContext:
-    """What a relayed request needs of its node."""
-
-    dispatcher: pykka.ActorRef
-    dialect: Dialect
-    stalls: StallWatch
-    log: DecisionLog
-    metrics: FleetMetrics
-
-
 @attrs.define(kw_only=True)
 class _Progress:
     """What has become of the request so far."""
@@ -111,6 +98,7 @@
         self._context = context
         self._request = request
         self._exchange = exchange
+        self._report = RunReport(context=context, request=request)
         self._progress = _Progress(last_event=request.caller.last_event_id)
         self._upstream: Upstream | None = None
         self._watched: WatchedAttempt | None = None
@@ -175,7 +163,17 @@
             upstream.close()
             if self._exchange.has_left and result is not AttemptResult.ANSWERED:
                 result = AttemptResult.CANCELLED
-            self._record(placed, head, result, started_s)
+            self._report.attempt_ended(
+                placed,
+                EndedAttempt(
+                    result=result,
+                    head=head,
+                    was_sent=self._progress.sent > 0,
+                    started_s=started_s,
+                    begun_s=self._begun_s,
+                    error=self._progress.error,
+                ),
+            )
 
     def _exchange_with(
         self, upstream: Upstream, attempt: Attempt
@@ -296,12 +294,7 @@
             gap_s = self._request.route.max_gap_ms / 1000
             self._watched.soft_limit_s = SOFT_GAPS * gap_s
             self._watched.hard_limit_s = HARD_GAPS * gap_s
-        self._context.dispatcher.tell(
-            dispatcher_messages.Begun(
-                request_id=self._request.caller.request_id,
-                incarnation=attempt.incarnation,
-            )
-        )
+        self._report.attempt_begun(attempt.incarnation)
 
     def _send_event(self, head: AnswerHead, data: bytes) -> None:
         if self._progress.head is None:
@@ -373,7 +366,7 @@
         return self._refuse(refusal)
 
     def _refuse(self, refusal: Refusal) -> str:
-        self._context.metrics.refusals.inc({"title": refusal.title})
+        self._report.refused(refusal.title)
         answer = refusal_answer(refusal, self._request.caller.request_id)
         return self._send_last(answer, "refused", refusal.detail)
 
@@ -400,21 +393,10 @@
         return self._finish(outcome, detail=detail)
 
     def _finish(self, outcome: str, detail: str = "") -> str:
-        caller = self._request.caller
-        passed_s = time.monotonic() - caller.received_s
-        self._context.metrics.observe_request(
-            self._request.route.name, outcome, passed_s
-        )
-        self._context.log.record(
-            "request ended",
-            request=caller.request_id,
-            failed=outcome not in ("answered", "caller left"),
-            outcome=outcome,
+        self._report.request_ended(
+            outcome,
             detail=detail or self._progress.error,
-            route=self._request.route.name,
-            configuration=self._request.configuration_version,
             attempts=self._progress.sent,
-            ms=round(passed_s * 1000),
         )
         return outcome
 
@@ -443,50 +425,7 @@
         self._context.stalls.begin(watched)
         return watched
 
-    # Bookkeeping.
-
     def _on_caller_left(self) -> None:
         upstream = self._upstream
         if upstream is not None:
             upstream.abort()
-
-    def _record(
-        self,
-        placed: Placed,
-        head: AnswerHead | None,
-        result: AttemptResult,
-        started_s: float,
-    ) -> None:
-        attempt = placed.attempt
-        self._context.dispatcher.tell(
-            dispatcher_messages.Ended(
-                request=self._request,
-                attempt=attempt,
-                result=result,
-                weights_version=head.weights_version if head else None,
-                is_lost_unbegun=head is None and self._progress.sent > 0,
-            )
-        )
-        begun_s = self._begun_s
-        self._context.metrics.prefill_tokens.add({}, attempt.prefill_tokens)
-        self._context.metrics.observe_attempt(
-            result.name.lower(), None if begun_s is None else begun_s - started_s
-        )
-        self._context.log.record(
-            "attempt ended",
-            request=self._request.caller.request_id,
-            failed=result is not AttemptResult.ANSWERED,
-            result=result.name.lower(),
-            replica=attempt.replica_id,
-            weights=attempt.expected_weights,
-            part=attempt.shared_part,
-            salt=attempt.cache_salt,
-            fetch=attempt.fetch_kv_from,
-            saved=bool(attempt.store_kv_to),
-            prefill=attempt.prefill_tokens,
-            queued=placed.queued_tokens,
-            expected_ms=round(placed.expected_ms),
-            begun_ms=None if begun_s is None else round((begun_s - started_s) * 1000),
-            ms=round((time.monotonic() - started_s) * 1000),
-            error=self._progress.error,
-        )
--- a/src/crocuswick/relay/relay_server.py
+++ b/src/crocuswick/relay/relay_server.py
@@ -14,7 +14,7 @@
 from crocuswick.host_port import HostPort
 from crocuswick.http_server import Connection, Request
 from crocuswick.relay.refusal_answer import refusal_answer
-from crocuswick.relay.relay_run import RelayContext, RelayRun
+from crocuswick.relay.relay_run import RelayRun
 from crocuswick.relay.request_body import read_body
 from crocuswick.relay.request_router import no_configuration, route_request
 from crocuswick.relay.strict_head import HeaderFields, StrictHeaderReader
@@ -25,6 +25,7 @@
     from crocuswick.errors import Refusal
     from crocuswick.relay.caller_watch import CallerWatch
     from crocuswick.relay.refusal_answer import WholeAnswer
+    from crocuswick.relay.relay_context import RelayContext
     from crocuswick.relay.relay_request import RoutedRequest
     from crocuswick.relay.serving import CallerLimits, ServingConfiguration
 
--- /dev/null
+++ b/src/crocuswick/relay/run_report.py
@@ -0,0 +1,131 @@
+"""Tells the dispatcher, the metrics and the log what becomes of a relayed request."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+
+from crocuswick.relay import dispatcher_messages
+from crocuswick.relay.relay_request import AnswerHead
+from crocuswick.relay.replica_health import AttemptResult
+
+if TYPE_CHECKING:
+    from crocuswick.relay.dispatcher_messages import Placed
+    from crocuswick.relay.relay_context import RelayContext
+    from crocuswick.relay.relay_request import RoutedRequest
+
+__all__ = ["EndedAttempt", "RunReport"]
+
+GOOD_OUTCOMES = ("answered", "caller left")
+"""Outcomes whose lines may be dropped under load."""
+
+
+@attrs.frozen(kw_only=True)
+class EndedAttempt:
+    """How an attempt went."""
+
+    result: AttemptResult
+    head: AnswerHead | None
+    """Head of the replica's answer, None if none came."""
+
+    was_sent: bool
+    """Whether the replica has received the request, now or before."""
+
+    started_s: float
+    begun_s: float | None
+    """Monotonic time of the first event, None if there was none."""
+
+    error: str
+
+    @property
+    def begun_ms(self) -> int | None:
+        """Time to the first event."""
+        if self.begun_s is None:
+            return None
+        return round((self.begun_s - self.started_s) * 1000)
+
+
+class RunReport:
+    """Reports of one request.
+
+    Args:
+        context: What the node offers.
+        request: The request.
+    """
+
+    def __init__(self, *, context: RelayContext, request: RoutedRequest):
+        self._context = context
+        self._request = request
+
+    def attempt_begun(self, incarnation: str) -> None:
+        """Report the first event of an attempt."""
+        self._context.dispatcher.tell(
+            dispatcher_messages.Begun(
+                request_id=self._request.caller.request_id, incarnation=incarnation
+            )
+        )
+
+    def attempt_ended(self, placed: Placed, ended: EndedAttempt) -> None:
+        """Report the end of an attempt."""
+        head = ended.head
+        self._context.dispatcher.tell(
+            dispatcher_messages.Ended(
+                request=self._request,
+                attempt=placed.attempt,
+                result=ended.result,
+                weights_version=head.weights_version if head else None,
+                is_lost_unbegun=head is None and ended.was_sent,
+            )
+        )
+        self._context.metrics.prefill_tokens.add({}, placed.attempt.prefill_tokens)
+        begun_ms = ended.begun_ms
+        self._context.metrics.observe_attempt(
+            ended.result.name.lower(), None if begun_ms is None else begun_ms / 1000
+        )
+        self._log_attempt(placed, ended)
+
+    def refused(self, title: str) -> None:
+        """Report that the request is refused."""
+        self._context.metrics.refusals.inc({"title": title})
+
+    def request_ended(self, outcome: str, *, detail: str, attempts: int) -> None:
+        """Report the end of the request."""
+        caller = self._request.caller
+        passed_s = time.monotonic() - caller.received_s
+        self._context.metrics.observe_request(
+            self._request.route.name, outcome, passed_s
+        )
+        self._context.log.record(
+            "request ended",
+            request=caller.request_id,
+            failed=outcome not in GOOD_OUTCOMES,
+            outcome=outcome,
+            detail=detail,
+            route=self._request.route.name,
+            configuration=self._request.configuration_version,
+            attempts=attempts,
+            ms=round(passed_s * 1000),
+        )
+
+    def _log_attempt(self, placed: Placed, ended: EndedAttempt) -> None:
+        attempt = placed.attempt
+        self._context.log.record(
+            "attempt ended",
+            request=self._request.caller.request_id,
+            failed=ended.result is not AttemptResult.ANSWERED,
+            result=ended.result.name.lower(),
+            replica=attempt.replica_id,
+            weights=attempt.expected_weights,
+            part=attempt.shared_part,
+            salt=attempt.cache_salt,
+            fetch=attempt.fetch_kv_from,
+            saved=bool(attempt.store_kv_to),
+            prefill=attempt.prefill_tokens,
+            queued=placed.queued_tokens,
+            expected_ms=round(placed.expected_ms),
+            begun_ms=ended.begun_ms,
+            ms=round((time.monotonic() - ended.started_s) * 1000),
+            error=ended.error,
+        )
