--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -68,7 +68,7 @@
     """Incarnations that are not asked again."""
 
     has_waited: bool = False
-    """Whether no replica could take the request when it was first placed."""
+    """Whether the request was asked to wait, for a replica or for cached parts."""
 
     head: AnswerHead | None = None
     """Head that the caller has."""
