Keep requests off older weights in time for them to begin within the bound

Change: older weights get no more requests once 0.8 of the bound, less one and a half times the engine's queue and the prompt itself, have passed.

--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -50,8 +50,9 @@
 """Longest time after which a request that waits for parts is placed anew: by then the
 replicas' load may have changed."""
 
-WEIGHTS_MARGIN_S = 1.0
-"""Time before the bound of older weights at which they get no more requests."""
+WEIGHTS_TIME_SHARE = 0.8
+"""Part of the time within which new weights must be served after which older ones get no
+more requests; a request was seen to begin 1.5 s after it was sent."""
 
 EXPECTED_OUTAGE_S = 3.0
 """Time for which replicas that are paused or load weights are worth waiting for."""
@@ -60,6 +61,10 @@
 """Nodes for each tick between messages about small prompts, so that a node has not more
 to hear in a larger fleet."""
 
+QUEUE_FACTOR = 1.5
+"""Multiple of an engine's expected queue after which a request is sure to have begun:
+engines that lose a neighbour work through it more slowly."""
+
 MIN_NODES = 8
 """Nodes among which the slack of repeats is shared out before more are known."""
 
@@ -332,7 +337,7 @@
                 ready_in_s = min(away_s, ready_in_s or away_s)
                 continue
             candidate = self._candidate(request, replica, now_s)
-            if self._is_too_old(candidate):
+            if self._is_too_old(candidate, request):
                 ready_in_s = min(1.0, ready_in_s or 1.0)
                 continue
             candidates.append(candidate)
@@ -356,9 +361,16 @@
             weights_age_s=age_s,
         )
 
-    def _is_too_old(self, candidate: Candidate) -> bool:
-        limit_s = self._bounds.weights_ms / 1000 - WEIGHTS_MARGIN_S
-        return (candidate.weights_age_s or 0.0) >= limit_s
+    def _is_too_old(self, candidate: Candidate, request: RoutedRequest) -> bool:
+        """Whether older weights might be out of bounds when the request begins."""
+        if candidate.weights_age_s is None:
+            return False
+        load = candidate.load
+        prompt = request.caller.prompt
+        own_tokens = prompt.prompt_tokens if prompt is not None else 0
+        queue_s = (load.prefill_tokens + own_tokens) / load.rate / 1000
+        limit_s = WEIGHTS_TIME_SHARE * self._bounds.weights_ms / 1000
+        return candidate.weights_age_s + QUEUE_FACTOR * queue_s >= limit_s
 
     def _wait_or_refuse(
         self, request: RoutedRequest, ready_in_s: float | None, now_s: float
