Derive what was kept twice in the relay's tables, and work out late engines once

- ModelledCache.enter takes a prompt; three loops did so by themselves, and use now calls drop.
- KvSources takes the candidates (candidate.py) instead of a copy of each made for every request; who computes a run of parts is kept once, not as engines beside a mapping of times.
- WeightsTable keeps the time of each version in a mapping instead of rebuilding a sorted list.
- RepeatBounds is one value that is set whole; use_slack and use_bounds were two ways to the same fields, and the dispatcher built them twice.
- next_steps takes the late engines that the driver has worked out before.

No behaviour changes. Tests keep their assertions; their calls follow the new signatures.

--- /dev/null
+++ b/src/crocuswick/relay/candidate.py
@@ -0,0 +1,25 @@
+"""A replica among which a request's place is chosen."""
+
+from __future__ import annotations
+
+import attrs
+
+from crocuswick.relay.engine_load import EngineLoad
+from crocuswick.relay.replica import Replica
+from crocuswick.relay.replica_health import ReplicaHealth
+
+__all__ = ["Candidate"]
+
+
+@attrs.frozen(kw_only=True)
+class Candidate:
+    """A replica that may get the request, with what is known of it."""
+
+    replica: Replica
+    load: EngineLoad
+    health: ReplicaHealth
+    weights: int | None
+    """Version of the request's model that it serves, None where not known."""
+
+    weights_age_s: float | None
+    """Time since newer weights were named, None if these are the newest."""
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -9,6 +9,7 @@
 from crocuswick.actor import Actor
 from crocuswick.news.messages import WeightsNews
 from crocuswick.relay.admission_bound import longest_wait_ms
+from crocuswick.relay.candidate import Candidate
 from crocuswick.relay.dispatcher_messages import Placed, Wait
 from crocuswick.relay.engine_state import EngineState
 from crocuswick.relay.place_refusals import (
@@ -19,9 +20,8 @@
 from crocuswick.relay.poison_guard import PoisonGuard
 from crocuswick.relay.prompt_ledger import PromptLedger
 from crocuswick.relay.relay_request import Attempt
-from crocuswick.relay.repeat_budget import RepeatBudget
+from crocuswick.relay.repeat_budget import RepeatBounds, RepeatBudget
 from crocuswick.relay.replica_chooser import (
-    Candidate,
     ReplicaChooser,
     engine_priority,
 )
@@ -114,12 +114,7 @@
     def on_use_bounds(self, message: messages.UseBounds) -> None:
         """Keep to other bounds from now on."""
         self._bounds = message.bounds
-        for budget in self._budgets_by_service.values():
-            budget.use_bounds(
-                ratio=self._bounds.retry_ratio,
-                slack=self._own_slack(),
-                window_s=self._bounds.retry_window_ms / 1000,
-            )
+        self._bound_budgets()
 
     def on_replica_seen(self, message: messages.ReplicaSeen) -> None:
         """Take a replica's entry."""
@@ -204,8 +199,7 @@
         """Share the slack of repeats among the nodes."""
         # Nodes that can't be heard go on to send repeats.
         self._nodes = max(self._nodes, message.count)
-        for budget in self._budgets_by_service.values():
-            budget.use_slack(self._own_slack())
+        self._bound_budgets()
 
     def on_engines(self, _message: messages.Engines) -> list[EngineState]:
         """Return the state of all replicas that have models."""
@@ -300,16 +294,21 @@
     def _budget(self, service: str) -> RepeatBudget:
         budget = self._budgets_by_service.get(service)
         if budget is None:
-            bounds = self._bounds
-            budget = self._budgets_by_service[service] = RepeatBudget(
-                ratio=bounds.retry_ratio,
-                slack=self._own_slack(),
-                window_s=bounds.retry_window_ms / 1000,
-            )
+            budget = RepeatBudget(bounds=self._repeat_bounds())
+            self._budgets_by_service[service] = budget
         return budget
 
-    def _own_slack(self) -> float:
-        return self._bounds.retry_slack / self._nodes
+    def _bound_budgets(self) -> None:
+        bounds = self._repeat_bounds()
+        for budget in self._budgets_by_service.values():
+            budget.use_bounds(bounds)
+
+    def _repeat_bounds(self) -> RepeatBounds:
+        return RepeatBounds(
+            ratio=self._bounds.retry_ratio,
+            slack=self._bounds.retry_slack / self._nodes,
+            window_s=self._bounds.retry_window_ms / 1000,
+        )
 
     def _engine_of(self, incarnation: str) -> EngineTraits | None:
         """Return the traits of an engine, None for what is no known engine."""
--- a/src/crocuswick/relay/kv_map.py
+++ b/src/crocuswick/relay/kv_map.py
@@ -47,7 +47,7 @@
 
     def use(self, part: PartKey, tokens: int) -> None:
         """Note that a part was computed, fetched or found."""
-        self._tokens -= self._tokens_by_part.pop(part, 0)
+        self.drop(part)
         self._tokens_by_part[part] = tokens
         self._tokens += tokens
         self._evict()
@@ -65,6 +65,20 @@
             else:
                 self.drop(part)
 
+    def enter(
+        self, salt: str, tokens_by_part: Mapping[str, int], other_tokens: int
+    ) -> None:
+        """Note a prompt that was computed.
+
+        Args:
+            salt: Salt of its parts.
+            tokens_by_part: Tokens of its shared parts.
+            other_tokens: Its other tokens.
+        """
+        for part_id, tokens in tokens_by_part.items():
+            self.use((salt, part_id), tokens)
+        self.fill(other_tokens)
+
     def fill(self, tokens: int) -> None:
         """Note tokens that no other request will look for."""
         self._uncounted_tokens += tokens
@@ -170,13 +184,9 @@
         cache = self._caches_by_incarnation.get(prompt.incarnation) if prompt else None
         if cache is None:
             return
-        for part_id, tokens in prompt.tokens_by_part.items():
-            cache.use((prompt.salt, part_id), tokens)
-        cache.fill(prompt.other_tokens)
+        cache.enter(prompt.salt, prompt.tokens_by_part, prompt.other_tokens)
         if prompt.is_saved and self._stored is not None:
-            for part_id, tokens in prompt.tokens_by_part.items():
-                self._stored.use((prompt.salt, part_id), tokens)
-            self._stored.fill(prompt.other_tokens)
+            self._stored.enter(prompt.salt, prompt.tokens_by_part, prompt.other_tokens)
 
     def abandoned(self, request_id: str) -> None:
         """Note that a request has ended, perhaps before its prompt was computed."""
--- a/src/crocuswick/relay/kv_sources.py
+++ b/src/crocuswick/relay/kv_sources.py
@@ -7,17 +7,17 @@
 
 import attrs
 
-from crocuswick.relay.engine_load import EngineLoad
 from crocuswick.relay.replica import Replica
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
 
+    from crocuswick.relay.candidate import Candidate
     from crocuswick.relay.kv_map import KvMap
     from crocuswick.relay.relay_request import Prompt
     from crocuswick.relay.serving import EngineTraits, KvStore
 
-__all__ = ["KvPeer", "KvSource", "KvSources"]
+__all__ = ["KvSource", "KvSources"]
 
 TRANSFER_LATENCY_MS = 2.0
 """Fixed time of a fetch."""
@@ -25,20 +25,11 @@
 OTHER_ZONE_TRANSFER = 2.0
 """Factor of a transfer's time between zones."""
 
-
 MIN_ASKED_TOKENS = 2_048
 """Shared tokens for which the store is asked without knowing that it has them; fewer
 are computed in less time than a transfer takes."""
 
 
-@attrs.frozen(kw_only=True)
-class KvPeer:
-    """An engine that may hold parts or compute them now."""
-
-    replica: Replica
-    load: EngineLoad
-
-
 @attrs.frozen(kw_only=True)
 class KvSource:
     """Where an engine gets a prompt's first shared parts."""
@@ -54,6 +45,15 @@
     """Time until they can be fetched, 0 for now."""
 
 
+@attrs.frozen(kw_only=True)
+class _Computing:
+    """An engine that computes parts now."""
+
+    replica: Replica
+    ready_in_ms: float
+    """Expected time until it has done so."""
+
+
 @attrs.frozen(kw_only=True)
 class _Run:
     """The first parts of a prompt, and who has all of them."""
@@ -61,11 +61,8 @@
     tokens: int
     holders: tuple[Replica, ...]
     is_stored: bool
-    ready_in_ms_by_incarnation: Mapping[str, float]
-    """Expected time until the engines that compute them now have done so."""
-
-    computing: tuple[Replica, ...]
-    """Engines of the mapping."""
+    computing_by_incarnation: Mapping[str, _Computing]
+    """Engines that compute them now."""
 
     @property
     def can_be_fetched(self) -> bool:
@@ -79,7 +76,7 @@
     Args:
         prompt: The request's prompt.
         engine: Traits of the engines.
-        peers: Engines to ask.
+        candidates: Engines that may hold parts or compute them now.
         stores: Stores of KV cache.
         kv_map: Where parts are believed to be cached.
         now_s: Monotonic time.
@@ -90,14 +87,14 @@
         *,
         prompt: Prompt,
         engine: EngineTraits,
-        peers: Sequence[KvPeer],
+        candidates: Sequence[Candidate],
         stores: Sequence[KvStore],
         kv_map: KvMap,
         now_s: float,
     ):
         self._prompt = prompt
         self._engine = engine
-        self._peers = peers
+        self._candidates = candidates
         self._stores = stores
         self._kv_map = kv_map
         self._now_s = now_s
@@ -122,7 +119,7 @@
         for run in self._runs(salt):
             incarnation = replica.incarnation
             is_held = any(holder.id == replica.id for holder in run.holders)
-            if is_held or incarnation in run.ready_in_ms_by_incarnation:
+            if is_held or incarnation in run.computing_by_incarnation:
                 options.append(KvSource(tokens=run.tokens))
                 return options
             if run.can_be_fetched:
@@ -155,7 +152,7 @@
         for count in range(len(shared), 0, -1):
             tokens = sum(part.tokens for part in shared[:count])
             run = self._run(salt, shared[count - 1].id, tokens)
-            if run.can_be_fetched or run.computing:
+            if run.can_be_fetched or run.computing_by_incarnation:
                 yield run
             if run.can_be_fetched:
                 return
@@ -166,23 +163,22 @@
         for request_id, incarnation in kv_map.computing(salt, part_id).items():
             request_by_incarnation.setdefault(incarnation, request_id)
         holders = []
-        computing = []
-        ready_in_ms_by_incarnation = {}
-        for peer in self._peers:
-            incarnation = peer.replica.incarnation
+        computing_by_incarnation = {}
+        for candidate in self._candidates:
+            incarnation = candidate.replica.incarnation
             if kv_map.holds(incarnation, salt, part_id):
-                holders.append(peer.replica)
+                holders.append(candidate.replica)
             request_id = request_by_incarnation.get(incarnation, "")
-            ready_in_ms = peer.load.remaining_ms(request_id, self._now_s)
+            ready_in_ms = candidate.load.remaining_ms(request_id, self._now_s)
             if ready_in_ms is not None:
-                ready_in_ms_by_incarnation[incarnation] = ready_in_ms
-                computing.append(peer.replica)
+                computing_by_incarnation[incarnation] = _Computing(
+                    replica=candidate.replica, ready_in_ms=ready_in_ms
+                )
         return _Run(
             tokens=tokens,
             holders=tuple(holders),
             is_stored=bool(self._stores) and kv_map.is_stored(salt, part_id),
-            ready_in_ms_by_incarnation=ready_in_ms_by_incarnation,
-            computing=tuple(computing),
+            computing_by_incarnation=computing_by_incarnation,
         )
 
     def _nearest(self, run: _Run, replica: Replica) -> KvSource:
@@ -198,14 +194,12 @@
         return min(sources, key=lambda source: source.transfer_ms)
 
     def _soonest(self, run: _Run, replica: Replica) -> KvSource:
-        sources = [
-            attrs.evolve(
-                self._fetch(run.tokens, replica, holder, self._engine.link_mbps),
-                ready_in_ms=run.ready_in_ms_by_incarnation[holder.incarnation],
-            )
-            for holder in run.computing
-        ]
-        return min(sources, key=lambda source: source.ready_in_ms)
+        first = min(
+            run.computing_by_incarnation.values(),
+            key=lambda computing: computing.ready_in_ms,
+        )
+        fetch = self._fetch(run.tokens, replica, first.replica, self._engine.link_mbps)
+        return attrs.evolve(fetch, ready_in_ms=first.ready_in_ms)
 
     def _fetch(
         self, tokens: int, replica: Replica, holder: Replica | KvStore, mbps: float
--- a/src/crocuswick/relay/prompt_ledger.py
+++ b/src/crocuswick/relay/prompt_ledger.py
@@ -195,6 +195,4 @@
     def _use_parts(self, used: PartsUsed) -> None:
         # A small prompt is computed within some tens of milliseconds.
         cache = self.kv_map.engine(used.incarnation, 0)
-        for part_id, tokens in used.tokens_by_part.items():
-            cache.use((used.salt, part_id), tokens)
-        cache.fill(used.other_tokens)
+        cache.enter(used.salt, used.tokens_by_part, used.other_tokens)
--- a/src/crocuswick/relay/repeat_budget.py
+++ b/src/crocuswick/relay/repeat_budget.py
@@ -4,34 +4,40 @@
 
 from collections import deque
 
-__all__ = ["RepeatBudget"]
+import attrs
+
+__all__ = ["RepeatBounds", "RepeatBudget"]
+
+
+@attrs.frozen(kw_only=True)
+class RepeatBounds:
+    """This node's part of the bounds of a service's repeats."""
+
+    ratio: float
+    """Repeats allowed for each request."""
+
+    slack: float
+    """Repeats allowed beyond the ratio."""
+
+    window_s: float
+    """Length of the window in which both are counted."""
 
 
 class RepeatBudget:
     """Allows repeats in a sliding window without talking to other nodes.
 
     Args:
-        ratio: Repeats allowed for each request.
-        slack: This node's part of the repeats allowed beyond the ratio.
-        window_s: Length of the window.
+        bounds: Bounds to keep to.
     """
 
-    def __init__(self, *, ratio: float, slack: float, window_s: float):
-        self._ratio = ratio
-        self._slack = slack
-        self._window_s = window_s
+    def __init__(self, *, bounds: RepeatBounds):
+        self._bounds = bounds
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
-    def use_bounds(self, *, ratio: float, slack: float, window_s: float) -> None:
-        """Set all bounds anew; what was counted stays."""
-        self._ratio = ratio
-        self._slack = slack
-        self._window_s = window_s
-
-    def use_slack(self, slack: float) -> None:
-        """Set this node's part of the repeats allowed beyond the ratio."""
-        self._slack = slack
+    def use_bounds(self, bounds: RepeatBounds) -> None:
+        """Keep to other bounds; what was counted stays."""
+        self._bounds = bounds
 
     def record_request(self, now_s: float) -> None:
         """Count a request of a caller."""
@@ -41,7 +47,7 @@
     def can_take(self, now_s: float) -> bool:
         """Whether a repeat is left."""
         self._forget(now_s)
-        allowed = self._ratio * len(self._requests) + self._slack
+        allowed = self._bounds.ratio * len(self._requests) + self._bounds.slack
         return len(self._repeats) + 1 <= allowed
 
     def take(self, now_s: float) -> bool:
@@ -57,5 +63,5 @@
 
     def _forget(self, now_s: float) -> None:
         for times in (self._requests, self._repeats):
-            while times and times[0] < now_s - self._window_s:
+            while times and times[0] < now_s - self._bounds.window_s:
                 times.popleft()
--- a/src/crocuswick/relay/replica_chooser.py
+++ b/src/crocuswick/relay/replica_chooser.py
@@ -7,10 +7,9 @@
 
 import attrs
 
-from crocuswick.relay.engine_load import PRIORITIES, EngineLoad
-from crocuswick.relay.kv_sources import KvPeer, KvSources
-from crocuswick.relay.replica import Replica
-from crocuswick.relay.replica_health import ReplicaHealth
+from crocuswick.relay.candidate import Candidate
+from crocuswick.relay.engine_load import PRIORITIES
+from crocuswick.relay.kv_sources import KvSources
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -20,7 +19,7 @@
     from crocuswick.relay.relay_request import RoutedRequest
     from crocuswick.relay.serving import EngineTraits, KvStore, Service
 
-__all__ = ["Candidate", "Choice", "ReplicaChooser", "cache_salt", "engine_priority"]
+__all__ = ["Choice", "ReplicaChooser", "cache_salt", "engine_priority"]
 
 OTHER_ZONE_REQUESTS = 2.0
 """Requests by which the own zone's replicas may be busier than another zone's."""
@@ -54,20 +53,6 @@
 prompts behind wait as long."""
 
 
-@attrs.frozen(kw_only=True)
-class Candidate:
-    """A replica that may get the request, with what is known of it."""
-
-    replica: Replica
-    load: EngineLoad
-    health: ReplicaHealth
-    weights: int | None
-    """Version of the request's model that it serves, None where not known."""
-
-    weights_age_s: float | None
-    """Time since newer weights were named, None if these are the newest."""
-
-
 @attrs.frozen(kw_only=True)
 class Choice:
     """The chosen replica and what the request will cost there."""
@@ -159,10 +144,7 @@
         sources = KvSources(
             prompt=request.caller.prompt,
             engine=engine,
-            peers=[
-                KvPeer(replica=candidate.replica, load=candidate.load)
-                for candidate in candidates
-            ],
+            candidates=candidates,
             stores=stores,
             kv_map=self._kv_map,
             now_s=now_s,
--- a/src/crocuswick/relay/weights_table.py
+++ b/src/crocuswick/relay/weights_table.py
@@ -6,7 +6,6 @@
 
 __all__ = ["NamedWeights", "WeightsTable"]
 
-
 MAX_NAMED = 16
 """Versions of a model that are remembered; older ones are long out of bounds."""
 
@@ -25,7 +24,7 @@
     """Merges entries, answers and orders; versions of an incarnation only rise."""
 
     def __init__(self):
-        self._named_by_model: dict[str, list[NamedWeights]] = {}
+        self._named_s_by_model: dict[str, dict[int, float]] = {}
         self._served_by_key: dict[tuple[str, str], int] = {}
 
     def name(self, model: str, version: int, named_s: float) -> None:
@@ -38,17 +37,19 @@
             version: The version.
             named_s: Monotonic time since when it is known to have been named.
         """
-        known = self._named_by_model.get(model, [])
-        same = [each for each in known if each.version == version]
-        earliest_s = min([named_s, *(each.named_s for each in same)])
-        others = [each for each in known if each.version != version]
-        others.append(NamedWeights(model=model, version=version, named_s=earliest_s))
-        others.sort(key=lambda each: each.version)
-        self._named_by_model[model] = others[-MAX_NAMED:]
+        named_s_by_version = self._named_s_by_model.setdefault(model, {})
+        known_s = named_s_by_version.get(version, named_s)
+        named_s_by_version[version] = min(known_s, named_s)
+        if len(named_s_by_version) > MAX_NAMED:
+            del named_s_by_version[min(named_s_by_version)]
 
     def all_named(self) -> list[NamedWeights]:
         """Return the newest versions of all models."""
-        return [each for named in self._named_by_model.values() for each in named]
+        return [
+            NamedWeights(model=model, version=version, named_s=named_s)
+            for model, named_s_by_version in self._named_s_by_model.items()
+            for version, named_s in named_s_by_version.items()
+        ]
 
     def behind_since(self, model: str, served: int | None) -> float | None:
         """Return since when a version newer than the served one has been named.
@@ -63,9 +64,9 @@
             Monotonic time, None where the served version is the newest.
         """
         newer_s = [
-            each.named_s
-            for each in self._named_by_model.get(model, [])
-            if each.version > (served or 0)
+            named_s
+            for version, named_s in self._named_s_by_model.get(model, {}).items()
+            if version > (served or 0)
         ]
         return min(newer_s, default=None)
 
--- a/src/crocuswick/rollouts/driver.py
+++ b/src/crocuswick/rollouts/driver.py
@@ -282,7 +282,8 @@
         if self._is_resigned or not self._wanted_by_model:
             return
         engines = self._engines()
-        self._is_behind = bool(behind(engines, self._wanted_by_model))
+        late = behind(engines, self._wanted_by_model)
+        self._is_behind = bool(late)
         self._next_look_s = now_s + CURRENT_INTERVAL_S
         if not self._is_behind:
             self._turn.engines_current()
@@ -291,7 +292,7 @@
         self._speak_as_holder(now_s)
         steps = next_steps(
             engines,
-            self._wanted_by_model,
+            late,
             busy_incarnations=self._loads_by_incarnation,
             paused_incarnations=self._paused(now_s),
         )
--- a/src/crocuswick/rollouts/rollout_plan.py
+++ b/src/crocuswick/rollouts/rollout_plan.py
@@ -58,7 +58,7 @@
 
 def next_steps(
     engines: Collection[EngineState],
-    wanted_by_model: Mapping[str, int],
+    late: Collection[tuple[EngineState, WeightsStep]],
     *,
     busy_incarnations: Collection[str] = (),
     paused_incarnations: Collection[str] = (),
@@ -67,16 +67,16 @@
 
     Args:
         engines: All engines.
-        wanted_by_model: Named version of each model.
+        late: Those that are behind, as `behind` returns them.
         busy_incarnations: Engines that load, or were ordered to.
         paused_incarnations: Engines that failed to load and are ordered later; they
             take no other engine's place.
     """
     room_by_model = {
-        model: _room(model, engines, busy_incarnations) for model in wanted_by_model
+        model: _room(model, engines, busy_incarnations)
+        for model in {step.model for _, step in late}
     }
     steps = []
-    late = behind(engines, wanted_by_model)
     for engine, step in sorted(late, key=lambda pair: pair[0].prefill_tokens):
         incarnation = engine.replica.incarnation
         if incarnation in busy_incarnations or incarnation in paused_incarnations:
--- a/tests/relay/test_kv_sources.py
+++ b/tests/relay/test_kv_sources.py
@@ -6,9 +6,11 @@
 
 import attrs
 
+from crocuswick.relay.candidate import Candidate
 from crocuswick.relay.engine_load import EngineLoad
 from crocuswick.relay.kv_map import KvMap
-from crocuswick.relay.kv_sources import KvPeer, KvSource, KvSources
+from crocuswick.relay.kv_sources import KvSource, KvSources
+from crocuswick.relay.replica_health import ReplicaHealth
 from tests.relay.samples import ENGINE, STORE, prompt, replica
 
 CAPACITY = ENGINE.kv_capacity_tokens
@@ -20,20 +22,29 @@
     def setUp(self):
         self.kv_map = KvMap()
         self.kv_map.use_store(STORE.capacity_tokens)
-        self.peers = [KvPeer(replica=replica(name), load=EngineLoad()) for name in "xy"]
+        self.candidates = [
+            Candidate(
+                replica=replica(name),
+                load=EngineLoad(),
+                health=ReplicaHealth(),
+                weights=1,
+                weights_age_s=None,
+            )
+            for name in "xy"
+        ]
 
     def sources(self, *, now_s=0.0) -> KvSources:
         return KvSources(
             prompt=prompt(),
             engine=ENGINE,
-            peers=self.peers,
+            candidates=self.candidates,
             stores=[STORE],
             kv_map=self.kv_map,
             now_s=now_s,
         )
 
     def compute(self, name="y", request_id="r", *, tokens=12_000, is_saved=False):
-        peer = next(each for each in self.peers if each.replica.id == name)
+        peer = next(each for each in self.candidates if each.replica.id == name)
         incarnation = peer.replica.incarnation
         self.kv_map.engine(incarnation, CAPACITY)
         peer.load.record_sent(
--- a/tests/relay/test_replica_chooser.py
+++ b/tests/relay/test_replica_chooser.py
@@ -6,10 +6,11 @@
 
 import attrs
 
+from crocuswick.relay.candidate import Candidate
 from crocuswick.relay.engine_load import EngineLoad
 from crocuswick.relay.kv_map import KvMap
 from crocuswick.relay.relay_request import Prompt, PromptPart
-from crocuswick.relay.replica_chooser import Candidate, ReplicaChooser, cache_salt
+from crocuswick.relay.replica_chooser import ReplicaChooser, cache_salt
 from crocuswick.relay.replica_health import AttemptResult, ReplicaHealth
 from tests.relay.samples import (
     DESK,
--- a/tests/rollouts/test_rollout_plan.py
+++ b/tests/rollouts/test_rollout_plan.py
@@ -18,6 +18,10 @@
     )
 
 
+def plan(engines, wanted_by_model, **changes):
+    return next_steps(engines, behind(engines, wanted_by_model), **changes)
+
+
 class RolloutPlanTests(unittest.TestCase):
     def test_a_part_of_the_engines_loads_at_once(self):
         self.assertEqual([loads_at_once(n) for n in (1, 5, 6, 29)], [1, 2, 2, 11])
@@ -25,14 +29,14 @@
     def test_the_least_loaded_engines_go_first(self):
         engines = [engine("a", load=9), engine("b", load=1), engine("c", load=5)]
         engines += [engine("d", version=2), engine("e", version=2)]
-        steps = next_steps(engines, {MODEL: 2})
+        steps = plan(engines, {MODEL: 2})
         self.assertEqual([step.replica.id for step in steps], ["b", "c"])
 
     def test_engines_that_load_take_the_places(self):
         engines = [engine(name) for name in "abcde"]
         busy = [engines[0].replica.incarnation, engines[1].replica.incarnation]
-        self.assertEqual(next_steps(engines, {MODEL: 2}, busy_incarnations=busy), [])
-        steps = next_steps(engines, {MODEL: 2}, busy_incarnations=busy[:1])
+        self.assertEqual(plan(engines, {MODEL: 2}, busy_incarnations=busy), [])
+        steps = plan(engines, {MODEL: 2}, busy_incarnations=busy[:1])
         self.assertEqual([step.replica.id for step in steps], ["b"])
 
     def test_engines_that_failed_to_load_leave_their_places_to_others(self):
@@ -40,11 +44,11 @@
         engines = [engine("dead"), engine("gone"), engine("a", load=5)]
         engines += [engine(name, load=9) for name in "bc"]
         failed = [each.replica.incarnation for each in engines[:2]]
-        steps = next_steps(engines, {MODEL: 2}, paused_incarnations=failed)
+        steps = plan(engines, {MODEL: 2}, paused_incarnations=failed)
         self.assertEqual([step.replica.id for step in steps], ["a", "b"])
 
     def test_the_newest_version_is_ordered_even_if_several_were_named(self):
-        steps = next_steps([engine("a", version=1)], {MODEL: 4})
+        steps = plan([engine("a", version=1)], {MODEL: 4})
         self.assertEqual([step.version for step in steps], [4])
 
     def test_engines_that_leave_are_not_ordered(self):
