Log why an attempt stalled and why a cut stream was not retried; count gossip bytes

attempt ended has the field stalled (limit, silence of the attempt and of its replica); the error of a request that may have run names the refusal of its retry; two counters give messages and bytes between nodes by kind. No decision changes.

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -38,6 +38,7 @@
 
     from crocuswick.actor import Message
     from crocuswick.decision_log import DecisionLog
+    from crocuswick.fleet_metrics import FleetMetrics
     from crocuswick.fleet_settings import FleetSettings
 
 __all__ = ["FleetGossip"]
@@ -79,6 +80,7 @@
         record_cache: Cache of the store's records.
         dispatcher: Dispatcher of requests.
         log: Log of decisions.
+        metrics: Counts the messages that are sent.
         topics: Topics whose reading is shared among the nodes of a zone.
         zonal_topic: Topic whose records are sent within the zone only.
     """
@@ -90,6 +92,7 @@
         record_cache: pykka.ActorRef,
         dispatcher: pykka.ActorRef,
         log: DecisionLog,
+        metrics: FleetMetrics,
         topics: tuple[str, ...],
         zonal_topic: str,
     ):
@@ -116,6 +119,7 @@
             initial_messages=self._initial_messages,
             on_message=self._on_message,
             on_peers=self._on_peers,
+            on_sent=metrics.observe_gossip,
             log=log,
         )
         self._server = GossipServer(
--- a/src/crocuswick/fleet_metrics.py
+++ b/src/crocuswick/fleet_metrics.py
@@ -48,6 +48,14 @@
         self.nodes_live = self._gauge(
             "crocuswick_nodes_live", "Nodes that are heard, this one included."
         )
+        self.gossip_messages = self._counter(
+            "crocuswick_gossip_messages_total",
+            "Gossip messages queued for single peers, by kind.",
+        )
+        self.gossip_bytes = self._counter(
+            "crocuswick_gossip_bytes_total",
+            "Bytes of gossip messages queued for single peers, by kind.",
+        )
         self.log_lines_dropped = self._gauge(
             "crocuswick_log_lines_dropped", "Log lines dropped since the start."
         )
@@ -75,6 +83,17 @@
             with self._lock:
                 self._first_event_seconds.observe({}, first_event_s)
 
+    def observe_gossip(self, kind: str, receivers: int, message_bytes: int) -> None:
+        """Count a gossip message.
+
+        Args:
+            kind: Kind of message, as on the wire.
+            receivers: Number of peers to which it is sent.
+            message_bytes: Size for one peer.
+        """
+        self.gossip_messages.add({"kind": kind}, receivers)
+        self.gossip_bytes.add({"kind": kind}, receivers * message_bytes)
+
     def page(self, _environment: dict, start_response: Callable) -> Iterable[bytes]:
         """Serve the metrics page as a WSGI application."""
         body, _ = self.render()
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -115,6 +115,7 @@
             record_cache=self._record_cache,
             dispatcher=self._dispatcher,
             log=self._log,
+            metrics=self._metrics,
             topics=(topics.operations, topics.replicas),
             zonal_topic=topics.replicas,
         )
--- a/src/crocuswick/gossip/link.py
+++ b/src/crocuswick/gossip/link.py
@@ -76,16 +76,22 @@
         with contextlib.suppress(queue.Full):
             self._queue.put_nowait(None)
 
-    def send(self, packed: bytes) -> None:
-        """Queue an encoded message; it is dropped while there is no connection."""
+    def send(self, packed: bytes) -> bool:
+        """Queue an encoded message.
+
+        Returns:
+            False if it was dropped: there is no connection or the queue is full.
+        """
         if not self._connected.is_set():
-            return
+            return False
         try:
             self._queue.put_nowait(packed)
         except queue.Full:
             logger.warning(
                 "send queue of peer {} is full, message dropped", self.address
             )
+            return False
+        return True
 
     def _run(self) -> None:
         failures = 0
--- a/src/crocuswick/gossip/messages.py
+++ b/src/crocuswick/gossip/messages.py
@@ -30,6 +30,7 @@
     "WeightsServed",
     "decode_gossip",
     "encode_gossip",
+    "message_kind",
 ]
 
 _MessageType = TypeVar("_MessageType", bound=type)
@@ -207,6 +208,11 @@
     incarnation: str
 
 
+def message_kind(gossip: GossipMessage) -> str:
+    """Return the kind of a message, which is its code on the wire."""
+    return _codes_by_type[type(gossip)]
+
+
 def encode_gossip(gossip: GossipMessage) -> list[Any]:
     """Return the msgpack array of a message."""
     return [_codes_by_type[type(gossip)], attrs.asdict(gossip, recurse=False)]
--- a/src/crocuswick/gossip/service.py
+++ b/src/crocuswick/gossip/service.py
@@ -9,7 +9,13 @@
 
 from crocuswick.actor import Actor, Message
 from crocuswick.gossip.link import PeerLink, pack_gossip
-from crocuswick.gossip.messages import GossipMessage, Hello, NodeAddress, TopicEnds
+from crocuswick.gossip.messages import (
+    GossipMessage,
+    Hello,
+    NodeAddress,
+    TopicEnds,
+    message_kind,
+)
 from crocuswick.gossip.peers import FORGET_AFTER_S, PeerTable
 
 if TYPE_CHECKING:
@@ -43,6 +49,8 @@
         initial_messages: Returns further messages to send first on each connection.
         on_message: Called with each message and the id of its sender.
         on_peers: Called with the live nodes, including this one, when they change.
+        on_sent: Called with the kind of each message that is sent, the number of its
+            receivers and its size in bytes.
         log: Decision log; records nodes that join or are lost.
     """
 
@@ -99,6 +107,7 @@
         initial_messages: Callable[[], list[GossipMessage]],
         on_message: Callable[[GossipMessage, str], None],
         on_peers: Callable[[frozenset[NodeAddress]], None],
+        on_sent: Callable[[str, int, int], None],
         log: DecisionLog,
     ):
         super().__init__()
@@ -108,6 +117,7 @@
         self._initial_messages = initial_messages
         self._on_message = on_message
         self._on_peers = on_peers
+        self._on_sent = on_sent
         self._log = log
         self._table = PeerTable(own=own)
         self._links_by_address: dict[str, PeerLink] = {}
@@ -203,10 +213,9 @@
 
     def _send(self, addresses: Iterable[NodeAddress], gossip: GossipMessage) -> None:
         packed = pack_gossip(gossip)
-        for address in addresses:
-            link = self._links_by_address.get(address.address)
-            if link is not None:
-                link.send(packed)
+        links = [self._links_by_address.get(address.address) for address in addresses]
+        queued = sum(link.send(packed) for link in links if link is not None)
+        self._on_sent(message_kind(gossip), queued, len(packed))
 
     def _update_links(self) -> None:
         """Open links to neighbours and seeds, and close all others."""
--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -175,6 +175,7 @@
                     started_s=started_s,
                     first_event_s=self._first_event_s,
                     error=self._progress.error,
+                    stalled=self._watched.stall_reason if self._watched else "",
                 ),
             )
 
@@ -379,6 +380,7 @@
     def _give_up(self, refusal: Refusal) -> str:
         progress = self._progress
         if progress.possible_runs:
+            progress.error += f"; not retried: {refusal.title}: {refusal.detail}"
             return self._fail(timed_out=False)
         return self._refuse(refusal)
 
--- a/src/crocuswick/relay/run_report.py
+++ b/src/crocuswick/relay/run_report.py
@@ -38,6 +38,8 @@
     """Monotonic time of the first event, None if there was none."""
 
     error: str
+    stalled: str = ""
+    """Why the attempt was aborted as stalled, empty if it was not."""
 
     @property
     def first_event_ms(self) -> int | None:
@@ -129,4 +131,5 @@
             begun_ms=ended.first_event_ms,
             ms=round((time.monotonic() - ended.started_s) * 1000),
             error=ended.error,
+            stalled=ended.stalled,
         )
--- a/src/crocuswick/relay/stall_watch.py
+++ b/src/crocuswick/relay/stall_watch.py
@@ -35,6 +35,9 @@
     abort: Callable[[], None]
     last_activity_s: float = attrs.Factory(time.monotonic)
     is_stalled: bool = False
+    stall_reason: str = ""
+    """Limit that was exceeded and the silence of the attempt and of its replica, empty
+    unless `is_stalled`."""
 
     def silent_s(self, now_s: float) -> float:
         """Return the time since the last data of this attempt."""
@@ -87,27 +90,36 @@
     def check(self, now_s: float) -> None:
         """Abort the attempts that have been silent for too long."""
         with self._lock:
-            stalled = [
-                attempt
-                for attempt in self._attempts
-                if self._is_stalled(attempt, now_s)
-            ]
-            self._attempts.difference_update(stalled)
-        for attempt in stalled:
-            attempt.is_stalled = True
-            attempt.abort()
+            attempts = list(self._attempts)
+        for attempt in attempts:
+            reason = self._stall_reason(attempt, now_s)
+            if reason:
+                self._abort(attempt, reason)
         self._drop_idle(now_s)
 
-    def _is_stalled(self, attempt: WatchedAttempt, now_s: float) -> bool:
+    def _abort(self, attempt: WatchedAttempt, reason: str) -> None:
+        with self._lock:
+            self._attempts.discard(attempt)
+        attempt.is_stalled = True
+        attempt.stall_reason = reason
+        attempt.abort()
+
+    def _stall_reason(self, attempt: WatchedAttempt, now_s: float) -> str:
+        """Return why an attempt counts as stalled, empty if it doesn't."""
         silent_s = attempt.silent_s(now_s)
-        if silent_s > attempt.hard_limit_s:
-            return True
         last_activity_s = self._last_activity_s_by_incarnation.get(
             attempt.incarnation, attempt.last_activity_s
         )
+        replica_silent_s = now_s - last_activity_s
+        if silent_s > attempt.hard_limit_s:
+            limit = "hard"
+        elif silent_s > attempt.soft_limit_s and replica_silent_s > STALL_THRESHOLD_S:
+            limit = "soft"
+        else:
+            return ""
         return (
-            silent_s > attempt.soft_limit_s
-            and now_s - last_activity_s > STALL_THRESHOLD_S
+            f"{limit} limit: silent for {silent_s * 1000:.0f} ms, "
+            f"its replica for {replica_silent_s * 1000:.0f} ms"
         )
 
     def _drop_idle(self, now_s: float) -> None:
