--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -173,8 +173,11 @@
 
     def broadcast_records(self, update: TopicUpdate) -> None:
         """Broadcast records that are new at this node."""
-        self.broadcast(
-            _topic_records(update), is_zonal=update.topic == self._zonal_topic
+        self._gossip_service.tell(
+            GossipService.SendRecords(
+                records=_topic_records(update),
+                is_zonal=update.topic == self._zonal_topic,
+            )
         )
 
     def add_nodes(self, addresses: tuple[NodeAddress, ...]) -> None:
--- a/src/crocuswick/gossip/peers.py
+++ b/src/crocuswick/gossip/peers.py
@@ -112,6 +112,24 @@
             self._neighbours = self._choose_neighbours()
         return self._neighbours
 
+    def record_receivers(
+        self, version: str, now_s: float, *, is_zonal: bool
+    ) -> list[NodeAddress]:
+        """Return the nodes to which this one sends new records.
+
+        Each receiver sends them on in the same way if they are new to it.
+
+        Args:
+            version: Identifies the records, such as topic and end offset.
+            now_s: Monotonic time.
+            is_zonal: Whether they are sent within the zone only.
+        """
+        return [
+            address
+            for address in self.neighbours()
+            if not is_zonal or address.zone == self._own.zone
+        ]
+
     def _choose_neighbours(self) -> list[NodeAddress]:
         by_zone: dict[str, list[NodeAddress]] = {}
         for peer in self._peers_by_id.values():
--- a/src/crocuswick/gossip/service.py
+++ b/src/crocuswick/gossip/service.py
@@ -14,6 +14,7 @@
     Hello,
     NodeAddress,
     TopicEnds,
+    TopicRecords,
     message_kind,
 )
 from crocuswick.gossip.peers import FORGET_AFTER_S, PeerTable
@@ -66,6 +67,14 @@
         is_zonal: bool = False
         """Whether it is sent to nodes of the own zone only."""
 
+    @attrs.frozen(kw_only=True)
+    class SendRecords(Message):
+        """Sends records that are new at this node."""
+
+        records: TopicRecords
+        is_zonal: bool
+        """Whether they are sent to nodes of the own zone only."""
+
     @attrs.frozen(kw_only=True)
     class SendTo(Message):
         """Sends a gossip message to one node."""
@@ -159,6 +168,16 @@
             ]
         self._send(addresses, message.gossip)
 
+    def on_send_records(self, message: SendRecords) -> None:
+        """Send records to the nodes that this one passes them on to."""
+        records = message.records
+        receivers = self._table.record_receivers(
+            f"{records.topic}/{records.end}",
+            time.monotonic(),
+            is_zonal=message.is_zonal,
+        )
+        self._send(receivers, records)
+
     def on_send_to(self, message: SendTo) -> None:
         """Send a message to one node."""
         addresses = self._table.addresses()
--- a/tests/platform/test_node_relay.py
+++ b/tests/platform/test_node_relay.py
@@ -307,6 +307,32 @@
         self.assertEqual(digest.headers["x-prompt-prefix"], "aa:700,bb:300")
 
 
+class NodeStallTests(unittest.TestCase):
+    """A stalled stream whose engine has no substitute."""
+
+    def setUp(self):
+        self.deployment = Deployment()
+        self.addCleanup(self.deployment.stop)
+        self.deployment.register("engine-2", State="draining")
+        self.deployment.node.start()
+
+    def test_a_silent_stream_is_not_cut_while_no_other_engine_can_continue_it(self):
+        """Guards against a stream that its node cuts before a retry is possible."""
+
+        def pausing(received: ReceivedRequest) -> None:
+            received.send(stream_head(received) + event(1))
+            time.sleep(1.2)
+            received.send(event(2) + b"0\r\n\r\n")
+
+        self.deployment.script("engine", pausing)
+        body = self.deployment.ask(
+            request("/digest/1", host="ai.example", budget_ms=4_000)
+        )
+        self.assertIn(b"piece 2", body)
+        self.assertTrue(body.endswith(b"0\r\n\r\n"))
+        self.assertEqual(len(self.deployment.received("engine")), 1)
+
+
 class NodeStoreTests(RelayCase):
     def test_a_draining_replica_gets_no_request_within_two_seconds(self):
         self.deployment.register("desk-1", State="draining", Sequence=5)
@@ -403,6 +429,7 @@
             "crocuswick_attempts_total",
             "crocuswick_request_seconds_bucket",
             "crocuswick_configuration_version",
+            "crocuswick_gossip_bytes_total",
         ):
             self.assertIn(name, page)
         self.assertRegex(page, "crocuswick_ready{[^}]*} 1")
