Pass records on along a ring of the zone instead of to every neighbour

Callers saw requests fail and streams pause for a second after each change of the configuration on large fleets.

Cause: each node that learned of a record sent it to all its neighbours (29 copies a node at 72 nodes), and each neighbour sent it again to a node whose end offset was still behind: the node that starts or lags got 16 copies from its zone.

Now a node sends new records to the nodes at distances 1, 2, 4, 8, ... of the sorted ring of its zone's live nodes, two nodes of a zone send them to one node of each other zone, and two nodes of a zone supply a peer that lacks records. The number of copies grows with the logarithm of the zone and not with its square.

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -55,6 +55,9 @@
 """A node reads a topic itself if the last read by any known reader is older than
 this."""
 
+SUPPLIERS = 2
+"""Nodes of each zone that send a peer the records that it lacks."""
+
 ENDS_CACHE_S = 0.1
 """Time for which the end offsets of the record cache are reused when a peer's offsets are
 compared with them. In the worst case, a peer is sent records that it already has."""
@@ -257,9 +260,22 @@
             # count, so that this node reads the topic itself if they don't arrive.
             if own_end >= end:
                 self._update_last_read(topic, now_s - age_s)
-            if own_end > end and (age_s > STALE_READ_S or end < 0):
+            lacks_records = own_end > end and (age_s > STALE_READ_S or end < 0)
+            if lacks_records and self._supplies(sender):
                 self._send_missing(topic, end, sender)
 
+    def _supplies(self, node_id: str) -> bool:
+        """Whether this node is one of those in its zone that send a peer missing records.
+
+        Copies from all neighbours would fill the link of a peer that starts or lags.
+        """
+        suppliers = {
+            node.node_id
+            for node in self._live
+            if node.zone == self.own.zone and node.node_id != node_id
+        }
+        return task_rank(f"records/{node_id}", self.own.node_id, suppliers) < SUPPLIERS
+
     def _known_ends(self, now_s: float) -> dict[str, int]:
         """Return this node's end offsets of the topics, at most `ENDS_CACHE_S` old."""
         if now_s - self._ends_s > ENDS_CACHE_S:
--- a/src/crocuswick/gossip/peers.py
+++ b/src/crocuswick/gossip/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING
 
 import attrs
@@ -10,9 +11,9 @@
 from crocuswick.rendezvous import Rendezvous, stable_hash
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable, Mapping, Sequence
 
-__all__ = ["PeerTable", "task_rank"]
+__all__ = ["PeerTable", "ring_successors", "task_rank"]
 
 PEER_TIMEOUT_S = 1.5
 """Time without a message after which a peer no longer counts as live. Messages are sent
@@ -26,6 +27,9 @@
 """Nodes of each other zone to which messages are sent directly. These nodes forward
 records but no other messages."""
 
+ZONE_GATEWAYS = 2
+"""Nodes of each zone that send new records to a node of each other zone."""
+
 FORGET_AFTER_S = 60.0
 """Time after which an unreachable peer is removed."""
 
@@ -124,11 +128,42 @@
             now_s: Monotonic time.
             is_zonal: Whether they are sent within the zone only.
         """
-        return [
-            address
-            for address in self.neighbours()
-            if not is_zonal or address.zone == self._own.zone
+        neighbours = self.neighbours()
+        zone_mates_by_id = {
+            node.node_id: node
+            for node in neighbours
+            if node.zone == self._own.zone and self.is_live(node.node_id, now_s)
+        }
+        ring = sorted([self._own.node_id, *zone_mates_by_id])
+        receivers = [
+            zone_mates_by_id[node_id]
+            for node_id in ring_successors(ring, self._own.node_id)
         ]
+        gateways = Rendezvous(members=ring).choose_many(
+            stable_hash(version), count=ZONE_GATEWAYS
+        )
+        if not is_zonal and self._own.node_id in gateways:
+            receivers += self._other_zone_receivers(neighbours, now_s)
+        return receivers
+
+    def _other_zone_receivers(
+        self, neighbours: Iterable[NodeAddress], now_s: float
+    ) -> list[NodeAddress]:
+        """Return a neighbour in each other zone, a live one where one is known.
+
+        The nodes of each zone read the store themselves; copies from other zones serve
+        a zone that can't reach it.
+        """
+        chosen_by_zone: dict[str, NodeAddress] = {}
+        for node in neighbours:
+            if node.zone == self._own.zone:
+                continue
+            chosen = chosen_by_zone.setdefault(node.zone, node)
+            if self.is_live(node.node_id, now_s) and not self.is_live(
+                chosen.node_id, now_s
+            ):
+                chosen_by_zone[node.zone] = node
+        return list(chosen_by_zone.values())
 
     def _choose_neighbours(self) -> list[NodeAddress]:
         by_zone: dict[str, list[NodeAddress]] = {}
@@ -153,6 +188,24 @@
         return [addresses_by_id[node_id] for node_id in chosen]
 
 
+def ring_successors(ring: Sequence[str], node_id: str) -> list[str]:
+    """Return the nodes at distances 1, 2, 4, 8, ... after a node on a ring.
+
+    If every node sends to these, each message reaches all nodes, also past a few lost
+    ones, with a number of copies that grows with the logarithm of their number.
+
+    Args:
+        ring: Sorted ids of the nodes.
+        node_id: One of them.
+    """
+    own = ring.index(node_id)
+    distances = itertools.takewhile(
+        lambda distance: distance < len(ring),
+        (1 << power for power in itertools.count()),
+    )
+    return [ring[(own + distance) % len(ring)] for distance in distances]
+
+
 def task_rank(task: str, node_id: str, members: Iterable[str]) -> int:
     """Return a node's rank among the members for a task, 0 for the first.
 
--- /dev/null
+++ b/tests/gossip/test_fleet_gossip.py
@@ -0,0 +1,75 @@
+"""Tests of the exchange of topic records between the nodes of a fleet."""
+
+from __future__ import annotations
+
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from crocuswick.fleet_gossip import FleetGossip
+from crocuswick.gossip.messages import NodeAddress, TopicEnds
+from crocuswick.gossip.service import GossipService
+from crocuswick.records.mirror import TopicUpdate
+from crocuswick.records.record_cache import RecordCache
+
+TOPIC = "configuration"
+ZONE_NODES = 17
+
+
+def node(number: int) -> NodeAddress:
+    return NodeAddress(node_id=f"a{number}", zone="a", address=f"10.0.0.{number}:80")
+
+
+class Cache:
+    """Record cache whose topic ends at offset 7."""
+
+    def ask(self, message):
+        if isinstance(message, RecordCache.Ends):
+            return {TOPIC: 7}
+        return TopicUpdate(topic=TOPIC, records=(), end=7, start=message.offset)
+
+
+class MissingRecordsTests(unittest.TestCase):
+    def senders(self, ends: TopicEnds, peer: str) -> list[str]:
+        """Return the nodes of a zone that send a peer the records it lacks."""
+        senders = []
+        for number in range(ZONE_NODES):
+            if node(number).node_id == peer:
+                continue
+            gossip = FleetGossip(
+                settings=SimpleNamespace(
+                    node_id=f"a{number}",
+                    zone="a",
+                    peers_address=node(number).address,
+                    seeds=(),
+                ),
+                record_cache=Cache(),
+                dispatcher=mock.Mock(),
+                log=mock.Mock(),
+                metrics=mock.Mock(),
+                topics=(TOPIC,),
+                zonal_topic="",
+            )
+            gossip._on_peers(frozenset(node(each) for each in range(ZONE_NODES)))
+            gossip._gossip_service.stop()
+            gossip._gossip_service = mock.Mock()
+            gossip.on_topic_ends(ends, peer)
+            for call in gossip._gossip_service.tell.call_args_list:
+                if isinstance(call.args[0], GossipService.SendTo):
+                    senders.append(gossip.own.node_id)
+        return senders
+
+    def test_a_node_that_lacks_records_is_sent_them_by_two_nodes_of_its_zone(self):
+        """Guards against copies from all neighbours, which fill the link of a node that
+        starts or lags."""
+        for peer in (f"a{number}" for number in range(ZONE_NODES)):
+            starting = TopicEnds(ends_by_topic={}, ages_ms_by_topic={})
+            self.assertEqual(len(self.senders(starting, peer)), 2)
+            lagging = TopicEnds(
+                ends_by_topic={TOPIC: 3}, ages_ms_by_topic={TOPIC: 1_500}
+            )
+            self.assertEqual(len(self.senders(lagging, peer)), 2)
+
+    def test_a_node_that_reads_the_store_itself_is_sent_nothing(self):
+        reading = TopicEnds(ends_by_topic={TOPIC: 3}, ages_ms_by_topic={TOPIC: 200})
+        self.assertEqual(self.senders(reading, "a3"), [])
