Divide the retry allowance by the whole fleet, not by the nodes that are heard

A node of 69 hears about 29 others, and took 1/29 of the allowance for retries; all nodes together could send 2.4 times the allowance to a service (rule on retries).

The number of known nodes now counts, whether they send to this node or not.

FleetReachTests: the nodes counted 24 to 40 of 69 before (test failed).

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -246,9 +246,10 @@
         """Return messages whose content a newly started node can't read from the store."""
         return [self._dispatcher.ask(dispatcher_messages.GetTargetVersions())]
 
-    def _on_peers(self, live: frozenset[NodeAddress]) -> None:
+    def _on_peers(self, live: frozenset[NodeAddress], known_count: int) -> None:
         self._live = live
-        self._dispatcher.tell(dispatcher_messages.SetFleetSize(count=len(live)))
+        # Only neighbours are seen to be live; all nodes share the retry allowance.
+        self._dispatcher.tell(dispatcher_messages.SetFleetSize(count=known_count))
 
     def _on_message(self, gossip: GossipMessage, sender: str) -> None:
         handler = _handlers_by_type.get(type(gossip))
--- a/src/crocuswick/gossip/service.py
+++ b/src/crocuswick/gossip/service.py
@@ -50,7 +50,8 @@
         ends: Returns the end offset of each topic, as this node knows it.
         initial_messages: Returns further messages to send first on each connection.
         on_message: Called with each message and the id of its sender.
-        on_peers: Called with the live nodes, including this one, when they change.
+        on_peers: Called with the live nodes and the number of known nodes, both
+            including this one, when they change.
         on_sent: Called with the kind of each message that is sent, the number of its
             receivers and its size in bytes.
         log: Decision log; records nodes that join or are lost.
@@ -122,7 +123,7 @@
         ends: Callable[[], TopicEnds],
         initial_messages: Callable[[], list[GossipMessage]],
         on_message: Callable[[GossipMessage, str], None],
-        on_peers: Callable[[frozenset[NodeAddress]], None],
+        on_peers: Callable[[frozenset[NodeAddress], int], None],
         on_sent: Callable[[str, int, int], None],
         log: DecisionLog,
     ):
@@ -139,6 +140,7 @@
         self._links_by_address: dict[str, PeerLink] = {}
         self._senders_by_connection: dict[int, str] = {}
         self._live: frozenset[NodeAddress] = frozenset()
+        self._known_count = 0
         self._ticks = 0
 
     def on_set_seeds(self, message: SetSeeds) -> None:
@@ -298,12 +300,15 @@
 
     def _report_changes(self) -> None:
         live = self._table.live(time.monotonic())
-        if live == self._live:
+        known_count = len(self._table.addresses()) + 1
+        if live == self._live and known_count == self._known_count:
             return
-        self._log.record_state(
-            "nodes changed",
-            joined=sorted(node.node_id for node in live - self._live),
-            lost=sorted(node.node_id for node in self._live - live),
-        )
+        if live != self._live:
+            self._log.record_state(
+                "nodes changed",
+                joined=sorted(node.node_id for node in live - self._live),
+                lost=sorted(node.node_id for node in self._live - live),
+            )
         self._live = live
-        self._on_peers(live)
+        self._known_count = known_count
+        self._on_peers(live, known_count)
--- a/tests/gossip/in_memory_fleet.py
+++ b/tests/gossip/in_memory_fleet.py
@@ -10,7 +10,12 @@
 from crocuswick.actor import handler_name
 from crocuswick.fleet_gossip import FleetGossip
 from crocuswick.fleet_settings import FleetBounds, FleetSettings
-from crocuswick.gossip.messages import NodeAddress, TopicEnds, decode_gossip
+from crocuswick.gossip.messages import (
+    NodeAddress,
+    PromptEnded,
+    TopicEnds,
+    decode_gossip,
+)
 from crocuswick.gossip.service import GossipService
 
 BOUNDS = FleetBounds(
@@ -23,6 +28,10 @@
 )
 
 
+NO_CHANGE = PromptEnded(request_id="unknown", incarnation="unknown@1")
+"""A message that changes nothing at its receivers."""
+
+
 class RecordingActor:
     """Stands in for an actor; keeps the messages that it is sent."""
 
@@ -56,6 +65,14 @@
         for node in self.nodes_by_id.values():
             node.connect(self.nodes_by_id.values())
 
+    def tick(self):
+        """Let all nodes report the peers that send to them."""
+        for node in self.nodes_by_id.values():
+            node.tell(GossipService.Send(gossip=NO_CHANGE))
+        self.deliver()
+        for node in self.nodes_by_id.values():
+            node.report_changes()
+
     def deliver(self):
         """Deliver messages until none is on its way."""
         while self._due:
@@ -101,6 +118,10 @@
             )
         self.gossip.set_driver(self.driver)
 
+    def report_changes(self):
+        """Let the gossip service report the nodes that it knows."""
+        self._service._report_changes()
+
     @property
     def address(self) -> NodeAddress:
         return self.gossip.own
--- a/tests/gossip/test_fleet_gossip.py
+++ b/tests/gossip/test_fleet_gossip.py
@@ -50,7 +50,9 @@
                 topics=(TOPIC,),
                 zonal_topic="",
             )
-            gossip._on_peers(frozenset(node(each) for each in range(ZONE_NODES)))
+            gossip._on_peers(
+                frozenset(node(each) for each in range(ZONE_NODES)), ZONE_NODES
+            )
             gossip._gossip_service.stop()
             gossip._gossip_service = mock.Mock()
             gossip.on_topic_ends(ends, peer)
--- a/tests/gossip/test_fleet_reach.py
+++ b/tests/gossip/test_fleet_reach.py
@@ -42,6 +42,19 @@
                 [(each.node_id, each.token) for each in active], [("a7", 3)], node.id
             )
 
+    def test_all_nodes_divide_the_retry_allowance_by_the_whole_fleet(self):
+        """Guards against nodes that count only those that send to them, and together
+        exceed the fleet's allowance."""
+        self.fleet.tick()
+        sizes = {
+            message.count
+            for node in self.nodes
+            for message in node.dispatcher.of_type(dispatcher_messages.SetFleetSize)[
+                -1:
+            ]
+        }
+        self.assertEqual(sizes, {sum(NODES_BY_ZONE.values())})
+
     def test_a_message_is_forwarded_only_once_by_few_nodes(self):
         """Otherwise the work of each node grows with the size of the fleet."""
         self.publish(LOADING)
