Report requests that crash engines to the whole fleet

Seen in the code, not in a run.

FleetReachTests failed before (PeerCrash at 0 of the nodes that are not neighbours).

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -162,12 +162,18 @@
         self._gossip_service.stop(block=False)
 
     def broadcast(self, gossip: GossipMessage, *, is_zonal: bool = False) -> None:
-        """Broadcast a message to the neighbours."""
+        """Broadcast a message to the neighbours, or to the fleet if all need it."""
+        if isinstance(gossip, ReplicaCrashed):
+            self._broadcast_to_fleet(gossip)
+            return
         self._gossip_service.tell(GossipService.Send(gossip=gossip, is_zonal=is_zonal))
 
     def publish(self, gossip: GossipMessage) -> None:
         """Handle a message as if a peer had sent it, and send it to the whole fleet."""
         self._on_message(gossip, self.own.node_id)
+        self._broadcast_to_fleet(gossip)
+
+    def _broadcast_to_fleet(self, gossip: GossipMessage) -> None:
         # Receivers discard a message that is sent after one with a higher number.
         with self._publish_lock:
             self._gossip_service.tell(
--- a/tests/gossip/test_fleet_reach.py
+++ b/tests/gossip/test_fleet_reach.py
@@ -7,6 +7,7 @@
 from crocuswick.gossip.messages import (
     LeaseAcquired,
     LeaseReleased,
+    ReplicaCrashed,
     ReplicaLoading,
     WeightsServed,
 )
@@ -42,6 +43,15 @@
                 [(each.node_id, each.token) for each in active], [("a7", 3)], node.id
             )
 
+    def test_all_nodes_are_notified_of_a_request_that_crashes_engines(self):
+        """Guards against repeats of such a request at nodes that can't refuse it."""
+        self.holder.gossip.broadcast(ReplicaCrashed(fingerprint="f", incarnation="e"))
+        self.fleet.deliver()
+        for node in self.nodes:
+            if node is not self.holder:
+                crashes = node.dispatcher.of_type(dispatcher_messages.PeerCrash)
+                self.assertEqual(len(crashes), 1, node.id)
+
     def test_all_nodes_divide_the_retry_allowance_by_the_whole_fleet(self):
         """Guards against nodes that count only those that send to them, and together
         exceed the fleet's allowance."""
