Let the nodes that a peer writes to supply its missing records

A node that can't read the store gets missing records from its zone or from other zones. It announces its end offsets to four nodes of each other zone, but the two suppliers of a zone were ranked by another key, so that both were mostly nodes without a connection to it.

A zone whose nodes all lack records, such as one of a single node or one that starts without the store, depended on pushed copies of new records.

Suppliers are now ranked by the key by which the peer chooses its neighbours: the first two are those that it writes to. Its own zone still has exactly two suppliers.

OtherZoneTests was seen to fail before the change.

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -300,7 +300,8 @@
             for node in self._live
             if node.zone == self.own.zone and node.node_id != node_id
         }
-        return task_rank(f"records/{node_id}", self.own.node_id, suppliers) < SUPPLIERS
+        # Peers in other zones choose their neighbours here by the same ranks.
+        return task_rank(node_id, self.own.node_id, suppliers) < SUPPLIERS
 
     def _known_ends(self, now_s: float) -> dict[str, int]:
         """Return this node's end offsets of the topics, at most `ENDS_CACHE_S` old."""
--- a/tests/gossip/test_fleet_gossip.py
+++ b/tests/gossip/test_fleet_gossip.py
@@ -8,9 +8,11 @@
 
 from crocuswick.fleet_gossip import FleetGossip
 from crocuswick.gossip.messages import NodeAddress, TopicEnds
+from crocuswick.gossip.peers import PeerTable
 from crocuswick.gossip.service import GossipService
 from crocuswick.records.mirror import TopicUpdate
 from crocuswick.records.record_cache import RecordCache
+from tests.gossip.in_memory_fleet import InMemoryFleet
 
 TOPIC = "configuration"
 ZONE_NODES = 17
@@ -75,3 +77,34 @@
     def test_a_node_that_reads_the_store_itself_is_sent_nothing(self):
         reading = TopicEnds(ends_by_topic={TOPIC: 3}, ages_ms_by_topic={TOPIC: 200})
         self.assertEqual(self.senders(reading, "a3"), [])
+
+
+class OtherZoneTests(unittest.TestCase):
+    def test_a_node_of_a_zone_without_the_store_is_supplied_by_another_zone(self):
+        """Guards against suppliers that a peer in another zone has no connection to,
+        so that nobody sends it the records it lacks."""
+        fleet = InMemoryFleet({"a": 20, "b": 16, "c": 18, "d": 15})
+        nodes = [node.address for node in fleet.nodes_by_id.values()]
+        neighbours_by_id = {}
+        for own in nodes:
+            table = PeerTable(own=own)
+            for address in nodes:
+                table.add(address)
+            neighbours_by_id[own.node_id] = {
+                each.node_id for each in table.neighbours()
+            }
+        for node in fleet.nodes_by_id.values():
+            zone = (each for each in nodes if each.zone == node.zone)
+            node.gossip._on_peers(frozenset(zone), len(nodes))
+        not_supplied = [
+            peer.node_id
+            for peer in nodes
+            if not any(
+                node.gossip._supplies(peer.node_id)
+                for node in fleet.nodes_by_id.values()
+                if node.zone != peer.zone
+                and node.id in neighbours_by_id[peer.node_id]
+                and peer.node_id in neighbours_by_id[node.id]
+            )
+        ]
+        self.assertEqual(not_supplied, [])
