Reserve no retry for a request that crashes replicas

ReserveRetry did not check what Place checks first: a request that crashed replicas elsewhere got its retry reserved, its attempt was aborted, and the retry was then refused with 422, so that the stream was cut although its replica was at work.

The reservation asks the same guard.

--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -270,6 +270,9 @@
         """Reserve a retry for an attempt that is still under way."""
         now_s = time.monotonic()
         request = message.request
+        refusal = self._poison.check(request, now_s)
+        if refusal is not None:
+            return refusal
         service = self._configuration.services_by_name.get(request.service)
         if service is None:
             return no_replica("the service has no definition", None)
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -365,9 +365,9 @@
         crashes = [each for each in self.broadcasts if isinstance(each, ReplicaCrashed)]
         self.assertEqual(len(crashes), 2)
 
-    def test_a_request_that_crashed_replicas_elsewhere_is_refused_here(self):
-        self.update_replicas("z")
-        for incarnation in ("x@1", "y@1"):
+    def record_peer_crashes(self, *incarnations):
+        """Let peers report that the default request has crashed replicas."""
+        for incarnation in incarnations:
             self.ask(
                 messages.PeerCrash(
                     crashed=ReplicaCrashed(
@@ -380,8 +380,20 @@
                     )
                 )
             )
+
+    def test_a_request_that_crashed_replicas_elsewhere_is_refused_here(self):
+        self.update_replicas("z")
+        self.record_peer_crashes("x@1", "y@1")
         self.assertEqual(self.place(self.request("p")).status, 422)
 
+    def test_no_retry_is_reserved_for_a_request_that_crashes_replicas(self):
+        """Guards against an aborted attempt whose retry is then refused as harmful."""
+        self.update_replicas("x", "y")
+        request = self.request("p")
+        self.assertIsNone(self.reserve(request, replica("x").incarnation))
+        self.record_peer_crashes("v@1", "w@1")
+        self.assertEqual(self.reserve(request, replica("x").incarnation).status, 422)
+
     def test_a_lost_connection_alone_is_no_crash(self):
         self.update_replicas("x")
         for number in range(4):
