Pace broadcasts of small prompts by the nodes that send to this one

Counting 69 nodes instead of the 24 to 40 that are heard made each node broadcast its small prompts every sixth tick instead of every second to fourth, though a node receives them from neighbours only; the modelled caches of peers' engines lag behind for longer.

SetFleetSize now carries both counts. The test of the pace in test_dispatcher names them; with the pace taken from the fleet's size it was seen to fail.

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -255,7 +255,9 @@
     def _on_peers(self, live: frozenset[NodeAddress], known_count: int) -> None:
         self._live = live
         # Only neighbours are seen to be live; all nodes share the retry allowance.
-        self._dispatcher.tell(dispatcher_messages.SetFleetSize(count=known_count))
+        self._dispatcher.tell(
+            dispatcher_messages.SetFleetSize(count=known_count, heard_count=len(live))
+        )
 
     def _on_message(self, gossip: GossipMessage, sender: str) -> None:
         handler = _handlers_by_type.get(type(gossip))
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -63,8 +63,8 @@
 """Longest expected outage of a paused or loading replica for which a request waits."""
 
 NODES_PER_TICK = 12
-"""Number of nodes for each tick between broadcasts of small prompts. A larger fleet
-broadcasts them less often, so that a node doesn't receive more messages."""
+"""Number of senders to a node for each tick between broadcasts of small prompts. With
+more of them each broadcasts less often, so that a node doesn't receive more messages."""
 
 QUEUE_TIME_FACTOR = 1.5
 """Multiple of an engine's expected queueing time after which a request is assumed to
@@ -109,6 +109,7 @@
         self._loading_until_s: dict[str, float] = {}
         self._retry_budgets_by_service: dict[str, WindowedRetryBudget] = {}
         self._node_count = MIN_NODES
+        self._heard_count = MIN_NODES
         self._small_prompt_ticks = 0
 
     def on_set_configuration(self, message: messages.SetConfiguration) -> None:
@@ -198,9 +199,9 @@
     def on_broadcast_small_prompts(
         self, _message: messages.BroadcastSmallPrompts
     ) -> None:
-        """Broadcast small prompts, less often in a larger fleet."""
+        """Broadcast small prompts, less often if more nodes do so."""
         self._small_prompt_ticks += 1
-        if self._small_prompt_ticks * NODES_PER_TICK < self._node_count:
+        if self._small_prompt_ticks * NODES_PER_TICK < self._heard_count:
             return
         self._small_prompt_ticks = 0
         self._tracker.broadcast_small_prompts()
@@ -214,9 +215,10 @@
         self._tracker.record_peer_ended(message.request_id, message.incarnation)
 
     def on_set_fleet_size(self, message: messages.SetFleetSize) -> None:
-        """Divide the retry allowance among the nodes."""
+        """Divide the retry allowance among the nodes and adapt broadcasts to them."""
         # Unreachable nodes go on sending retries, so the count never falls.
         self._node_count = max(self._node_count, message.count)
+        self._heard_count = max(self._heard_count, message.heard_count)
         self._update_retry_budgets()
 
     def on_get_engine_states(
--- a/src/crocuswick/relay/dispatcher_messages.py
+++ b/src/crocuswick/relay/dispatcher_messages.py
@@ -177,6 +177,8 @@
     """The number of nodes in the fleet, this one included."""
 
     count: int
+    heard_count: int
+    """Nodes that send to this one, and this one."""
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -273,9 +273,14 @@
             [PromptPlaced, PromptComputed, PromptEnded],
         )
 
-    def test_small_prompts_are_broadcast_less_often_in_a_large_fleet(self):
+    def test_small_prompts_are_broadcast_less_often_by_more_senders(self):
+        """Guards against a pace that follows nodes which don't send to each other."""
         self.update_replicas("x")
-        self.ask(messages.SetFleetSize(count=3 * NODES_PER_TICK))
+        self.ask(
+            messages.SetFleetSize(
+                count=6 * NODES_PER_TICK, heard_count=3 * NODES_PER_TICK
+            )
+        )
         small = self.request("s", prompt=prompt(shared=92, own=291))
         self.place(small)
         for _ in range(2):
