Place a begun stream again after a refusal instead of cutting it

The replica may pause, be busy or unreachable, or the connection to a running engine may be lost with no substitute at that moment. Place then refused (503) and the stream was cut at once, with seconds left until its deadline.

The caller of a begun stream can't be sent a refusal, so its retry is placed again every 0.1 s until it is taken or the deadline is near. Answers that have not begun are refused or failed as before. A caller that resumes by itself after a cut does so later now; that trade was not measured.

test_a_lost_stream_continues_once_an_engine_is_usable_again was seen to fail before the change (an engine restarts 0.8 s after the only other one is lost).

--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -33,6 +33,7 @@
 
 MISDIRECTED = 421
 SERVER_ERROR = 500
+UNAVAILABLE = 503
 HARD_FIRST_EVENT_FACTOR = 3.0
 """Multiple of the target latency, added to the expected time, after which a stream
 without an event is retried even though its engine sends events to others."""
@@ -49,6 +50,9 @@
 """Multiple of the longest allowed gap after which a stream is resumed at another
 replica in any case."""
 
+REPLACE_INTERVAL_S = 0.1
+"""Interval at which the retry of a begun stream is placed again after a refusal."""
+
 MIN_RETRY_S = 0.1
 """Minimum remaining time for a retry to be sent."""
 
@@ -126,7 +130,10 @@
                 time.sleep(placed.seconds)
                 continue
             if isinstance(placed, Refusal):
-                return self._give_up(placed)
+                if not self._may_place_later(placed):
+                    return self._give_up(placed)
+                time.sleep(REPLACE_INTERVAL_S)
+                continue
             outcome = self._attempt(placed)
             if outcome is not None:
                 return outcome
@@ -380,6 +387,17 @@
         progress.tried.append(attempt.incarnation)
         return True
 
+    def _may_place_later(self, refusal: Refusal) -> bool:
+        """Whether a begun stream waits after its retry was refused.
+
+        Its caller can't be sent a refusal any more, only be cut off.
+        """
+        return (
+            self._progress.head is not None
+            and refusal.status == UNAVAILABLE
+            and self._remaining_s() > REPLACE_INTERVAL_S + MIN_RETRY_S
+        )
+
     # Final outcomes.
 
     def _give_up(self, refusal: Refusal) -> str:
--- a/tests/platform/test_node_relay.py
+++ b/tests/platform/test_node_relay.py
@@ -334,6 +334,33 @@
         lines = self.deployment.node.output.read_text()
         self.assertIn("retry not reserved", lines)
 
+    def test_a_lost_stream_continues_once_an_engine_is_usable_again(self):
+        """Guards against a stream that is cut at the first refusal of its retry,
+        seconds before its deadline."""
+        self.deployment.script("engine-1", stream(1, 2, ends=False))
+        self.deployment.script("engine-2", stream(1, 5))
+        restarted = {"born": 1_800_000_000_000, "Sequence": 1}
+        ready = threading.Timer(
+            0.8, lambda: self.deployment.register("engine-2", **restarted)
+        )
+        ready.start()
+        self.addCleanup(ready.join)
+        body = self.deployment.ask(
+            request("/digest/1", host="ai.example", budget_ms=4_000)
+        )
+        self.assertIn(b"piece 5", body)
+        self.assertTrue(body.endswith(b"0\r\n\r\n"))
+
+    def test_a_lost_stream_that_no_engine_can_continue_ends_by_its_deadline(self):
+        self.deployment.script("engine", stream(1, 2, ends=False))
+        started_s = time.monotonic()
+        body = self.deployment.ask(
+            request("/digest/1", host="ai.example", budget_ms=1_500)
+        )
+        self.assertIn(b"piece 2", body)
+        self.assertFalse(body.endswith(b"0\r\n\r\n"))
+        self.assertLess(time.monotonic() - started_s, 1.8)
+
 
 class NodeStoreTests(RelayCase):
     def test_a_draining_replica_gets_no_request_within_two_seconds(self):
