Send the lease and the loading of weights to the whole fleet

In a fleet of 69 nodes in four zones, a node's gossip messages reached its own zone and four nodes of each other zone. All others did not know that a node held the order lease and took it from it while it sent orders; each change of the holder stops the rollout for the handover time. They also sent requests to engines that were loading weights, which reject them.

LeaseAcquired, LeaseReleased, ReplicaLoading and WeightsServed are now sent as fleet messages: to the own zone and to two connected nodes of each other zone, which forward them once within their zone. Copies are discarded by the origin's number, so that a slower path does not undo a newer message.

tests/gossip/test_fleet_reach.py was seen to fail before the change in its three tests of who is notified; the tests of the forwarders came with the change.

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -7,7 +7,9 @@
 from typing import TYPE_CHECKING, Any
 
 from crocuswick.actor import Ticker
+from crocuswick.gossip.fleet_messages import FleetMessages
 from crocuswick.gossip.messages import (
+    FleetMessage,
     GossipMessage,
     LeaseAcquired,
     LeaseReleased,
@@ -109,6 +111,8 @@
             address=settings.peers_address,
         )
         self._live = frozenset({self.own})
+        self._fleet_messages = FleetMessages(own=self.own)
+        self._publish_lock = threading.Lock()
         self._gossip_service = GossipService.start(
             own=self.own,
             seeds=settings.seeds,
@@ -155,9 +159,13 @@
         self._gossip_service.tell(GossipService.Send(gossip=gossip, is_zonal=is_zonal))
 
     def publish(self, gossip: GossipMessage) -> None:
-        """Handle a message as if a peer had sent it, and broadcast it."""
+        """Handle a message as if a peer had sent it, and send it to the whole fleet."""
         self._on_message(gossip, self.own.node_id)
-        self.broadcast(gossip)
+        # Receivers discard a message that is sent after one with a higher number.
+        with self._publish_lock:
+            self._gossip_service.tell(
+                GossipService.SendToFleet(gossip=self._fleet_messages.wrap(gossip))
+            )
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seeds."""
@@ -237,6 +245,17 @@
         if handler is not None:
             handler(self, gossip, sender)
 
+    @handles(FleetMessage)
+    def on_fleet_message(self, wrapped: FleetMessage, _sender: str) -> None:
+        """Handle a message for the whole fleet, and forward it if it must be."""
+        gossip = self._fleet_messages.unwrap(wrapped)
+        if gossip is None:
+            return
+        forwarded = self._fleet_messages.to_forward(wrapped)
+        if forwarded is not None:
+            self.broadcast(forwarded, is_zonal=True)
+        self._on_message(gossip, wrapped.origin)
+
     @handles(TopicEnds)
     def on_topic_ends(self, gossip: TopicEnds, sender: str) -> None:
         """Record when a peer last read each topic, and send it the records that it lacks."""
--- a/src/crocuswick/gossip/messages.py
+++ b/src/crocuswick/gossip/messages.py
@@ -13,6 +13,7 @@
     from collections.abc import Callable
 
 __all__ = [
+    "FleetMessage",
     "GossipMessage",
     "Hello",
     "LeaseAcquired",
@@ -207,6 +208,28 @@
     incarnation: str
 
 
+@message("fleet")
+@attrs.frozen(kw_only=True)
+class FleetMessage(GossipMessage):
+    """A message for all nodes, which receivers in other zones forward in their zone."""
+
+    origin: str
+    """Node that sent it first."""
+
+    zone: str
+    """Zone of that node."""
+
+    run: str
+    """Identifier of the run of that node's process, which numbers its messages."""
+
+    number: int
+    message: list[Any]
+    """The encoded message."""
+
+    is_forwarded: bool = False
+    """Whether a node of the receiver's zone has forwarded it."""
+
+
 def encode_gossip(gossip: GossipMessage) -> list[Any]:
     """Return the msgpack array of a message."""
     return [_codes_by_type[type(gossip)], attrs.asdict(gossip, recurse=False)]
--- a/src/crocuswick/gossip/peers.py
+++ b/src/crocuswick/gossip/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
@@ -10,7 +11,7 @@
 from crocuswick.rendezvous import Rendezvous, stable_hash
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
 __all__ = ["PeerTable", "task_rank"]
 
@@ -24,7 +25,11 @@
 
 MAX_OTHER_NEIGHBOURS = 4
 """Nodes of each other zone to which messages are sent directly. These nodes forward
-records but no other messages."""
+records and fleet messages, but no other messages."""
+
+FORWARDERS = 2
+"""Nodes of each other zone to which a fleet message is sent; one may be out of reach
+without the connection to it being considered lost."""
 
 FORGET_AFTER_S = 60.0
 """Time after which an unreachable peer is removed."""
@@ -112,6 +117,30 @@
             self._neighbours = self._choose_neighbours()
         return self._neighbours
 
+    def fleet_receivers(
+        self, is_connected: Callable[[NodeAddress], bool]
+    ) -> list[NodeAddress]:
+        """Return the neighbours to which a message for the whole fleet is sent.
+
+        Args:
+            is_connected: Whether there is a connection to a neighbour.
+
+        Returns:
+            The neighbours of the own zone, and `FORWARDERS` connected ones of each
+            other zone.
+        """
+        receivers = []
+        forwarders_by_zone: Counter[str] = Counter()
+        for address in self.neighbours():
+            if address.zone == self._own.zone:
+                receivers.append(address)
+            elif forwarders_by_zone[address.zone] < FORWARDERS and is_connected(
+                address
+            ):
+                forwarders_by_zone[address.zone] += 1
+                receivers.append(address)
+        return receivers
+
     def _choose_neighbours(self) -> list[NodeAddress]:
         by_zone: dict[str, list[NodeAddress]] = {}
         for peer in self._peers_by_id.values():
--- a/src/crocuswick/gossip/service.py
+++ b/src/crocuswick/gossip/service.py
@@ -9,7 +9,13 @@
 
 from crocuswick.actor import Actor, Message
 from crocuswick.gossip.link import PeerLink, pack_gossip
-from crocuswick.gossip.messages import GossipMessage, Hello, NodeAddress, TopicEnds
+from crocuswick.gossip.messages import (
+    FleetMessage,
+    GossipMessage,
+    Hello,
+    NodeAddress,
+    TopicEnds,
+)
 from crocuswick.gossip.peers import FORGET_AFTER_S, PeerTable
 
 if TYPE_CHECKING:
@@ -58,6 +64,12 @@
         is_zonal: bool = False
         """Whether it is sent to nodes of the own zone only."""
 
+    @attrs.frozen(kw_only=True)
+    class SendToFleet(Message):
+        """Sends a message to the nodes that pass it on to the whole fleet."""
+
+        gossip: FleetMessage
+
     @attrs.frozen(kw_only=True)
     class SendTo(Message):
         """Sends a gossip message to one node."""
@@ -149,6 +161,11 @@
             ]
         self._send(addresses, message.gossip)
 
+    def on_send_to_fleet(self, message: SendToFleet) -> None:
+        """Send a message to the own zone and to its forwarders in other zones."""
+        receivers = self._table.fleet_receivers(self._is_connected)
+        self._send(receivers, message.gossip)
+
     def on_send_to(self, message: SendTo) -> None:
         """Send a message to one node."""
         addresses = self._table.addresses()
@@ -198,6 +215,10 @@
         self._update_links()
         self._report_changes()
 
+    def _is_connected(self, address: NodeAddress) -> bool:
+        link = self._links_by_address.get(address.address)
+        return link is not None and link.disconnected_since_s is None
+
     def _is_same_zone(self, address: NodeAddress) -> bool:
         return address.zone == self._own.zone
 
--- /dev/null
+++ b/tests/gossip/test_fleet_reach.py
@@ -0,0 +1,94 @@
+"""Tests of which nodes of a large fleet get a gossip message."""
+
+from __future__ import annotations
+
+import unittest
+
+from crocuswick.gossip.messages import (
+    LeaseAcquired,
+    LeaseReleased,
+    ReplicaLoading,
+    WeightsServed,
+)
+from crocuswick.gossip.peers import FORWARDERS
+from crocuswick.relay import dispatcher_messages
+from crocuswick.rollouts.driver import RolloutDriver
+from tests.gossip.fleet_on_paper import FleetOnPaper
+
+NODES_BY_ZONE = {"a": 20, "b": 16, "c": 18, "d": 15}
+LOADING = ReplicaLoading(incarnation="engine@1", for_ms=2_000)
+SERVED = WeightsServed(incarnation="engine@1", model="m", version=2)
+
+
+class FleetReachTests(unittest.TestCase):
+    def setUp(self):
+        self.fleet = FleetOnPaper(NODES_BY_ZONE)
+        self.nodes = list(self.fleet.nodes_by_id.values())
+        self.holder = self.fleet.nodes_by_id["a7"]
+
+    def publish(self, gossip):
+        self.holder.gossip.publish(gossip)
+        self.fleet.deliver()
+
+    def test_all_nodes_are_notified_of_the_lease_holder(self):
+        """Otherwise nodes that are not neighbours of the holder take the lease from it
+        while it sends orders, and a rollout stops for the handover time."""
+        self.publish(LeaseAcquired(token=3, usable_in_ms=0))
+        for node in self.nodes:
+            if node is self.holder:
+                continue
+            active = node.driver.of_type(RolloutDriver.HolderActive)
+            self.assertEqual(
+                [(each.node_id, each.token) for each in active], [("a7", 3)], node.id
+            )
+
+    def test_a_message_is_forwarded_only_once_by_few_nodes(self):
+        """Otherwise the work of each node grows with the size of the fleet."""
+        self.publish(LOADING)
+        own_zone = NODES_BY_ZONE["a"] - 1
+        others = [count for zone, count in NODES_BY_ZONE.items() if zone != "a"]
+        self.assertLessEqual(self.fleet.delivered, own_zone + FORWARDERS * sum(others))
+
+    def test_all_nodes_are_reached_although_a_forwarder_of_each_zone_is_down(self):
+        """A stopped machine is noticed late; the other forwarder must be enough."""
+        receivers = self.holder.fleet_receivers()
+        down = {address.zone: address.node_id for address in receivers}
+        del down["a"]
+        for node_id in down.values():
+            self.fleet.nodes_by_id[node_id].is_down = True
+        self.publish(LOADING)
+        reached = {node.id for node in self.nodes if node.dispatcher.messages}
+        self.assertEqual(reached, self.fleet.nodes_by_id.keys() - down.values())
+
+    def test_a_lost_connection_is_replaced_by_another_forwarder(self):
+        """A zone gets its messages while a connected node there can forward them."""
+        for address in self.holder.fleet_receivers():
+            if address.zone == "b":
+                self.fleet.nodes_by_id[address.node_id].is_down = True
+                self.holder.disconnect(address)
+        self.publish(LOADING)
+        reached = [
+            node.id
+            for node in self.nodes
+            if node.zone == "b" and node.dispatcher.messages
+        ]
+        self.assertEqual(len(reached), NODES_BY_ZONE["b"] - FORWARDERS)
+
+    def test_all_nodes_are_notified_of_a_released_lease(self):
+        """Otherwise the next holder waits for the handover time in vain."""
+        self.publish(LeaseReleased(token=3, last_order_age_ms=50))
+        for node in self.nodes:
+            if node is not self.holder:
+                released = node.driver.of_type(RolloutDriver.HolderReleased)
+                self.assertEqual([each.node_id for each in released], ["a7"], node.id)
+
+    def test_all_nodes_stop_and_resume_sending_to_an_engine_that_loads(self):
+        """Otherwise an engine that loads rejects the requests of the other nodes."""
+        self.publish(LOADING)
+        self.publish(SERVED)
+        for node in self.nodes:
+            self.assertEqual(
+                [type(each) for each in node.dispatcher.messages],
+                [dispatcher_messages.ReplicaLoading, dispatcher_messages.WeightsServed],
+                node.id,
+            )
