Don't take the order lease from a node that came first

Nodes that claimed the lease at about the same moment took it from each other: a claim whose append came second appended again right after the first one's record. The first node lost the lease at its next renewal, and the last one waited for the handover time. Several nodes of a large fleet are first in rank at once, because a node's rank counts the nodes from which it gets messages.

A claim that meets a record which this node does not know now fails, unless the record is this node's own or its lease has expired by more than the clocks differ. The node then waits as after a message of the holder; its next claim succeeds only if the record is still the newest, so an unheard holder that renews keeps the lease. Claims begin at the newest record known from gossip messages, so that a known holder is replaced at the first try as before.

Three tests of lease claims let a node take over in one call; they now require the first call to fail and the second one to succeed, which is stricter.

--- a/src/crocuswick/rollouts/driver.py
+++ b/src/crocuswick/rollouts/driver.py
@@ -210,6 +210,7 @@
             else boot_clock_s() - message.last_order_age_s,
         )
         if message.token >= self._newest_token:
+            self._newest_token = message.token
             self._takeover.holder_released(boot_clock_s())
 
     def on_release_lease(self, _message: ReleaseLease) -> None:
@@ -343,11 +344,11 @@
         if self._is_claiming:
             return
         self._is_claiming = True
-        self._submit(self._run_claim, self._lease.token)
+        self._submit(self._run_claim, self._lease.token, self._newest_token)
 
-    def _run_claim(self, own_token: int | None) -> None:
+    def _run_claim(self, own_token: int | None, newest_token: int) -> None:
         """Acquire or renew the lease; runs on a worker."""
-        claim = self._claims.claim(own_token)
+        claim = self._claims.claim(own_token, newest_token=newest_token)
         self.actor_ref.tell(RolloutDriver.ClaimEnded(claim=claim))
 
     def _lease_acquired(self, claim: LeaseClaim) -> None:
@@ -373,7 +374,10 @@
         if self._lease.token is not None:
             self._announce_release()
         self._lease.lost()
-        self._takeover.claim_failed(boot_clock_s())
+        if claim.is_contested:
+            self._takeover.holder_seen(boot_clock_s(), next_in_s=0.0)
+        else:
+            self._takeover.claim_failed(boot_clock_s())
 
     def _announce_release(self) -> None:
         if self._lease.token is None:
--- a/src/crocuswick/rollouts/lease_claims.py
+++ b/src/crocuswick/rollouts/lease_claims.py
@@ -8,16 +8,25 @@
 
 import attrs
 
-from crocuswick.rollouts.order_lease import LeaseRecord, decode_lease, encode_lease
+from crocuswick.rollouts.order_lease import (
+    LEASE_VALID_S,
+    MAX_CLOCK_SKEW_S,
+    LeaseRecord,
+    decode_lease,
+    encode_lease,
+)
 
 if TYPE_CHECKING:
     from crocuswick.records.store import RecordStore
 
-__all__ = ["LeaseClaim", "LeaseClaims", "boot_clock_s"]
+__all__ = ["EXPIRED_S", "LeaseClaim", "LeaseClaims", "boot_clock_s"]
 
 INITIAL_OFFSET = 0
 """Offset that a node without knowledge of the topic tries first."""
 
+EXPIRED_S = LEASE_VALID_S + MAX_CLOCK_SKEW_S
+"""Age of a record, by this node's clock, from which its lease has expired."""
+
 
 def boot_clock_s() -> float:
     """Return the time of a clock that also advances while the machine is suspended."""
@@ -43,6 +52,9 @@
     is_renewal: bool = False
     """Whether this node renewed its own lease: no other record lies between its two."""
 
+    is_contested: bool = False
+    """Whether another node appended a record of which this node did not know."""
+
     error: str = ""
 
 
@@ -61,16 +73,22 @@
         self._store = store
         self._expected_end = INITIAL_OFFSET
 
-    def claim(self, own_token: int | None) -> LeaseClaim:
-        """Renew the lease, or take it over from another holder.
+    def claim(self, own_token: int | None, *, newest_token: int = -1) -> LeaseClaim:
+        """Renew the lease, or take it over from a holder that does not renew it.
+
+        The first claim after an unknown record fails if that record's lease may still
+        be valid. The next one succeeds unless the lease was renewed in between.
 
         Args:
             own_token: Offset of this node's last record, None if it does not hold the
                 lease.
+            newest_token: Offset of the newest record known from gossip messages, -1
+                if none is.
 
         Returns:
             The result. After an error the append may still take effect later.
         """
+        self._expected_end = max(self._expected_end, newest_token + 1)
         claim = self._claim(own_token)
         known = claim.last_offset if claim.token is None else claim.token
         self._expected_end = max(self._expected_end, known + 1)
@@ -87,9 +105,25 @@
                 return attrs.evolve(claim, error="another node has acquired the lease")
             return attrs.evolve(claim, is_renewal=True)
         claim = self._append(record, self._expected_end)
-        if claim.token is None and not claim.error:
-            return self._claim_after(record, claim.last_offset)
-        return self._with_previous(claim, self._expected_end - 1)
+        if claim.token is not None or claim.error:
+            return self._with_previous(claim, self._expected_end - 1)
+        is_unknown = claim.last_offset >= self._expected_end
+        if is_unknown and not self._may_replace(self._read_record(claim.last_offset)):
+            return attrs.evolve(
+                claim, is_contested=True, error="another node has just claimed it"
+            )
+        return self._claim_after(record, claim.last_offset)
+
+    def _may_replace(self, record: LeaseRecord | None) -> bool:
+        """Whether a record's lease has expired or is this node's own."""
+        return record is not None and (
+            record.node_id == self._node_id or time.time() - record.clock_s > EXPIRED_S
+        )
+
+    def _read_record(self, offset: int) -> LeaseRecord | None:
+        tail = self._store.read_tail(self._topic, start=offset)
+        found = tail.ok_value if tail.is_ok() else None
+        return decode_lease(found.records[0]) if found and found.records else None
 
     def _append(self, record: LeaseRecord, at: int) -> LeaseClaim:
         sent_s = boot_clock_s()
@@ -105,7 +139,9 @@
         claim = self._append(record, last + 1)
         if claim.token is None:
             return attrs.evolve(
-                claim, error=claim.error or "a concurrent append came first"
+                claim,
+                is_contested=not claim.error,
+                error=claim.error or "a concurrent append came first",
             )
         return self._with_previous(claim, last)
 
@@ -113,9 +149,7 @@
         """Add the preceding record to a claim that was appended."""
         if claim.token is None or last < 0:
             return claim
-        tail = self._store.read_tail(self._topic, start=last)
-        found = tail.ok_value if tail.is_ok() else None
-        previous = decode_lease(found.records[0]) if found and found.records else None
+        previous = self._read_record(last)
         if previous is None:
             # The store may drop records immediately, so the previous holder may have
             # just sent an order.
--- /dev/null
+++ b/tests/rollouts/test_driver.py
@@ -0,0 +1,132 @@
+"""Tests of the actor that rolls out weights, with engines and a store in memory."""
+
+from __future__ import annotations
+
+import threading
+import time
+import unittest
+from unittest import mock
+
+from result import Ok
+
+from crocuswick.records.store import AppendAck, LogTail
+from crocuswick.relay.engine_state import EngineState
+from crocuswick.relay.replica import Replica, ReplicaState
+from crocuswick.rollouts import lease_takeover
+from crocuswick.rollouts.driver import RolloutDriver
+from crocuswick.rollouts.engine_orders import EngineReport, OrderResponse
+
+MODEL = "m"
+HANDOVER_S = 3.0
+DEADLINE_S = 5.0
+
+
+def wait_for(condition):
+    deadline_s = time.monotonic() + DEADLINE_S
+    while not condition():
+        if time.monotonic() > deadline_s:
+            raise AssertionError(f"waited {DEADLINE_S} s for the condition")
+        time.sleep(0.01)
+
+
+class MemoryStore:
+    """One topic of lease records."""
+
+    def __init__(self):
+        self.records = []
+        self.lock = threading.Lock()
+
+    def append(self, _topic, record, *, at):
+        with self.lock:
+            if at != len(self.records):
+                return Ok(AppendAck(is_appended=False, offset=len(self.records)))
+            self.records.append(record)
+            return Ok(AppendAck(is_appended=True, offset=at))
+
+    def read_tail(self, _topic, *, start):
+        with self.lock:
+            records = tuple(self.records[start:])
+            return Ok(LogTail(end=len(self.records), first=0, records=records))
+
+
+class Engines:
+    """Engines that load at once; one order a call."""
+
+    def __init__(self, count):
+        self.orders = []
+        self.prefill_tokens = 0
+        self.version_by_id = {f"engine{number}": 1 for number in range(count)}
+
+    def states(self):
+        return [
+            EngineState(
+                replica=Replica(
+                    id=engine_id,
+                    started_ms=1,
+                    service="models",
+                    address="127.0.0.1:1",
+                    zone="a",
+                    state=ReplicaState.READY,
+                    slots=16,
+                    weights_by_model={MODEL: version},
+                    report_number=1,
+                ),
+                weights_by_model={MODEL: version},
+                prefill_tokens=self.prefill_tokens,
+            )
+            for engine_id, version in self.version_by_id.items()
+        ]
+
+    def report(self, replica):
+        return Ok(
+            EngineReport(
+                weights_by_model={MODEL: self.version_by_id[replica.id]},
+                is_busy=False,
+                orders=0,
+                running=0,
+                queued=0,
+            )
+        )
+
+    def order(self, replica, order):
+        self.orders.append((time.monotonic(), order.holder))
+        self.version_by_id[replica.id] = order.version
+        return Ok(OrderResponse.ACCEPTED)
+
+
+class RolloutDriverTests(unittest.TestCase):
+    def setUp(self):
+        self.store = MemoryStore()
+        self.engines = Engines(8)
+        patched = mock.patch.object(lease_takeover, "STARTUP_WAIT_S", 0.0)
+        patched.start()
+        self.addCleanup(patched.stop)
+
+    def driver(self, node_id):
+        published = []
+        driver = RolloutDriver.start(
+            node_id=node_id,
+            topic="leases",
+            handover_s=HANDOVER_S,
+            store=self.store,
+            orders=self.engines,
+            engines=self.engines.states,
+            rank=lambda: 0,
+            publish=published.append,
+            log=mock.Mock(),
+        )
+        self.addCleanup(driver.stop)
+        return driver, published
+
+    def set_target(self, driver):
+        driver.tell(RolloutDriver.SetTargetVersion(model=MODEL, version=2))
+
+    def test_nodes_that_claim_at_once_do_not_take_the_lease_from_each_other(self):
+        """Otherwise no node sends orders until the handover time has passed."""
+        drivers = [self.driver(f"node{number}")[0] for number in range(4)]
+        for driver in drivers:
+            self.set_target(driver)
+        wait_for(lambda: self.engines.orders)
+        time.sleep(0.2)
+        self.assertEqual(len({holder for _, holder in self.engines.orders}), 1)
+        self.assertEqual(len(self.store.records), 1)
--- a/tests/rollouts/test_lease_claims.py
+++ b/tests/rollouts/test_lease_claims.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import time
 import unittest
+from unittest import mock
 
 from crocuswick.platform.store_client import StoreClient
-from crocuswick.rollouts.lease_claims import LeaseClaims
+from crocuswick.rollouts.lease_claims import EXPIRED_S, LeaseClaims
 from tests.platform.metadata_store import MetadataStore
 
 TOPIC = "leases"
@@ -35,14 +37,62 @@
         self.assertTrue(again.is_renewal)
         self.assertGreater(again.token, first.token)
 
+    def take_over(self):
+        """Let the second node take the lease over from a silent holder."""
+        lost = self.two.claim(None)
+        self.assertTrue(lost.is_contested)
+        return self.two.claim(None)
+
+    def test_a_node_does_not_take_the_lease_from_a_node_that_came_first(self):
+        """Otherwise nodes that claim the lease at the same moment take it from each
+        other, and the last one waits for the handover time."""
+        first = self.one.claim(None)
+        lost = self.two.claim(None)
+        self.assertIsNone(lost.token)
+        self.assertTrue(lost.is_contested)
+        self.assertTrue(self.one.claim(first.token).is_renewal)
+
+    def test_a_node_does_not_take_the_lease_from_a_holder_that_renews_it(self):
+        """A node that gets no gossip messages must still notice that the holder is
+        active."""
+        token = self.one.claim(None).token
+        for _ in range(5):
+            self.assertTrue(self.two.claim(None).is_contested)
+            token = self.one.claim(token).token
+            self.assertIsNotNone(token)
+
     def test_a_node_that_takes_over_gets_the_previous_holder(self):
         self.one.claim(None)
+        taken = self.take_over()
+        self.assertEqual((taken.token, taken.previous.node_id), (1, "one"))
+
+    def test_a_holder_known_from_its_messages_is_replaced_at_the_first_try(self):
+        first = self.one.claim(None)
+        taken = self.two.claim(None, newest_token=first.token)
+        self.assertEqual((taken.token, taken.previous.node_id), (1, "one"))
+
+    def test_an_expired_lease_is_taken_over_at_the_first_try(self):
+        """A node that has just started must not wait for a holder of long ago."""
+        with mock.patch("time.time", return_value=time.time() - EXPIRED_S - 0.1):
+            self.one.claim(None)
         taken = self.two.claim(None)
         self.assertEqual((taken.token, taken.previous.node_id), (1, "one"))
 
+    def test_an_own_record_without_a_response_does_not_count_as_another_node(self):
+        """Otherwise a node whose response was lost waits for itself."""
+        self.store.fault = "lost"
+        self.assertTrue(self.one.claim(None).error)
+        self.store.fault = ""
+        self.assertEqual(self.one.claim(None).token, 1)
+
+    def test_a_topic_that_is_shorter_than_expected_does_not_block_claims(self):
+        self.one.claim(None)
+        taken = self.two.claim(None, newest_token=7)
+        self.assertEqual(taken.token, 1)
+
     def test_a_replaced_holder_does_not_take_the_lease_back(self):
         first = self.one.claim(None)
-        self.two.claim(None)
+        self.take_over()
         lost = self.one.claim(first.token)
         self.assertIsNone(lost.token)
         self.assertIn("another node", lost.error)
@@ -61,7 +111,7 @@
         sent an order, so the next holder must wait."""
         self.one.claim(None)
         self.store.trim(TOPIC)
-        taken = self.two.claim(None)
+        taken = self.take_over()
         self.assertIsNotNone(taken.previous)
         self.assertNotEqual(taken.previous.node_id, "two")
 
