Don't send an order after the lease that allowed it was released

A worker sends an order up to 0.4 s after the decision, once the engine's prompts are computed, and did so too if the lease had been released meanwhile. The release named the time of the decision, so that the next holder could send its first order less than the handover time after the last one of the holder before.

The worker now notes the time and checks the lease immediately before it sends an order. A release names the time of the last order sent.

--- a/src/crocuswick/rollouts/driver.py
+++ b/src/crocuswick/rollouts/driver.py
@@ -216,8 +216,7 @@
     def on_release_lease(self, _message: ReleaseLease) -> None:
         """Stop sending orders and notify the other nodes."""
         self._is_shutting_down = True
-        self._announce_release()
-        self._lease.lost()
+        self._release()
 
     def on_set_handover_time(self, message: SetHandoverTime) -> None:
         """Change the minimum time between the orders of two lease holders."""
@@ -371,28 +370,30 @@
 
     def _after_failed_claim(self, claim: LeaseClaim) -> None:
         self._log.record_state("right to order not renewed", error=claim.error)
-        if self._lease.token is not None:
-            self._announce_release()
-        self._lease.lost()
+        self._release()
         if claim.is_contested:
             self._takeover.holder_seen(boot_clock_s(), next_in_s=0.0)
         else:
             self._takeover.claim_failed(boot_clock_s())
 
-    def _announce_release(self) -> None:
-        if self._lease.token is None:
+    def _release(self) -> None:
+        """Send no more orders, and announce when the last one was sent."""
+        token = self._lease.token
+        # Workers note an order's time before they check the lease, so that a release
+        # names the time of each order that is still sent.
+        self._lease.lost()
+        if token is None:
             return
         age_ms = None
         if self._last_order_s is not None:
             age_ms = round((boot_clock_s() - self._last_order_s) * 1000)
-        self._publish(LeaseReleased(token=self._lease.token, last_order_age_ms=age_ms))
+        self._publish(LeaseReleased(token=token, last_order_age_ms=age_ms))
 
     # Orders.
 
     def _order(self, step: WeightsStep, now_s: float) -> None:
         incarnation = step.replica.incarnation
         self._loads_by_incarnation[incarnation] = _Load(step=step, started_s=now_s)
-        self._last_order_s = now_s
         self._announce_loading(incarnation, EXPECTED_LOAD_S)
         self._submit(self._run_order, step, self._lease.token)
 
@@ -414,7 +415,14 @@
             ),
             on_busy=lambda: self._announce_loading(incarnation, EXPECTED_LOAD_S),
         )
-        result = load.run()
+        now_s = boot_clock_s()
+        self._last_order_s = now_s
+        if self._lease.may_order(now_s):
+            result = load.run()
+        else:
+            result = LoadResult(
+                is_loaded=False, detail="the lease was lost", accepted_orders=None
+            )
         self.actor_ref.tell(
             RolloutDriver.LoadEnded(incarnation=incarnation, result=result)
         )
--- a/tests/rollouts/test_driver.py
+++ b/tests/rollouts/test_driver.py
@@ -9,11 +9,12 @@
 
 from result import Ok
 
+from crocuswick.gossip.messages import LeaseAcquired, LeaseReleased
 from crocuswick.records.store import AppendAck, LogTail
 from crocuswick.relay.engine_state import EngineState
 from crocuswick.relay.replica import Replica, ReplicaState
 from crocuswick.rollouts import lease_takeover
-from crocuswick.rollouts.driver import RolloutDriver
+from crocuswick.rollouts.driver import MAX_IDLE_WAIT_S, RolloutDriver
 from crocuswick.rollouts.engine_orders import EngineReport, OrderResponse
 
 MODEL = "m"
@@ -121,6 +122,9 @@
     def set_target(self, driver):
         driver.tell(RolloutDriver.SetTargetVersion(model=MODEL, version=2))
 
+    def published_of(self, published, message_type):
+        return [each for each in published if isinstance(each, message_type)]
+
     def test_nodes_that_claim_at_once_do_not_take_the_lease_from_each_other(self):
         """Otherwise no node sends orders until the handover time has passed."""
         drivers = [self.driver(f"node{number}")[0] for number in range(4)]
@@ -130,3 +134,29 @@
         time.sleep(0.2)
         self.assertEqual(len({holder for _, holder in self.engines.orders}), 1)
         self.assertEqual(len(self.store.records), 1)
+
+    def test_an_order_is_not_sent_after_the_lease_was_released(self):
+        """The next holder counts the handover time from the last order that the
+        release names."""
+        self.engines.prefill_tokens = 1_000
+        driver, published = self.driver("one")
+        self.set_target(driver)
+        wait_for(lambda: self.published_of(published, LeaseAcquired))
+        driver.tell(RolloutDriver.ReleaseLease())
+        wait_for(lambda: self.published_of(published, LeaseReleased))
+        released_s = time.monotonic()
+        time.sleep(MAX_IDLE_WAIT_S + 0.3)
+        late = [sent_s for sent_s, _ in self.engines.orders if sent_s > released_s]
+        self.assertEqual(late, [])
+
+    def test_a_release_names_the_time_at_which_the_last_order_was_sent(self):
+        """An order is sent up to `MAX_IDLE_WAIT_S` after it was decided."""
+        self.engines.prefill_tokens = 1_000
+        driver, published = self.driver("one")
+        self.set_target(driver)
+        wait_for(lambda: self.engines.orders)
+        driver.tell(RolloutDriver.ReleaseLease())
+        wait_for(lambda: self.published_of(published, LeaseReleased))
+        released = self.published_of(published, LeaseReleased)[0]
+        age_s = time.monotonic() - max(sent_s for sent_s, _ in self.engines.orders)
+        self.assertLess(released.last_order_age_ms / 1000, age_s + 0.1)
