Release the lease when another node announces a newer claim

A holder that was replaced noticed it only at its next renewal. Until then the next holder assumed that orders might still be sent and began to wait for the handover time later. Also, the response to a renewal that arrived after another node's newer claim made the replaced node send orders again.

A holder now releases the lease at once when it is notified of a newer claim, and does not use a claim if a newer one was announced while it was under way.

Seen to fail before the change: the tests of the replaced holder and of the late renewal. The test of a topic that begins anew came with the change.

--- a/src/crocuswick/rollouts/driver.py
+++ b/src/crocuswick/rollouts/driver.py
@@ -178,6 +178,7 @@
         self._next_check_s = float("-inf")
         self._next_announcement_s = float("-inf")
         self._newest_token = -1
+        self._newest_token_at_claim = -1
         self._last_order_s: float | None = None
         self._is_claiming = False
         self._is_shutting_down = False
@@ -199,6 +200,8 @@
         if message.token is not None:
             self._lease.other_acquired(message.node_id)
             self._newest_token = max(self._newest_token, message.token)
+            if self._lease.token is not None and message.token > self._lease.token:
+                self._release()
         self._takeover.holder_seen(boot_clock_s(), next_in_s=message.next_order_in_s)
 
     def on_holder_released(self, message: HolderReleased) -> None:
@@ -226,7 +229,7 @@
         """Process the result of an attempt to acquire or renew the lease."""
         claim = message.claim
         self._is_claiming = False
-        if claim.token is None:
+        if claim.token is None or self._is_superseded(claim.token):
             self._after_failed_claim(claim)
             return
         self._newest_token = max(self._newest_token, claim.token)
@@ -236,6 +239,13 @@
             self._lease_acquired(claim)
         self._continue_rollout()
 
+    def _is_superseded(self, token: int) -> bool:
+        """Whether another node announced a later claim before the response arrived.
+
+        Offsets known earlier don't count: the store may have begun the topic anew.
+        """
+        return self._newest_token > max(token, self._newest_token_at_claim)
+
     def on_load_ended(self, message: LoadEnded) -> None:
         """Process the result of an order."""
         incarnation, result = message.incarnation, message.result
@@ -343,6 +353,7 @@
         if self._is_claiming:
             return
         self._is_claiming = True
+        self._newest_token_at_claim = self._newest_token
         self._submit(self._run_claim, self._lease.token, self._newest_token)
 
     def _run_claim(self, own_token: int | None, newest_token: int) -> None:
--- a/tests/rollouts/test_driver.py
+++ b/tests/rollouts/test_driver.py
@@ -14,8 +14,14 @@
 from crocuswick.relay.engine_state import EngineState
 from crocuswick.relay.replica import Replica, ReplicaState
 from crocuswick.rollouts import lease_takeover
-from crocuswick.rollouts.driver import MAX_IDLE_WAIT_S, RolloutDriver
+from crocuswick.rollouts.driver import (
+    MAX_IDLE_WAIT_S,
+    VERSION_CHECK_INTERVAL_S,
+    RolloutDriver,
+)
 from crocuswick.rollouts.engine_orders import EngineReport, OrderResponse
+from crocuswick.rollouts.lease_claims import LeaseClaim, boot_clock_s
+from crocuswick.rollouts.lease_takeover import TAKE_OVER_STEP_S
 
 MODEL = "m"
 HANDOVER_S = 3.0
@@ -135,6 +141,15 @@
         self.assertEqual(len({holder for _, holder in self.engines.orders}), 1)
         self.assertEqual(len(self.store.records), 1)
 
+    def test_a_holder_releases_the_lease_that_another_node_has_acquired(self):
+        """Otherwise the next holder waits until the lease expires, and for the
+        handover time after that."""
+        driver, published = self.driver("one")
+        self.set_target(driver)
+        wait_for(lambda: self.published_of(published, LeaseAcquired))
+        driver.tell(RolloutDriver.HolderActive(node_id="two", token=7))
+        wait_for(lambda: self.published_of(published, LeaseReleased))
+
     def test_an_order_is_not_sent_after_the_lease_was_released(self):
         """The next holder counts the handover time from the last order that the
         release names."""
@@ -160,3 +175,28 @@
         released = self.published_of(published, LeaseReleased)[0]
         age_s = time.monotonic() - max(sent_s for sent_s, _ in self.engines.orders)
         self.assertLess(released.last_order_age_ms / 1000, age_s + 0.1)
+
+    def test_a_late_renewal_does_not_undo_a_newer_claim(self):
+        """A renewal whose response arrives after another node acquired the lease must
+        not let this node send orders."""
+        self.engines.version_by_id.clear()
+        driver, published = self.driver("one")
+        self.set_target(driver)
+        driver.tell(RolloutDriver.HolderActive(node_id="two", token=7))
+        claim = LeaseClaim(token=6, sent_s=boot_clock_s(), is_renewal=True)
+        driver.ask(RolloutDriver.ClaimEnded(claim=claim))
+        self.engines.version_by_id["engine"] = 1
+        time.sleep(VERSION_CHECK_INTERVAL_S)
+        driver.ask(RolloutDriver.Tick())
+        time.sleep(0.2)
+        self.assertEqual(self.engines.orders, [])
+        self.assertEqual(self.published_of(published, LeaseAcquired), [])
+
+    def test_a_topic_that_begins_anew_does_not_block_the_rollout(self):
+        """Claims then get lower offsets than the ones that were announced before."""
+        driver, _ = self.driver("one")
+        driver.tell(RolloutDriver.HolderActive(node_id="two", token=7))
+        self.set_target(driver)
+        time.sleep(TAKE_OVER_STEP_S + 0.1)
+        driver.tell(RolloutDriver.Tick())
+        wait_for(lambda: self.engines.orders)
