--- a/src/crocuswick/rollouts/driver.py
+++ b/src/crocuswick/rollouts/driver.py
@@ -178,6 +178,7 @@
         self._next_check_s = float("-inf")
         self._next_announcement_s = float("-inf")
         self._newest_token = -1
+        self._newest_token_at_claim = -1
         self._last_order_s: float | None = None
         self._is_claiming = False
         self._is_shutting_down = False
@@ -199,6 +200,8 @@
         if message.token is not None:
             self._lease.other_acquired(message.node_id)
             self._newest_token = max(self._newest_token, message.token)
+            if self._lease.token is not None and message.token > self._lease.token:
+                self._release()
         self._takeover.holder_seen(boot_clock_s(), next_in_s=message.next_order_in_s)
 
     def on_holder_released(self, message: HolderReleased) -> None:
@@ -210,13 +213,13 @@
             else boot_clock_s() - message.last_order_age_s,
         )
         if message.token >= self._newest_token:
+            self._newest_token = message.token
             self._takeover.holder_released(boot_clock_s())
 
     def on_release_lease(self, _message: ReleaseLease) -> None:
         """Stop sending orders and notify the other nodes."""
         self._is_shutting_down = True
-        self._announce_release()
-        self._lease.lost()
+        self._release()
 
     def on_set_handover_time(self, message: SetHandoverTime) -> None:
         """Change the minimum time between the orders of two lease holders."""
@@ -226,7 +229,7 @@
         """Process the result of an attempt to acquire or renew the lease."""
         claim = message.claim
         self._is_claiming = False
-        if claim.token is None:
+        if claim.token is None or self._is_superseded(claim.token):
             self._after_failed_claim(claim)
             return
         self._newest_token = max(self._newest_token, claim.token)
@@ -236,6 +239,13 @@
             self._lease_acquired(claim)
         self._continue_rollout()
 
+    def _is_superseded(self, token: int) -> bool:
+        """Whether another node announced a later claim before the response arrived.
+
+        Offsets known earlier don't count: the store may have begun the topic anew.
+        """
+        return self._newest_token > max(token, self._newest_token_at_claim)
+
     def on_load_ended(self, message: LoadEnded) -> None:
         """Process the result of an order."""
         incarnation, result = message.incarnation, message.result
@@ -343,11 +353,12 @@
         if self._is_claiming:
             return
         self._is_claiming = True
-        self._submit(self._run_claim, self._lease.token)
+        self._newest_token_at_claim = self._newest_token
+        self._submit(self._run_claim, self._lease.token, self._newest_token)
 
-    def _run_claim(self, own_token: int | None) -> None:
+    def _run_claim(self, own_token: int | None, newest_token: int) -> None:
         """Acquire or renew the lease; runs on a worker."""
-        claim = self._claims.claim(own_token)
+        claim = self._claims.claim(own_token, newest_token=newest_token)
         self.actor_ref.tell(RolloutDriver.ClaimEnded(claim=claim))
 
     def _lease_acquired(self, claim: LeaseClaim) -> None:
@@ -370,25 +381,30 @@
 
     def _after_failed_claim(self, claim: LeaseClaim) -> None:
         self._log.record_state("right to order not renewed", error=claim.error)
-        if self._lease.token is not None:
-            self._announce_release()
-        self._lease.lost()
-        self._takeover.claim_failed(boot_clock_s())
+        self._release()
+        if claim.is_contested:
+            self._takeover.holder_seen(boot_clock_s(), next_in_s=0.0)
+        else:
+            self._takeover.claim_failed(boot_clock_s())
 
-    def _announce_release(self) -> None:
-        if self._lease.token is None:
+    def _release(self) -> None:
+        """Send no more orders, and announce when the last one was sent."""
+        token = self._lease.token
+        # Workers note an order's time before they check the lease, so that a release
+        # names the time of each order that is still sent.
+        self._lease.lost()
+        if token is None:
             return
         age_ms = None
         if self._last_order_s is not None:
             age_ms = round((boot_clock_s() - self._last_order_s) * 1000)
-        self._publish(LeaseReleased(token=self._lease.token, last_order_age_ms=age_ms))
+        self._publish(LeaseReleased(token=token, last_order_age_ms=age_ms))
 
     # Orders.
 
     def _order(self, step: WeightsStep, now_s: float) -> None:
         incarnation = step.replica.incarnation
         self._loads_by_incarnation[incarnation] = _Load(step=step, started_s=now_s)
-        self._last_order_s = now_s
         self._announce_loading(incarnation, EXPECTED_LOAD_S)
         self._submit(self._run_order, step, self._lease.token)
 
@@ -410,7 +426,14 @@
             ),
             on_busy=lambda: self._announce_loading(incarnation, EXPECTED_LOAD_S),
         )
-        result = load.run()
+        now_s = boot_clock_s()
+        self._last_order_s = now_s
+        if self._lease.may_order(now_s):
+            result = load.run()
+        else:
+            result = LoadResult(
+                is_loaded=False, detail="the lease was lost", accepted_orders=None
+            )
         self.actor_ref.tell(
             RolloutDriver.LoadEnded(incarnation=incarnation, result=result)
         )
