Send messages about large prompts to the whole fleet

What callers saw: on the grown deployments (69 and 59 nodes, 29 engines) long prompts were late, and shared segments were computed again at several engines.

Cause: a node was sent the messages about large prompts by its neighbours only, which in a fleet of 20 + 16 + 18 + 15 nodes are 28.5 of the 68 others on average. It placed prompts at engines whose queues it did not know, and had segments computed that engines of other zones held.

Change: PromptPlaced, PromptComputed and PromptEnded are sent as fleet messages, in fleets of up to 128 nodes; larger ones notify the neighbours as before.

Processor time and links at full size were not measured.

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -60,6 +60,10 @@
 SUPPLIERS = 2
 """Nodes of each zone that send a peer the records that it lacks."""
 
+MAX_PROMPT_NODES = 128
+"""Largest fleet in which all nodes are sent the messages about large prompts; the work
+that they cause grows with the fleet. In a larger one, the neighbours are sent them."""
+
 ENDS_CACHE_S = 0.1
 """Time for which the end offsets of the record cache are reused when a peer's offsets are
 compared with them. In the worst case, a peer is sent records that it already has."""
@@ -117,6 +121,7 @@
             address=settings.peers_address,
         )
         self._live = frozenset({self.own})
+        self._known_count = 1
         self._fleet_messages = FleetMessages(own=self.own)
         self._publish_lock = threading.Lock()
         self._gossip_service = GossipService.start(
@@ -163,7 +168,7 @@
 
     def broadcast(self, gossip: GossipMessage, *, is_zonal: bool = False) -> None:
         """Broadcast a message to the neighbours, or to the fleet if all need it."""
-        if isinstance(gossip, ReplicaCrashed):
+        if self._is_for_fleet(gossip):
             self._broadcast_to_fleet(gossip)
             return
         self._gossip_service.tell(GossipService.Send(gossip=gossip, is_zonal=is_zonal))
@@ -173,6 +178,11 @@
         self._on_message(gossip, self.own.node_id)
         self._broadcast_to_fleet(gossip)
 
+    def _is_for_fleet(self, gossip: GossipMessage) -> bool:
+        if isinstance(gossip, PromptPlaced | PromptComputed | PromptEnded):
+            return self._known_count <= MAX_PROMPT_NODES
+        return isinstance(gossip, ReplicaCrashed)
+
     def _broadcast_to_fleet(self, gossip: GossipMessage) -> None:
         # Receivers discard a message that is sent after one with a higher number.
         with self._publish_lock:
@@ -254,6 +264,7 @@
 
     def _on_peers(self, live: frozenset[NodeAddress], known_count: int) -> None:
         self._live = live
+        self._known_count = known_count
         # Only neighbours are seen to be live; all nodes share the retry allowance.
         self._dispatcher.tell(
             dispatcher_messages.SetFleetSize(count=known_count, heard_count=len(live))
--- a/tests/gossip/test_fleet_reach.py
+++ b/tests/gossip/test_fleet_reach.py
@@ -7,11 +7,18 @@
 from crocuswick.gossip.messages import (
     LeaseAcquired,
     LeaseReleased,
+    PromptComputed,
+    PromptEnded,
+    PromptPlaced,
     ReplicaCrashed,
     ReplicaLoading,
     WeightsServed,
 )
-from crocuswick.gossip.peers import FORWARDERS
+from crocuswick.gossip.peers import (
+    FORWARDERS,
+    MAX_OTHER_NEIGHBOURS,
+    MAX_ZONE_NEIGHBOURS,
+)
 from crocuswick.relay import dispatcher_messages
 from crocuswick.rollouts.driver import RolloutDriver
 from tests.gossip.in_memory_fleet import InMemoryFleet
@@ -19,6 +26,16 @@
 NODES_BY_ZONE = {"a": 20, "b": 16, "c": 18, "d": 15}
 LOADING = ReplicaLoading(incarnation="engine@1", for_ms=2_000)
 SERVED = WeightsServed(incarnation="engine@1", model="m", version=2)
+PLACED = PromptPlaced(
+    request_id="r",
+    incarnation="engine@1",
+    prefill_tokens=17_000,
+    kv_tokens=17_012,
+    priority=1,
+    salt="m/1/",
+    tokens_by_part={"s": 13_300},
+    is_saved=False,
+)
 
 
 class FleetReachTests(unittest.TestCase):
@@ -52,6 +69,38 @@
                 crashes = node.dispatcher.of_type(dispatcher_messages.PeerCrash)
                 self.assertEqual(len(crashes), 1, node.id)
 
+    def test_all_nodes_are_notified_of_a_large_prompt(self):
+        """Otherwise nodes of other zones compute its segments again and send more
+        prompts to engines whose queues are long."""
+        for gossip in (
+            PLACED,
+            PromptComputed(request_id="r", incarnation="engine@1"),
+            PromptEnded(request_id="r", incarnation="engine@1"),
+        ):
+            self.holder.gossip.broadcast(gossip)
+        self.fleet.deliver()
+        for node in self.nodes:
+            if node is not self.holder:
+                self.assertEqual(
+                    [type(each) for each in node.dispatcher.messages],
+                    [
+                        dispatcher_messages.PeerPromptSent,
+                        dispatcher_messages.PromptComputed,
+                        dispatcher_messages.PeerRequestEnded,
+                    ],
+                    node.id,
+                )
+
+    def test_in_a_very_large_fleet_only_neighbours_are_notified_of_prompts(self):
+        """Otherwise the work of each node grows with the traffic of the fleet."""
+        fleet = InMemoryFleet({"a": 50, "b": 50, "c": 50})
+        fleet.tick()
+        fleet.delivered = 0
+        fleet.nodes_by_id["a7"].gossip.broadcast(PLACED)
+        fleet.deliver()
+        neighbours = MAX_ZONE_NEIGHBOURS + 2 * MAX_OTHER_NEIGHBOURS
+        self.assertLessEqual(fleet.delivered, neighbours)
+
     def test_all_nodes_divide_the_retry_allowance_by_the_whole_fleet(self):
         """Guards against nodes that count only those that send to them, and together
         exceed the fleet's allowance."""
