Don't count a replica as silent for a time without requests

Cause: the silence of a replica counted from the last data of any earlier request. In a large fleet a node sends nothing to most replicas for seconds. It now counts from the begin of the attempt at the earliest.

test_a_replica_without_requests_does_not_count_as_silent failed before (aborted).

--- a/src/crocuswick/relay/stall_watch.py
+++ b/src/crocuswick/relay/stall_watch.py
@@ -42,6 +42,7 @@
 
     abort: Callable[[], None]
     last_activity_s: float = attrs.Factory(time.monotonic)
+    begun_s: float = attrs.Factory(time.monotonic)
     next_reservation_s: float = float("-inf")
     """Monotonic time before which `reserve_retry` is not called again."""
 
@@ -124,8 +125,11 @@
     def _stall_reason(self, attempt: WatchedAttempt, now_s: float) -> str:
         """Return why an attempt counts as stalled, empty if it doesn't."""
         silent_s = attempt.silent_s(now_s)
-        last_activity_s = self._last_activity_s_by_incarnation.get(
-            attempt.incarnation, attempt.last_activity_s
+        # A replica that had no request of this node before the attempt was idle, not
+        # silent.
+        last_activity_s = max(
+            attempt.begun_s,
+            self._last_activity_s_by_incarnation.get(attempt.incarnation, 0.0),
         )
         replica_silent_s = now_s - last_activity_s
         if silent_s > attempt.hard_limit_s:
--- a/tests/relay/test_stall_watch.py
+++ b/tests/relay/test_stall_watch.py
@@ -85,3 +85,15 @@
         attempt = self.attempt(reserve_retry=reserve)
         self.watch.check(time.monotonic() + 1.1)
         self.assertEqual((self.aborted, attempt.is_stalled), ([], False))
+
+    def test_a_replica_without_requests_does_not_count_as_silent(self):
+        """Guards against calls that are aborted early because their replica, to which
+        the node had sent nothing for a while, had been idle before."""
+        now_s = time.monotonic()
+        self.watch.record_activity("x", None)
+        attempt = self.attempt(soft_s=0.2)
+        attempt.begun_s = attempt.last_activity_s = now_s + 9.0
+        self.watch.check(now_s + 9.3)
+        self.assertEqual(self.aborted, [])
+        self.watch.check(now_s + 9.7)
+        self.assertEqual(self.aborted, ["x"])
