Let first events at other nodes show that an engine is active

The messages about computed prompts, which now reach the whole fleet, count as activity of the engine.

The test in FleetReachTests comes with the change; no run of it yet.

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -90,6 +90,8 @@
         dispatcher: Dispatcher of requests.
         log: Log of decisions.
         metrics: Counts the messages that are sent.
+        on_engine_active: Called with the incarnation of an engine that has sent a peer
+            the first event of an answer.
         topics: Topics whose reading is shared among the nodes of a zone.
         zonal_topic: Topic whose records are sent within the zone only.
     """
@@ -102,11 +104,13 @@
         dispatcher: pykka.ActorRef,
         log: DecisionLog,
         metrics: FleetMetrics,
+        on_engine_active: Callable[[str], None],
         topics: tuple[str, ...],
         zonal_topic: str,
     ):
         self._record_cache = record_cache
         self._dispatcher = dispatcher
+        self._on_engine_active = on_engine_active
         self._driver: pykka.ActorRef | None = None
         self._topics = topics
         self._zonal_topic = zonal_topic
@@ -365,6 +369,7 @@
     @handles(PromptComputed)
     def on_prompt_computed(self, gossip: PromptComputed, _sender: str) -> None:
         """Record that a peer's prompt has been computed."""
+        self._on_engine_active(gossip.incarnation)
         self._dispatcher.tell(
             dispatcher_messages.PromptComputed(
                 request_id=gossip.request_id, incarnation=gossip.incarnation
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -99,6 +99,7 @@
         self._log = DecisionLog(node_id=settings.node_id)
         self._metrics = FleetMetrics(node_id=settings.node_id)
         self.application.add(self._log)
+        self._stalls = StallWatch()
         self._dispatcher = RelayDispatcher.start(
             zone=settings.zone,
             bounds=settings.bounds,
@@ -116,6 +117,7 @@
             dispatcher=self._dispatcher,
             log=self._log,
             metrics=self._metrics,
+            on_engine_active=lambda engine: self._stalls.record_activity(engine, None),
             topics=(topics.operations, topics.replicas),
             zonal_topic=topics.replicas,
         )
@@ -246,13 +248,12 @@
 
     def _build_servers(self) -> None:
         watch = CallerWatch()
-        stalls = StallWatch()
         self._relay_server = RelayServer(
             address=self._settings.callers_address,
             context=RelayContext(
                 dispatcher=self._dispatcher,
                 dialect=self._platform.dialect,
-                stalls=stalls,
+                stalls=self._stalls,
                 log=self._log,
                 metrics=self._metrics,
             ),
@@ -268,7 +269,7 @@
             application=self._readiness_page,
             threads=READINESS_THREADS,
         )
-        for component in (watch, stalls, self._relay_server, readiness):
+        for component in (watch, self._stalls, self._relay_server, readiness):
             self.application.add(component)
         if self._settings.metrics_port:
             self._metrics.on_render(self._set_gauges)
--- a/tests/gossip/in_memory_fleet.py
+++ b/tests/gossip/in_memory_fleet.py
@@ -94,6 +94,7 @@
         self.is_down = False
         self.dispatcher = RecordingActor()
         self.driver = RecordingActor()
+        self.active_engines = []
         self._due = due
         self._service = None
         with mock.patch.object(GossipService, "start", self._start_service):
@@ -113,6 +114,7 @@
                 dispatcher=self.dispatcher,
                 log=mock.Mock(),
                 metrics=mock.Mock(),
+                on_engine_active=self.active_engines.append,
                 topics=(),
                 zonal_topic="",
             )
--- a/tests/gossip/test_fleet_gossip.py
+++ b/tests/gossip/test_fleet_gossip.py
@@ -49,6 +49,7 @@
                 dispatcher=mock.Mock(),
                 log=mock.Mock(),
                 metrics=mock.Mock(),
+                on_engine_active=mock.Mock(),
                 topics=(TOPIC,),
                 zonal_topic="",
             )
--- a/tests/gossip/test_fleet_reach.py
+++ b/tests/gossip/test_fleet_reach.py
@@ -101,6 +101,17 @@
         neighbours = MAX_ZONE_NEIGHBOURS + 2 * MAX_OTHER_NEIGHBOURS
         self.assertLessEqual(fleet.delivered, neighbours)
 
+    def test_first_events_at_other_nodes_show_that_an_engine_is_active(self):
+        """Guards against attempts that are aborted at a busy engine, because the node
+        has no other request there."""
+        self.holder.gossip.broadcast(
+            PromptComputed(request_id="r1", incarnation="engine@1")
+        )
+        self.fleet.deliver()
+        for node in self.nodes:
+            if node is not self.holder:
+                self.assertEqual(node.active_engines, ["engine@1"], node.id)
+
     def test_all_nodes_divide_the_retry_allowance_by_the_whole_fleet(self):
         """Guards against nodes that count only those that send to them, and together
         exceed the fleet's allowance."""
