Log how far a stream came and by which configuration a request was refused

attempt ended has events and last_event_ms, explain uses them, request refused has configuration. No decision changes.

test_a_replica_that_fell_silent_within_its_answer failed before.

--- a/src/crocuswick/explaining/causes.py
+++ b/src/crocuswick/explaining/causes.py
@@ -176,7 +176,7 @@
 
 @rule
 def replica_silent(request: RequestLines) -> Cause | None:
-    """Match a replica that sent nothing before the timeout."""
+    """Match a replica that sent nothing, or nothing more, before the timeout."""
     last = _last_failed_attempt(request)
     if last is None or last["result"] != "silent":
         return None
@@ -187,8 +187,14 @@
         if others_answered
         else "answered nobody after that"
     )
+    sent = "sent nothing before the timeout"
+    if last["events"]:
+        sent = (
+            f"sent {last['events']} events, the last one after "
+            f"{last['last_event_ms']} ms, then nothing before the timeout"
+        )
     return Cause(
-        text=f"{summary.replica} sent nothing before the timeout and {activity}",
+        text=f"{summary.replica} {sent} and {activity}",
         evidence=(summary.text(),),
     )
 
--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -113,6 +113,8 @@
         self._upstream: Upstream | None = None
         self._watched: WatchedAttempt | None = None
         self._first_event_s: float | None = None
+        self._last_event_s: float | None = None
+        self._events = 0
 
     def run(self) -> str:
         """Relay the request.
@@ -186,6 +188,8 @@
                     has_connected=self._progress.connected_attempts > 0,
                     started_s=started_s,
                     first_event_s=self._first_event_s,
+                    events=self._events,
+                    last_event_s=self._last_event_s,
                     error=self._progress.error,
                     stalled=self._watched.stall_reason if self._watched else "",
                 ),
@@ -312,10 +316,12 @@
         return number is None or last is None or number == last + 1
 
     def _record_event(self, attempt: Attempt) -> None:
-        """Report the first event of an attempt and switch to the limits for gaps."""
+        """Count an event; report the first one and switch to the limits for gaps."""
+        self._events += 1
+        self._last_event_s = time.monotonic()
         if self._first_event_s is not None:
             return
-        self._first_event_s = time.monotonic()
+        self._first_event_s = self._last_event_s
         if self._watched is not None:
             gap_s = self._request.route.max_gap_ms / 1000
             self._watched.soft_limit_s = SOFT_GAP_FACTOR * gap_s
@@ -450,7 +456,8 @@
 
     def _watch(self, placed: Placed, upstream: Upstream) -> WatchedAttempt | None:
         """Watch an attempt for stalls if the request may be retried."""
-        self._first_event_s = None
+        self._first_event_s = self._last_event_s = None
+        self._events = 0
         route = self._request.route
         if (
             not route.may_run_again
--- a/src/crocuswick/relay/relay_server.py
+++ b/src/crocuswick/relay/relay_server.py
@@ -303,12 +303,14 @@
         if closes:
             self.req.close_connection = True
         self._server.context.metrics.refusals.inc({"title": refusal.title})
+        configuration = self._server.configuration()
         self._server.context.log.record(
             "request refused",
             failed=True,
             request=request_id,
             status=refusal.status,
             detail=refusal.detail,
+            configuration=configuration.version if configuration else None,
         )
         with contextlib.suppress(OSError):
             self.send_complete(refusal_answer(refusal, request_id))
--- a/src/crocuswick/relay/run_report.py
+++ b/src/crocuswick/relay/run_report.py
@@ -38,6 +38,12 @@
     first_event_s: float | None
     """Monotonic time of the first event, None if there was none."""
 
+    events: int
+    """Number of events received."""
+
+    last_event_s: float | None
+    """Monotonic time of the last event, None if there was none."""
+
     error: str
     stalled: str = ""
     """Why the attempt was aborted as stalled, empty if it was not."""
@@ -45,9 +51,15 @@
     @property
     def first_event_ms(self) -> int | None:
         """Time from the start of the attempt to the first event."""
-        if self.first_event_s is None:
-            return None
-        return round((self.first_event_s - self.started_s) * 1000)
+        return self._ms_after_start(self.first_event_s)
+
+    @property
+    def last_event_ms(self) -> int | None:
+        """Time from the start of the attempt to the last event."""
+        return self._ms_after_start(self.last_event_s)
+
+    def _ms_after_start(self, time_s: float | None) -> int | None:
+        return None if time_s is None else round((time_s - self.started_s) * 1000)
 
 
 class RunReport:
@@ -140,6 +152,8 @@
             queued=placed.queued_tokens,
             expected_ms=round(placed.expected_ms),
             begun_ms=ended.first_event_ms,
+            events=ended.events,
+            last_event_ms=ended.last_event_ms,
             ms=round((time.monotonic() - ended.started_s) * 1000),
             error=ended.error,
             stalled=ended.stalled,
--- a/tests/explaining/test_explanation.py
+++ b/tests/explaining/test_explanation.py
@@ -69,6 +69,22 @@
         cause = self.cause(attempt(10.0, "silent"), ended(10.0, "failed"))
         self.assertIn("answered nobody after that", cause.text)
 
+    def test_a_replica_that_fell_silent_within_its_answer(self):
+        """Guards against a text that says a begun stream had received nothing."""
+        silent = line(
+            10.0,
+            "attempt ended",
+            request="r",
+            replica="x",
+            result="silent",
+            begun_ms=40,
+            events=3,
+            last_event_ms=90,
+        )
+        text = self.cause(silent, ended(10.0, "broken off")).text
+        self.assertIn("3 events, the last one after 90 ms", text)
+        self.assertNotIn("sent nothing before", text)
+
     def test_a_request_without_an_end(self):
         self.assertIn("no node wrote the end", self.cause(attempt(1, "failed")).text)
 
