Send messages about large prompts on one path to each zone

Of the two copies to each other zone one is enough for these messages: a lost one costs a second prefill at most.

They have a stream of numbers of their own, since a message is discarded if a later one of its stream came first, and the others still take two paths. Streams are remembered by run, so that late copies from before a restart don't count as new.

test_each_node_gets_one_copy_of_a_message_about_a_large_prompt failed before (117 deliveries, now 68), test_messages_of_different_streams_are_numbered_apart too.

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -26,7 +26,7 @@
     TopicRecords,
     WeightsServed,
 )
-from crocuswick.gossip.peers import task_rank
+from crocuswick.gossip.peers import FORWARDERS, PROMPT_FORWARDERS, task_rank
 from crocuswick.gossip.record_compression import compress_records, decompress_records
 from crocuswick.gossip.server import GossipServer
 from crocuswick.gossip.service import TICK_S, GossipService
@@ -66,6 +66,10 @@
 """Largest fleet in which all nodes are sent the messages about large prompts; the work
 that they cause grows with the fleet. In a larger one, the neighbours are sent them."""
 
+PROMPT_MESSAGES = (PromptPlaced, PromptComputed, PromptEnded)
+PROMPT_STREAM = "p"
+"""Name of the stream of fleet messages about large prompts."""
+
 ENDS_CACHE_S = 0.1
 """Time for which the end offsets of the record cache are reused when a peer's offsets are
 compared with them. In the worst case, a peer is sent records that it already has."""
@@ -186,15 +190,21 @@
         self._broadcast_to_fleet(gossip)
 
     def _is_for_fleet(self, gossip: GossipMessage) -> bool:
-        if isinstance(gossip, PromptPlaced | PromptComputed | PromptEnded):
+        if isinstance(gossip, PROMPT_MESSAGES):
             return self._known_count <= MAX_PROMPT_NODES
         return isinstance(gossip, ReplicaCrashed)
 
     def _broadcast_to_fleet(self, gossip: GossipMessage) -> None:
+        is_prompt = isinstance(gossip, PROMPT_MESSAGES)
         # Receivers discard a message that is sent after one with a higher number.
         with self._publish_lock:
             self._gossip_service.tell(
-                GossipService.SendToFleet(gossip=self._fleet_messages.wrap(gossip))
+                GossipService.SendToFleet(
+                    gossip=self._fleet_messages.wrap(
+                        gossip, stream=PROMPT_STREAM if is_prompt else ""
+                    ),
+                    forwarders=PROMPT_FORWARDERS if is_prompt else FORWARDERS,
+                )
             )
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
--- a/src/crocuswick/gossip/fleet_messages.py
+++ b/src/crocuswick/gossip/fleet_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import uuid
+from collections import Counter, OrderedDict
 from typing import TYPE_CHECKING
 
 import attrs
@@ -15,6 +16,10 @@
 __all__ = ["FleetMessages"]
 
 
+MAX_STREAMS = 4_096
+"""Limit on remembered streams of other nodes, several for each node that has run."""
+
+
 class FleetMessages:
     """Wraps and unwraps the messages that nodes of other zones forward.
 
@@ -25,24 +30,31 @@
     def __init__(self, *, own: NodeAddress):
         self._own = own
         self._run = uuid.uuid4().hex[:8]
-        self._number = 0
-        self._newest_by_origin: dict[str, tuple[str, int]] = {}
+        self._numbers_by_stream: Counter[str] = Counter()
+        self._newest_by_stream: OrderedDict[tuple[str, str], int] = OrderedDict()
+
+    def wrap(self, gossip: GossipMessage, *, stream: str = "") -> FleetMessage:
+        """Return a message with the next number of a stream of this node.
 
-    def wrap(self, gossip: GossipMessage) -> FleetMessage:
-        """Return a message with the next number of this node."""
-        self._number += 1
+        Args:
+            gossip: The message.
+            stream: Name of the stream. Messages that take different paths must not
+                share one, because a message that arrives after a later one of its
+                stream is discarded.
+        """
+        self._numbers_by_stream[stream] += 1
         return FleetMessage(
             origin=self._own.node_id,
             zone=self._own.zone,
-            run=self._run,
-            number=self._number,
+            run=self._run + stream,
+            number=self._numbers_by_stream[stream],
             message=encode_gossip(gossip),
         )
 
     def unwrap(self, wrapped: FleetMessage) -> GossipMessage | None:
         """Return the content of the first copy of a message.
 
-        A copy that arrives after a newer message of its origin is discarded, so that
+        A copy that arrives after a newer message of its stream is discarded, so that
         the slower of two paths doesn't undo the newer message.
 
         Args:
@@ -51,11 +63,14 @@
         Returns:
             The content, or None if it must not be handled or can't be decoded.
         """
-        run, number = self._newest_by_origin.get(wrapped.origin, ("", 0))
-        is_old = wrapped.run == run and wrapped.number <= number
+        stream = (wrapped.origin, wrapped.run)
+        is_old = wrapped.number <= self._newest_by_stream.get(stream, 0)
         if wrapped.origin == self._own.node_id or is_old:
             return None
-        self._newest_by_origin[wrapped.origin] = (wrapped.run, wrapped.number)
+        self._newest_by_stream[stream] = wrapped.number
+        self._newest_by_stream.move_to_end(stream)
+        if len(self._newest_by_stream) > MAX_STREAMS:
+            self._newest_by_stream.popitem(last=False)
         return decode_gossip(wrapped.message, wrapped.origin).ok()
 
     def to_forward(self, wrapped: FleetMessage) -> FleetMessage | None:
--- a/src/crocuswick/gossip/peers.py
+++ b/src/crocuswick/gossip/peers.py
@@ -32,6 +32,10 @@
 """Nodes of each other zone to which a fleet message is sent; one may be out of reach
 without the connection to it being considered lost."""
 
+PROMPT_FORWARDERS = 1
+"""Nodes of each other zone to which messages about large prompts are sent; they are the
+most frequent ones, and a lost one costs a second prefill at most."""
+
 ZONE_GATEWAYS = 2
 """Nodes of each zone that send new records to a node of each other zone."""
 
@@ -171,23 +175,26 @@
         return list(chosen_by_zone.values())
 
     def fleet_receivers(
-        self, is_connected: Callable[[NodeAddress], bool]
+        self,
+        is_connected: Callable[[NodeAddress], bool],
+        *,
+        forwarders: int = FORWARDERS,
     ) -> list[NodeAddress]:
         """Return the neighbours to which a message for the whole fleet is sent.
 
         Args:
             is_connected: Whether there is a connection to a neighbour.
+            forwarders: Number of nodes of each other zone to send it to.
 
         Returns:
-            The neighbours of the own zone, and `FORWARDERS` connected ones of each
-            other zone.
+            The neighbours of the own zone, and connected ones of each other zone.
         """
         receivers = []
         forwarders_by_zone: Counter[str] = Counter()
         for address in self.neighbours():
             if address.zone == self._own.zone:
                 receivers.append(address)
-            elif forwarders_by_zone[address.zone] < FORWARDERS and is_connected(
+            elif forwarders_by_zone[address.zone] < forwarders and is_connected(
                 address
             ):
                 forwarders_by_zone[address.zone] += 1
--- a/src/crocuswick/gossip/service.py
+++ b/src/crocuswick/gossip/service.py
@@ -19,7 +19,7 @@
     TopicRecords,
     message_kind,
 )
-from crocuswick.gossip.peers import FORGET_AFTER_S, PeerTable
+from crocuswick.gossip.peers import FORGET_AFTER_S, FORWARDERS, PeerTable
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -83,6 +83,8 @@
         """Sends a message to the nodes that pass it on to the whole fleet."""
 
         gossip: FleetMessage
+        forwarders: int = FORWARDERS
+        """Number of nodes of each other zone that forward it."""
 
     @attrs.frozen(kw_only=True)
     class SendTo(Message):
@@ -190,7 +192,9 @@
 
     def on_send_to_fleet(self, message: SendToFleet) -> None:
         """Send a message to the own zone and to its forwarders in other zones."""
-        receivers = self._table.fleet_receivers(self._is_connected)
+        receivers = self._table.fleet_receivers(
+            self._is_connected, forwarders=message.forwarders
+        )
         self._send(receivers, message.gossip)
 
     def on_send_to(self, message: SendTo) -> None:
--- a/tests/gossip/test_fleet_messages.py
+++ b/tests/gossip/test_fleet_messages.py
@@ -36,6 +36,16 @@
         self.assertEqual(self.receiver.unwrap(served), SERVED)
         self.assertIsNone(self.receiver.unwrap(loading))
 
+    def test_messages_of_different_streams_are_numbered_apart(self):
+        """Guards against messages that are discarded because one of another stream,
+        which takes another path, arrived first."""
+        first = self.origin.wrap(LOADING, stream="prompts")
+        second = self.origin.wrap(SERVED)
+        self.assertEqual(self.receiver.unwrap(second), SERVED)
+        self.assertEqual(self.receiver.unwrap(first), LOADING)
+        self.assertIsNone(self.receiver.unwrap(second))
+        self.assertIsNone(self.receiver.unwrap(first))
+
     def test_the_messages_of_a_restarted_node_are_handled(self):
         """Its numbers begin again; its peers must not discard them."""
         for _ in range(5):
--- a/tests/gossip/test_fleet_reach.py
+++ b/tests/gossip/test_fleet_reach.py
@@ -93,6 +93,13 @@
                     node.id,
                 )
 
+    def test_each_node_gets_one_copy_of_a_message_about_a_large_prompt(self):
+        """Guards against copies by several paths, which cost every node processor time
+        for each large prompt of the fleet."""
+        self.holder.gossip.broadcast(PLACED)
+        self.fleet.deliver()
+        self.assertEqual(self.fleet.delivered, len(self.nodes) - 1)
+
     def test_in_a_very_large_fleet_only_neighbours_are_notified_of_prompts(self):
         """Otherwise the work of each node grows with the traffic of the fleet."""
         fleet = InMemoryFleet({"a": 50, "b": 50, "c": 50})
