--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -12,6 +12,7 @@
     CompressedRecords,
     FleetMessage,
     GossipMessage,
+    KeptRecords,
     LeaseAcquired,
     LeaseReleased,
     NodeAddress,
@@ -19,6 +20,7 @@
     PromptEnded,
     PromptPlaced,
     ReplicaCrashed,
+    ReplicaLeaving,
     ReplicaLoading,
     SmallPromptsSent,
     TargetVersions,
@@ -31,12 +33,14 @@
 from crocuswick.gossip.server import GossipServer
 from crocuswick.gossip.service import TICK_S, GossipService
 from crocuswick.records.mirror import KeyedRecord, TopicUpdate
+from crocuswick.records.position import era_of
 from crocuswick.records.record_cache import RecordCache
 from crocuswick.relay import dispatcher_messages
+from crocuswick.relay.replica import Availability
 from crocuswick.rollouts.driver import RolloutDriver
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     import pykka
 
@@ -44,6 +48,7 @@
     from crocuswick.decision_log import DecisionLog
     from crocuswick.fleet_metrics import FleetMetrics
     from crocuswick.fleet_settings import FleetSettings
+    from crocuswick.records.store_era import StoreEra
 
 __all__ = ["FleetGossip"]
 
@@ -100,6 +105,7 @@
             the first event of an answer.
         topics: Topics whose reading is shared among the nodes of a zone.
         zonal_topic: Topic whose records are sent within the zone only.
+        era: The store's era; later eras that peers know of are reported to it.
     """
 
     def __init__(
@@ -113,6 +119,7 @@
         on_engine_active: Callable[[str], None],
         topics: tuple[str, ...],
         zonal_topic: str,
+        era: StoreEra,
     ):
         self._record_cache = record_cache
         self._log = log
@@ -121,6 +128,8 @@
         self._driver: pykka.ActorRef | None = None
         self._topics = topics
         self._zonal_topic = zonal_topic
+        self._era = era
+        era.on_step(self._on_era_step)
         self._read_s_by_topic = dict.fromkeys(topics, float("-inf"))
         self._outage_ended_s_by_topic: dict[str, float] = {}
         self._ends_by_topic: dict[str, int] = {}
@@ -192,7 +201,7 @@
     def _is_for_fleet(self, gossip: GossipMessage) -> bool:
         if isinstance(gossip, PROMPT_MESSAGES):
             return self._known_count <= MAX_PROMPT_NODES
-        return isinstance(gossip, ReplicaCrashed)
+        return isinstance(gossip, ReplicaCrashed | ReplicaLeaving)
 
     def _broadcast_to_fleet(self, gossip: GossipMessage) -> None:
         is_prompt = isinstance(gossip, PROMPT_MESSAGES)
@@ -277,7 +286,31 @@
 
     def _initial_messages(self) -> list[GossipMessage]:
         """Return messages whose content a newly started node can't read from the store."""
-        return [self._dispatcher.ask(dispatcher_messages.GetTargetVersions())]
+        return [
+            self._dispatcher.ask(dispatcher_messages.GetTargetVersions()),
+            *self._kept_records(),
+        ]
+
+    def _kept_records(self) -> list[KeptRecords]:
+        if self._era.current == 0:
+            return []
+        kept_by_topic = {
+            topic: self._record_cache.ask(RecordCache.Kept(topic=topic))
+            for topic in self._topics
+        }
+        return [
+            KeptRecords(topic=topic, records=_record_fields(records))
+            for topic, records in kept_by_topic.items()
+            if records
+        ]
+
+    def _on_era_step(self, era: int) -> None:
+        """Treat the store's return from an older copy as the end of an outage."""
+        now_s = time.monotonic()
+        with self._lock:
+            for topic in self._topics:
+                self._outage_ended_s_by_topic[topic] = now_s
+        self._log.record_state("store returned from an older copy", era=era)
 
     def _on_peers(self, live: frozenset[NodeAddress], known_count: int) -> None:
         self._live = live
@@ -307,6 +340,9 @@
     def on_topic_ends(self, gossip: TopicEnds, sender: str) -> None:
         """Record when a peer last read each topic, and send it the records that it lacks."""
         now_s = time.monotonic()
+        newest_era = max(map(era_of, gossip.ends_by_topic.values()), default=0)
+        if newest_era > self._era.current:
+            self._era.report(newest_era)
         known = self._known_ends(now_s)
         for topic in self._topics:
             end = gossip.ends_by_topic.get(topic, -1)
@@ -382,6 +418,17 @@
         )
         self._record_cache.tell(RecordCache.Merge(update=update))
 
+    @handles(KeptRecords)
+    def on_kept_records(self, gossip: KeptRecords, _sender: str) -> None:
+        """Merge records that the store has lost."""
+        records = tuple(
+            KeyedRecord(key=key, offset=position, value=value)
+            for key, position, value in gossip.records
+        )
+        self._record_cache.tell(
+            RecordCache.MergeKept(topic=gossip.topic, records=records)
+        )
+
     @handles(PromptPlaced)
     def on_prompt_placed(self, gossip: PromptPlaced, _sender: str) -> None:
         """Count a large prompt that a peer has sent as load of its replica."""
@@ -416,6 +463,17 @@
         """Record a request that may have crashed a replica."""
         self._dispatcher.tell(dispatcher_messages.PeerCrash(crashed=gossip))
 
+    @handles(ReplicaLeaving)
+    def on_replica_leaving(self, gossip: ReplicaLeaving, _sender: str) -> None:
+        """Send no new requests to a replica that leaves."""
+        self._dispatcher.tell(
+            dispatcher_messages.AvailabilityChanged(
+                incarnation=gossip.incarnation,
+                availability=Availability(is_leaving=True),
+                is_from_peer=True,
+            )
+        )
+
     @handles(ReplicaLoading)
     def on_replica_loading(self, gossip: ReplicaLoading, sender: str) -> None:
         """Stop sending requests to a replica that loads weights."""
@@ -478,7 +536,9 @@
         topic=update.topic,
         start=update.start,
         end=update.end,
-        records=[
-            [record.key, record.offset, record.value] for record in update.records
-        ],
+        records=_record_fields(update.records),
     )
+
+
+def _record_fields(records: Iterable[KeyedRecord]) -> list[list[Any]]:
+    return [[record.key, record.offset, record.value] for record in records]
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -42,6 +42,7 @@
     from crocuswick.fleet_settings import FleetSettings
     from crocuswick.records.mirror import KeyedRecord
     from crocuswick.relay.engine_state import EngineState
+    from crocuswick.relay.replica import Availability, Replica
 
 __all__ = ["FleetNode"]
 
@@ -109,6 +110,7 @@
         self._record_cache = RecordCache.start(
             on_record=self._on_record,
             on_update=lambda update: self._gossip.broadcast_records(update),
+            version_of=platform.record_version,
         )
         topics = platform.topics
         self._gossip = FleetGossip(
@@ -120,16 +122,17 @@
             on_engine_active=lambda engine: self._stalls.record_activity(engine, None),
             topics=(topics.operations, topics.replicas),
             zonal_topic=topics.replicas,
+            era=platform.store_era,
         )
         self.application.add(self._gossip)
-        self.application.add(
-            NodeRegistry(
-                own=self._gossip.own,
-                topic=topics.nodes,
-                store=platform.open_store(),
-                on_nodes=self._gossip.add_nodes,
-            )
+        registry = NodeRegistry(
+            own=self._gossip.own,
+            topic=topics.nodes,
+            store=platform.open_store(),
+            on_nodes=self._gossip.add_nodes,
         )
+        platform.store_era.on_step(lambda _era: registry.write_again())
+        self.application.add(registry)
         self._warm_up = KvWarmUp(
             events=platform.kv_events, dispatcher=self._dispatcher, log=self._log
         )
@@ -163,11 +166,13 @@
 
     def _build_rollouts(self) -> None:
         bounds = self._settings.bounds
+        self._platform.engine_orders.on_availability(self._on_availability)
         self._driver = RolloutDriver.start(
             node_id=self._settings.node_id,
             topic=self._platform.topics.leases,
             handover_s=bounds.lease_ms / 1000,
             store=self._platform.open_store(),
+            era=self._platform.store_era,
             orders=self._platform.engine_orders,
             engines=self._engines,
             rank=lambda: self._gossip.rank(ORDERS_TASK),
@@ -190,6 +195,13 @@
             )
         )
 
+    def _on_availability(self, replica: Replica, availability: Availability) -> None:
+        self._dispatcher.tell(
+            dispatcher_messages.AvailabilityChanged(
+                incarnation=replica.incarnation, availability=availability
+            )
+        )
+
     def _publish_segments(self) -> None:
         self._dispatcher.tell(dispatcher_messages.BroadcastSmallPrompts())
 
@@ -204,7 +216,7 @@
 
     def _fetch_weights(self, replica_id: str) -> None:
         for engine in self._engines():
-            if engine.replica.id != replica_id:
+            if engine.replica.id != replica_id or engine.unwanted_for_s:
                 continue
             report = self._platform.engine_orders.report(engine.replica)
             if report.is_err():
--- a/src/crocuswick/fleet_platform.py
+++ b/src/crocuswick/fleet_platform.py
@@ -10,6 +10,7 @@
 from crocuswick.errors import PeerError
 from crocuswick.records.mirror import KeyedRecord
 from crocuswick.records.store import RecordStore
+from crocuswick.records.store_era import StoreEra
 from crocuswick.relay.dialect import Dialect
 from crocuswick.relay.kv_events import KvEventReader
 from crocuswick.relay.replica import Replica
@@ -53,6 +54,13 @@
     open_store: Callable[[], RecordStore]
     """Opens a client of the store, which only one thread may use."""
 
+    store_era: StoreEra
+    """Era of the store, shared by its clients."""
+
+    record_version: Callable[[str, KeyedRecord], int | None]
+    """Returns the version that the content of a topic's record names, None if it names
+    none."""
+
     decode_operation: Callable[
         [KeyedRecord], Result[ServingConfiguration | TargetWeights | None, PeerError]
     ]
--- a/src/crocuswick/gossip/messages.py
+++ b/src/crocuswick/gossip/messages.py
@@ -17,6 +17,7 @@
     "FleetMessage",
     "GossipMessage",
     "Hello",
+    "KeptRecords",
     "LeaseAcquired",
     "LeaseReleased",
     "NodeAddress",
@@ -24,6 +25,7 @@
     "PromptEnded",
     "PromptPlaced",
     "ReplicaCrashed",
+    "ReplicaLeaving",
     "ReplicaLoading",
     "SmallPromptsSent",
     "TargetVersions",
@@ -110,6 +112,16 @@
     data: bytes
 
 
+@message("kept")
+@attrs.frozen(kw_only=True)
+class KeptRecords(GossipMessage):
+    """Records that the store lost when it returned from an older copy."""
+
+    topic: str
+    records: list[list[Any]]
+    """Key, position and content of each record."""
+
+
 @message("placed")
 @attrs.frozen(kw_only=True)
 class PromptPlaced(GossipMessage):
@@ -212,6 +224,14 @@
     """Time since its last order, None if it sent none."""
 
 
+@message("leaving")
+@attrs.frozen(kw_only=True)
+class ReplicaLeaving(GossipMessage):
+    """A replica has answered that it is leaving, and takes no new requests."""
+
+    incarnation: str
+
+
 @message("crashed")
 @attrs.frozen(kw_only=True)
 class ReplicaCrashed(GossipMessage):
--- a/src/crocuswick/gossip/registry.py
+++ b/src/crocuswick/gossip/registry.py
@@ -25,6 +25,10 @@
 RETRY_S = 2.0
 """Mean pause between attempts while the store does not respond."""
 
+REWRITE_SPREAD_S = 3.0
+"""Time over which the nodes of a fleet write their addresses again after the store has
+returned from an older copy, so that it is not called by all at once."""
+
 
 class NodeRegistry:
     """Writes this node's address to the store and reads those of the others.
@@ -52,8 +56,12 @@
         self._store = store
         self._on_nodes = on_nodes
         self._stopped = threading.Event()
+        self._lock = threading.Lock()
         self._thread = threading.Thread(
-            target=self._run, name="node-registry", daemon=True
+            target=self._run_steps,
+            args=([self._read_others, self._write_own], 0.0),
+            name="node-registry",
+            daemon=True,
         )
 
     def start(self) -> None:
@@ -64,8 +72,24 @@
         """Stop retrying."""
         self._stopped.set()
 
-    def _run(self) -> None:
-        steps = [self._read_others, self._write_own]
+    def write_again(self) -> None:
+        """Write this node's address again, because the store may have lost it."""
+        pause_s = REWRITE_SPREAD_S * random.random()
+        self._thread = threading.Thread(
+            target=self._run_steps,
+            args=([self._write_own], pause_s),
+            name="node-registry",
+            daemon=True,
+        )
+        self._thread.start()
+
+    def _run_steps(self, steps: list[Callable[[], bool]], pause_s: float) -> None:
+        self._stopped.wait(pause_s)
+        # A client of the store serves one thread at a time.
+        with self._lock:
+            self._retry_steps(steps)
+
+    def _retry_steps(self, steps: list[Callable[[], bool]]) -> None:
         while steps and not self._stopped.is_set():
             if steps[0]():
                 steps.pop(0)
--- a/src/crocuswick/platform/_names.py
+++ b/src/crocuswick/platform/_names.py
@@ -26,6 +26,11 @@
 KV_FROM = "Kv-From"
 AUTHORIZATION = "Authorization"
 KEY_SCHEME = "Token "
+LEAVING = "Server-Leaving"
+RETRY_AFTER = "Retry-After"
+
+STORE_ERA = "Store-Era"
+"""Header of the store's answers; rises each time the store returns from an older copy."""
 
 HOP_BY_HOP = frozenset(
     {
--- a/src/crocuswick/platform/adapter.py
+++ b/src/crocuswick/platform/adapter.py
@@ -18,6 +18,7 @@
 from crocuswick.platform.kv_events import KvEventsClient
 from crocuswick.platform.relay_dialect import RelayDialect
 from crocuswick.platform.store_client import StoreClient
+from crocuswick.records.store_era import StoreEra
 
 if TYPE_CHECKING:
     from crocuswick.fleet_settings import FleetSettings
@@ -30,6 +31,7 @@
 
 def fleet_platform(settings: FleetSettings) -> FleetPlatform:
     """Return the platform adapter for a node with the given settings."""
+    era = StoreEra()
     return FleetPlatform(
         dialect=RelayDialect(),
         topics=FleetTopics(
@@ -38,7 +40,9 @@
             nodes=names.NODES_TOPIC,
             leases=names.LEASES_TOPIC,
         ),
-        open_store=lambda: StoreClient(address=settings.store_address),
+        open_store=lambda: StoreClient(address=settings.store_address, era=era),
+        store_era=era,
+        record_version=_record_version,
         decode_operation=_decode_operation,
         decode_replica=_decode_replica,
         engine_orders=EngineOrdersClient(),
@@ -62,6 +66,15 @@
     return Ok(None)
 
 
+def _record_version(topic: str, record: KeyedRecord) -> int | None:
+    if topic != names.OPERATIONS_TOPIC:
+        return None
+    decoded = _decode_operation(record)
+    if decoded.is_err() or decoded.ok_value is None:
+        return None
+    return decoded.ok_value.version
+
+
 def _decode_replica(record: KeyedRecord) -> Result[Replica, PeerError]:
     if record.value is None:
         return Err(
--- a/src/crocuswick/platform/engine_orders.py
+++ b/src/crocuswick/platform/engine_orders.py
@@ -9,10 +9,14 @@
 from result import Err, Ok, Result
 
 from crocuswick.platform import _names as names
+from crocuswick.platform._availability import decode_availability
 from crocuswick.platform._engine_call import call, call_error
+from crocuswick.relay.replica import Availability
 from crocuswick.rollouts.engine_orders import EngineReport, OrderResponse, WeightsOrder
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from crocuswick.errors import PeerError
     from crocuswick.relay.replica import Replica
 
@@ -35,13 +39,22 @@
 class EngineOrdersClient:
     """Calls engines, each time on a new connection."""
 
+    def __init__(self):
+        self._callbacks: list[Callable[[Replica, Availability], None]] = []
+
+    def on_availability(
+        self, callback: Callable[[Replica, Availability], None]
+    ) -> None:
+        """Register a function that is called if a response names an availability."""
+        self._callbacks.append(callback)
+
     def report(self, replica: Replica) -> Result[EngineReport, PeerError]:
         """Read an engine's report, which may be some hundred milliseconds old.
 
         Args:
             replica: The engine.
         """
-        response = _call("report", replica, "GET", "/report")
+        response = self._call("report", replica, "GET", "/report")
         if response.is_err():
             return response
         if response.ok_value.status != 200:
@@ -74,7 +87,8 @@
             "Fence": order.fencing_token,
             "Expected": order.expected_orders,
         }
-        response = _call("order", replica, "POST", "/order", json.dumps(body).encode())
+        data = json.dumps(body).encode()
+        response = self._call("order", replica, "POST", "/order", data)
         if response.is_err():
             return response
         order_response = _RESPONSES_BY_STATUS.get(response.ok_value.status)
@@ -84,23 +98,40 @@
             )
         return Ok(order_response)
 
-
-def _call(
-    step: str, replica: Replica, method: str, path: str, body: bytes | None = None
-) -> Result[urllib3.BaseHTTPResponse, PeerError]:
-    headers = {names.EXPECTED_REPLICA: replica.id}
-    if body is not None:
-        headers["Content-Type"] = "application/json"
-    return call(
-        step,
-        replica.id,
-        replica.address,
-        method=method,
-        path=path,
-        headers=headers,
-        timeout=TIMEOUT,
-        body=body,
-    )
+    def _call(
+        self,
+        step: str,
+        replica: Replica,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+    ) -> Result[urllib3.BaseHTTPResponse, PeerError]:
+        headers = {names.EXPECTED_REPLICA: replica.id}
+        if body is not None:
+            headers["Content-Type"] = "application/json"
+        called = call(
+            step,
+            replica.id,
+            replica.address,
+            method=method,
+            path=path,
+            headers=headers,
+            timeout=TIMEOUT,
+            body=body,
+        )
+        if called.is_ok():
+            self._report_availability(replica, called.ok_value)
+        return called
+
+    def _report_availability(
+        self, replica: Replica, response: urllib3.BaseHTTPResponse
+    ) -> None:
+        availability = decode_availability(response.status, response.headers.items())
+        is_other = response.headers.get(names.REPLICA_ID, replica.id) != replica.id
+        if is_other or availability == Availability():
+            return
+        for callback in self._callbacks:
+            callback(replica, availability)
 
 
 def _decode_report(value: dict[str, Any]) -> EngineReport:
--- a/src/crocuswick/platform/relay_dialect.py
+++ b/src/crocuswick/platform/relay_dialect.py
@@ -8,6 +8,7 @@
 
 from crocuswick.errors import Refusal
 from crocuswick.platform import _names as names
+from crocuswick.platform._availability import decode_availability
 from crocuswick.relay.relay_request import (
     Attempt,
     CallerRequest,
@@ -142,6 +143,7 @@
             replica_id=values_by_name.get(names.REPLICA_ID.lower()),
             weights_version=_number(values_by_name, names.WEIGHTS_VERSION),
             is_encoded=encoding.strip().lower() not in ("", "identity"),
+            availability=decode_availability(response.status, response.headers),
         )
 
 
--- a/src/crocuswick/platform/store_client.py
+++ b/src/crocuswick/platform/store_client.py
@@ -1,4 +1,9 @@
-"""Client of the platform's metadata store."""
+"""Client of the platform's metadata store.
+
+The store numbers the records of a topic by offsets, which start again from an older one
+when the store returns from an older copy. The client turns them into positions, which
+never fall (see `crocuswick.records.position`).
+"""
 
 from __future__ import annotations
 
@@ -9,6 +14,8 @@
 from typing import Any
 from urllib.parse import urlencode
 
+import attrs
+import logbook
 import urllib3
 from result import Err, Ok, Result
 from urllib3.exceptions import HTTPError
@@ -16,31 +23,51 @@
 from crocuswick.errors import PeerError
 from crocuswick.host_port import HostPort
 from crocuswick.outcome import Outcome
+from crocuswick.platform import _names as names
 from crocuswick.records.mirror import KeyedRecord, TopicUpdate
+from crocuswick.records.position import (
+    MAX_OFFSET,
+    era_of,
+    offset_of,
+    to_position,
+)
 from crocuswick.records.store import AppendAck, LogTail
+from crocuswick.records.store_era import StoreEra
 
 __all__ = ["StoreClient"]
 
+logger = logbook.Logger(__name__)
+
 PEER = "store"
 CONNECT_TIMEOUT_S = 0.5
 RESPONSE_TIMEOUT_S = 1.0
 """The store responds within milliseconds, or some hundred milliseconds when slow."""
 
 MAX_READ_KB = 1_024
+MAX_ERA_DIGITS = 9
 _LENGTH = struct.Struct(">I")
 _OFFSET = struct.Struct(">Q")
 _NOT_RETAINED = 410
 _CONDITION_FAILED = 412
 
 
+@attrs.frozen(kw_only=True)
+class _Answer:
+    status: int
+    data: bytes
+    era: int
+
+
 class StoreClient:
     """Calls the store; each thread uses its own client.
 
     Args:
         address: ``host:port`` of the store.
+        era: The store's era, shared by the clients of a node.
     """
 
-    def __init__(self, *, address: str):
+    def __init__(self, *, address: str, era: StoreEra | None = None):
+        self._era = StoreEra() if era is None else era
         peer = HostPort.parse(address)
         self._pool = urllib3.HTTPConnectionPool(
             peer.host, peer.port, maxsize=1, retries=False
@@ -53,11 +80,12 @@
             topic: Name of a keyed topic.
 
         Returns:
-            The records. The end offset is that of the first page, so that records
-            written while the pages were read are read again.
+            The records. The end is that of the first page, so that records written
+            while the pages were read are read again.
         """
         records: list[KeyedRecord] = []
         end: int | None = None
+        era: int | None = None
         after = ""
         while True:
             query = {"Topic": topic, "part": 0}
@@ -66,7 +94,10 @@
             page = self._call("list records", "GET", "/log-newest", query)
             if page.is_err():
                 return page
-            decoded = _decode_page(page.ok_value.data)
+            if era not in (None, page.ok_value.era):
+                return Err(_error("list records", "the store's era changed"))
+            era = page.ok_value.era
+            decoded = _decode_page(page.ok_value)
             if decoded.is_err():
                 return decoded
             items, page_end, is_truncated = decoded.ok_value
@@ -82,16 +113,16 @@
     def read_keyed(
         self, topic: str, *, start: int, wait_ms: int
     ) -> Result[TopicUpdate | None, PeerError]:
-        """Read keyed records from an offset on, waiting for one if there are none yet.
+        """Read keyed records from a position on, waiting for one if there are none yet.
 
         Args:
             topic: Name of a keyed topic.
-            start: Offset of the first record wanted.
+            start: Position of the first record wanted.
             wait_ms: Longest time to wait for a record.
 
         Returns:
-            The records, or None if the store no longer retains that offset, or if the
-            topic ends before it.
+            The records, or None if the store no longer retains that position, or if
+            the topic ends before it.
         """
         response = self._read(topic, start=start, wait_ms=wait_ms)
         if response.is_err():
@@ -101,8 +132,8 @@
             return Ok(None)
         records = [
             record
-            for offset, raw in enumerate(tail.records, start)
-            if (record := _decode_keyed(raw, offset)) is not None
+            for position, raw in enumerate(tail.records, start)
+            if (record := _decode_keyed(raw, position)) is not None
         ]
         return Ok(
             TopicUpdate(
@@ -118,29 +149,32 @@
 
         Args:
             topic: Name of the topic.
-            start: Offset of the first record wanted.
+            start: Position of the first record wanted.
 
         Returns:
-            The records, or None if the store no longer retains that offset.
+            The records, or None if the store no longer retains that position.
         """
         return self._read(topic, start=start, wait_ms=0)
 
     def append(
         self, topic: str, record: bytes, *, at: int | None = None
     ) -> Result[AppendAck, PeerError]:
-        """Append one record, optionally only if the topic ends at a given offset.
+        """Append one record, optionally only if the topic ends at a given position.
 
         Args:
             topic: Name of the topic.
             record: Content of the record.
-            at: Offset that the record must get, None for any.
+            at: Position that the record must get, None for any.
 
         Returns:
             Whether it was appended. After an error it may still be appended later.
         """
         query: dict[str, Any] = {"Topic": topic, "part": 0}
         if at is not None:
-            query["At"] = at
+            # No topic ends at the largest offset, so that a condition from another era
+            # fails and the answer names the topic's end.
+            is_current = era_of(at) == self._era.current
+            query["At"] = offset_of(at) if is_current else MAX_OFFSET
         response = self._call(
             "append",
             "POST",
@@ -153,7 +187,7 @@
             return response
         is_appended = response.ok_value.status == 200
         field = "Offset" if is_appended else "End"
-        return _decode_ack(response.ok_value.data, field, is_appended)
+        return _decode_ack(response.ok_value, field, is_appended)
 
     def append_keyed(
         self, topic: str, key: str, value: bytes
@@ -171,7 +205,11 @@
     def _read(
         self, topic: str, *, start: int, wait_ms: int
     ) -> Result[LogTail | None, PeerError]:
-        query = {"Topic": topic, "part": 0, "From": start, "MaxKb": MAX_READ_KB}
+        era = self._era.current
+        if era_of(start) != era:
+            return Ok(None)
+        offset = offset_of(start)
+        query = {"Topic": topic, "part": 0, "From": offset, "MaxKb": MAX_READ_KB}
         if wait_ms:
             query["WaitMs"] = wait_ms
         response = self._call(
@@ -184,9 +222,10 @@
         )
         if response.is_err():
             return response
-        if response.ok_value.status == _NOT_RETAINED:
+        answer = response.ok_value
+        if answer.status == _NOT_RETAINED or answer.era != era:
             return Ok(None)
-        return _decode_tail(response.ok_value.data)
+        return _decode_tail(answer)
 
     def _call(
         self,
@@ -198,7 +237,7 @@
         body: bytes | None = None,
         accepted: tuple[int, ...] = (200,),
         timeout_s: float = RESPONSE_TIMEOUT_S,
-    ) -> Result[urllib3.BaseHTTPResponse, PeerError]:
+    ) -> Result[_Answer, PeerError]:
         try:
             response = self._pool.request(
                 method,
@@ -208,12 +247,31 @@
             )
         except (HTTPError, OSError) as error:
             return Err(_error(step, f"{type(error).__name__}: {error}"))
+        era = self._answer_era(response)
         if response.status not in accepted:
             # These two statuses mean that the call had no effect.
             is_refused = response.status in (429, 503)
             outcome = Outcome.NOT_RUN if is_refused else Outcome.UNKNOWN
             return Err(_error(step, f"status {response.status}", outcome))
-        return Ok(response)
+        if era is None:
+            return Err(_error(step, "answer from an earlier era of the store"))
+        return Ok(_Answer(status=response.status, data=response.data, era=era))
+
+    def _answer_era(self, response: urllib3.BaseHTTPResponse) -> int | None:
+        """Return the era of an answer, or None if it is outdated."""
+        text = response.headers.get(names.STORE_ERA)
+        if text is None:
+            return self._era.current
+        if not (text.isascii() and text.isdigit()):
+            logger.warning("ignored malformed header {}: {!r}", names.STORE_ERA, text)
+            return self._era.current
+        era = int(text[:MAX_ERA_DIGITS])
+        if self._era.report(era):
+            return era
+        if era < self._era.current:
+            return None
+        logger.warning("ignored implausible header {}: {!r}", names.STORE_ERA, text)
+        return self._era.current
 
 
 def _error(step: str, detail: str, outcome: Outcome = Outcome.UNKNOWN) -> PeerError:
@@ -221,24 +279,26 @@
 
 
 def _decode_page(
-    data: bytes,
+    answer: _Answer,
 ) -> Result[tuple[list[KeyedRecord], int, bool], PeerError]:
     try:
-        page = json.loads(data)
+        page = json.loads(answer.data)
         items = [
             KeyedRecord(
                 key=str(item["Key"]),
-                offset=int(item["Offset"]),
+                offset=to_position(answer.era, int(item["Offset"])),
                 value=base64.b64decode(item["Value"]),
             )
             for item in page["items"]
         ]
-        return Ok((items, int(page["End"]), bool(page.get("Truncated"))))
+        end = to_position(answer.era, int(page["End"]))
+        return Ok((items, end, bool(page.get("Truncated"))))
     except (KeyError, TypeError, ValueError, binascii.Error) as error:
         return Err(_error("decode listing", f"{type(error).__name__}: {error}"))
 
 
-def _decode_tail(data: bytes) -> Result[LogTail, PeerError]:
+def _decode_tail(answer: _Answer) -> Result[LogTail, PeerError]:
+    data = answer.data
     if len(data) < 2 * _OFFSET.size:
         return Err(_error("decode records", f"response has only {len(data)} bytes"))
     (end,) = _OFFSET.unpack_from(data)
@@ -252,10 +312,16 @@
             break
         records.append(data[position : position + length])
         position += length
-    return Ok(LogTail(end=end, first=first, records=tuple(records)))
+    return Ok(
+        LogTail(
+            end=to_position(answer.era, end),
+            first=to_position(answer.era, first),
+            records=tuple(records),
+        )
+    )
 
 
-def _decode_keyed(raw: bytes, offset: int) -> KeyedRecord | None:
+def _decode_keyed(raw: bytes, position: int) -> KeyedRecord | None:
     """Decode a keyed record, or return None if it is malformed."""
     if not raw or len(raw) < 1 + raw[0]:
         return None
@@ -264,14 +330,14 @@
     except UnicodeDecodeError:
         return None
     value = raw[1 + raw[0] :]
-    return KeyedRecord(key=key, offset=offset, value=value or None)
+    return KeyedRecord(key=key, offset=position, value=value or None)
 
 
 def _decode_ack(
-    data: bytes, field: str, is_appended: bool
+    answer: _Answer, field: str, is_appended: bool
 ) -> Result[AppendAck, PeerError]:
     try:
-        offset = int(json.loads(data)[field])
+        offset = to_position(answer.era, int(json.loads(answer.data)[field]))
     except (KeyError, TypeError, ValueError) as error:
         return Err(_error("decode append", f"{type(error).__name__}: {error}"))
     return Ok(AppendAck(is_appended=is_appended, offset=offset))
--- a/src/crocuswick/records/mirror.py
+++ b/src/crocuswick/records/mirror.py
@@ -6,18 +6,22 @@
 
 import attrs
 
+from crocuswick.records.position import era_of
+
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
 __all__ = ["KeyedRecord", "RecordMirror", "TopicUpdate"]
 
 
 @attrs.frozen(kw_only=True)
 class KeyedRecord:
-    """Record of a key; newer records have higher offsets."""
+    """Record of a key."""
 
     key: str
     offset: int
+    """Position of the record; newer records of a key have higher ones."""
+
     value: bytes | None
     """Content, None if the key was removed."""
 
@@ -29,10 +33,10 @@
     topic: str
     records: tuple[KeyedRecord, ...]
     end: int
-    """Offset after the last record that the source knows of."""
+    """Position after the last record that the source knows of."""
 
     start: int = 0
-    """Offset from which on the newest record of every key is included."""
+    """Position from which on the newest record of every key is included."""
 
     is_listing: bool = False
     """Whether the update lists all keys, so that unlisted keys don't exist."""
@@ -42,21 +46,39 @@
 class _Topic:
     end: int = -1
     records_by_key: dict[str, KeyedRecord] = attrs.Factory(dict)
+    kept_keys: set[str] = attrs.Factory(set)
+    """Keys whose content is newer than that of the store, which returned from an older
+    copy."""
+
+
+def _no_version(_topic: str, _record: KeyedRecord) -> int | None:
+    return None
 
 
 class RecordMirror:
-    """Keeps the newest record of each key, by offset and not by time of arrival."""
+    """Keeps the newest record of each key, by position and not by time of arrival.
+
+    A store that returns from an older copy may hold an older version of a record at a
+    higher position. The content with the higher version is kept then.
+
+    Args:
+        version_of: Returns the version that a record's content names, None if it names
+            none.
+    """
 
-    def __init__(self):
+    def __init__(
+        self, *, version_of: Callable[[str, KeyedRecord], int | None] = _no_version
+    ):
+        self._version_of = version_of
         self._topics_by_name: dict[str, _Topic] = {}
 
     def end(self, topic: str) -> int:
-        """Return the offset after the last known record, -1 for an unknown topic."""
+        """Return the position after the last known record, -1 for an unknown topic."""
         known = self._topics_by_name.get(topic)
         return known.end if known else -1
 
     def ends(self) -> Mapping[str, int]:
-        """Return the end offset of each topic."""
+        """Return the end position of each topic."""
         return {name: topic.end for name, topic in self._topics_by_name.items()}
 
     def records(self, topic: str) -> Mapping[str, KeyedRecord]:
@@ -74,23 +96,79 @@
             The records that are new to this mirror.
         """
         topic = self._topics_by_name.setdefault(update.topic, _Topic())
-        changed = [record for record in update.records if self._is_newer(topic, record)]
+        newer = [record for record in update.records if self._is_newer(topic, record)]
         if update.is_listing:
-            changed += _missing(topic, update)
-        for record in changed:
-            topic.records_by_key[record.key] = record
-        # If the update skips records that this mirror lacks, the end offset stays, so
-        # that they are still requested.
+            newer += _missing(topic, update)
+        changed = [self._replace(update.topic, topic, record) for record in newer]
+        # If the update skips records that this mirror lacks, the end stays, so that
+        # they are still requested.
         if update.start <= max(topic.end, 0):
             topic.end = max(topic.end, update.end)
         return tuple(changed)
 
+    def merge_kept(
+        self, topic_name: str, records: Iterable[KeyedRecord]
+    ) -> tuple[KeyedRecord, ...]:
+        """Merge records of `kept` at another node.
+
+        Args:
+            topic_name: Name of the topic.
+            records: Records whose version counts and not their position.
+
+        Returns:
+            The records that are new to this mirror.
+        """
+        topic = self._topics_by_name.setdefault(topic_name, _Topic())
+        changed = []
+        for record in records:
+            known = topic.records_by_key.get(record.key)
+            if not self._has_higher_version(topic_name, record, known):
+                continue
+            if known is not None:
+                record = attrs.evolve(record, offset=max(known.offset, record.offset))
+            topic.records_by_key[record.key] = record
+            topic.kept_keys.add(record.key)
+            changed.append(record)
+        return tuple(changed)
+
+    def kept(self, topic: str) -> tuple[KeyedRecord, ...]:
+        """Return the records whose content the store has lost."""
+        known = self._topics_by_name.get(topic, _Topic())
+        return tuple(known.records_by_key[key] for key in sorted(known.kept_keys))
+
+    def _replace(
+        self, topic_name: str, topic: _Topic, record: KeyedRecord
+    ) -> KeyedRecord:
+        """Store a record at a higher position, with the content of higher version."""
+        known = topic.records_by_key.get(record.key)
+        is_other_era = known is not None and era_of(known.offset) != era_of(
+            record.offset
+        )
+        is_kept = record.key in topic.kept_keys
+        topic.kept_keys.discard(record.key)
+        if (is_other_era or is_kept) and self._has_higher_version(
+            topic_name, known, record
+        ):
+            record = attrs.evolve(known, offset=record.offset)
+            topic.kept_keys.add(record.key)
+        topic.records_by_key[record.key] = record
+        return record
+
+    def _has_higher_version(
+        self, topic: str, record: KeyedRecord, than: KeyedRecord | None
+    ) -> bool:
+        version = self._version_of(topic, record)
+        if version is None:
+            return False
+        other = None if than is None else self._version_of(topic, than)
+        return other is None or version > other
+
     def since(self, topic: str, offset: int) -> TopicUpdate:
-        """Return the newest records at or after an offset.
+        """Return the newest records at or after a position.
 
         Args:
             topic: Name of the topic.
-            offset: End offset of the topic at the node that requests the records.
+            offset: End of the topic at the node that requests the records.
         """
         known = self._topics_by_name.get(topic, _Topic())
         newer = [
--- a/src/crocuswick/records/record_cache.py
+++ b/src/crocuswick/records/record_cache.py
@@ -21,6 +21,8 @@
     Args:
         on_record: Called with the topic and each record that is new at this node.
         on_update: Called with the new records of each update that contains any.
+        version_of: Returns the version that a record's content names, None if it names
+            none.
     """
 
     @attrs.frozen(kw_only=True)
@@ -44,19 +46,33 @@
 
     @attrs.frozen(kw_only=True)
     class Since(Message):
-        """Requests the newest records from an offset on, to send to another node."""
+        """Requests the newest records from a position on, to send to another node."""
 
         topic: str
         offset: int
 
+    @attrs.frozen(kw_only=True)
+    class MergeKept(Message):
+        """Merges records that another node has and the store has lost."""
+
+        topic: str
+        records: tuple[KeyedRecord, ...]
+
+    @attrs.frozen(kw_only=True)
+    class Kept(Message):
+        """Requests the records of a topic that the store has lost."""
+
+        topic: str
+
     def __init__(
         self,
         *,
         on_record: Callable[[str, KeyedRecord], None],
         on_update: Callable[[TopicUpdate], None],
+        version_of: Callable[[str, KeyedRecord], int | None],
     ):
         super().__init__()
-        self._mirror = RecordMirror()
+        self._mirror = RecordMirror(version_of=version_of)
         self._on_record = on_record
         self._on_update = on_update
 
@@ -77,6 +93,15 @@
             )
         return self._mirror.end(update.topic)
 
+    def on_merge_kept(self, message: MergeKept) -> None:
+        """Merge records that another node has kept."""
+        for record in self._mirror.merge_kept(message.topic, message.records):
+            self._on_record(message.topic, record)
+
+    def on_kept(self, message: Kept) -> tuple[KeyedRecord, ...]:
+        """Return the records of a topic that the store has lost."""
+        return self._mirror.kept(message.topic)
+
     def on_end(self, message: End) -> int:
         """Return the end offset of a topic."""
         return self._mirror.end(message.topic)
--- a/src/crocuswick/records/store.py
+++ b/src/crocuswick/records/store.py
@@ -21,7 +21,7 @@
 
     is_appended: bool
     offset: int
-    """Offset of the appended record, or the topic's end if `at` did not match it."""
+    """Position of the appended record, or the topic's end if `at` did not match it."""
 
 
 @attrs.frozen(kw_only=True)
@@ -29,10 +29,10 @@
     """Records of an unkeyed topic."""
 
     end: int
-    """Offset after the last record of the topic."""
+    """Position after the last record of the topic."""
 
     first: int
-    """Offset of the oldest retained record."""
+    """Position of the oldest retained record."""
 
     records: tuple[bytes, ...]
 
@@ -46,7 +46,7 @@
     def read_keyed(
         self, topic: str, *, start: int, wait_ms: int
     ) -> Result[TopicUpdate | None, PeerError]:
-        """Read keyed records from an offset on; None if they are no longer retained."""
+        """Read keyed records from a position on; None if they aren't retained."""
 
     def read_tail(self, topic: str, *, start: int) -> Result[LogTail | None, PeerError]:
         """Read records of an unkeyed topic; None if they are no longer retained."""
@@ -54,7 +54,7 @@
     def append(
         self, topic: str, record: bytes, *, at: int | None = None
     ) -> Result[AppendAck, PeerError]:
-        """Append one record; with `at`, only if the topic ends at that offset."""
+        """Append one record; with `at`, only if the topic ends at that position."""
 
     def append_keyed(
         self, topic: str, key: str, value: bytes
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from crocuswick.actor import Actor
-from crocuswick.gossip.messages import TargetVersions
+from crocuswick.gossip.messages import ReplicaLeaving, TargetVersions
 from crocuswick.relay.admission_bound import longest_wait_ms
 from crocuswick.relay.candidate import Candidate
 from crocuswick.relay.dispatcher_messages import Placed, Wait
@@ -155,6 +155,29 @@
         """Schedule the removal of a replica whose store entry was deleted."""
         self._table.remove(message.replica_id, takes_effect_s=message.takes_effect_s)
 
+    def on_availability_changed(self, message: messages.AvailabilityChanged) -> None:
+        """Send no requests to a replica that leaves, or for the time that it named."""
+        incarnation = message.incarnation
+        if message.availability.pause_s is not None:
+            self._health_by_incarnation[incarnation].record_pause(
+                message.availability.pause_s, time.monotonic()
+            )
+        if not message.availability.is_leaving:
+            return
+        is_news = self._table.mark_leaving(incarnation)
+        if is_news and not message.is_from_peer:
+            self._broadcast(ReplicaLeaving(incarnation=incarnation))
+
+    def on_is_usable(self, message: messages.IsUsable) -> bool:
+        """Return whether a replica may still be sent a request."""
+        now_s = time.monotonic()
+        health = self._health_by_incarnation[message.incarnation]
+        return (
+            self._table.is_ready(message.incarnation, now_s)
+            and health.paused_for_s(now_s) == 0
+            and self._loading_until_s.get(message.incarnation, 0.0) <= now_s
+        )
+
     def on_set_target_version(self, message: messages.SetTargetVersion) -> None:
         """Record a target version."""
         announced_s = time.monotonic() - message.age_s
@@ -237,6 +260,7 @@
         self, _message: messages.GetEngineStates
     ) -> list[EngineState]:
         """Return the state of all replicas with models."""
+        now_s = time.monotonic()
         return [
             EngineState(
                 replica=replica,
@@ -245,8 +269,11 @@
                     for model in replica.weights_by_model
                 },
                 prefill_tokens=self._tracker.load(replica.incarnation).prefill_tokens,
+                unwanted_for_s=self._health_by_incarnation[
+                    replica.incarnation
+                ].unwanted_for_s(now_s),
             )
-            for replica in self._table.all(time.monotonic())
+            for replica in self._table.all(now_s)
             if replica.weights_by_model
         ]
 
--- a/src/crocuswick/relay/dispatcher_messages.py
+++ b/src/crocuswick/relay/dispatcher_messages.py
@@ -9,16 +9,18 @@
 from crocuswick.gossip.messages import PromptPlaced, ReplicaCrashed, SmallPromptsSent
 from crocuswick.relay.kv_events import KvEvent
 from crocuswick.relay.relay_request import Attempt, RoutedRequest
-from crocuswick.relay.replica import Replica
+from crocuswick.relay.replica import Availability, Replica
 from crocuswick.relay.replica_health import AttemptResult
 from crocuswick.relay.serving import ServingConfiguration
 
 __all__ = [
     "AttemptEnded",
+    "AvailabilityChanged",
     "BroadcastSmallPrompts",
     "CacheRead",
     "GetEngineStates",
     "GetTargetVersions",
+    "IsUsable",
     "PeerCrash",
     "PeerPromptSent",
     "PeerRequestEnded",
@@ -114,6 +116,22 @@
     version: int
 
 
+@attrs.frozen(kw_only=True)
+class AvailabilityChanged(Message):
+    """A replica has said that it leaves or wants no requests for a while."""
+
+    incarnation: str
+    availability: Availability
+    is_from_peer: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class IsUsable(Message):
+    """Query whether a request may still be sent to a replica that was chosen for it."""
+
+    incarnation: str
+
+
 @attrs.frozen(kw_only=True)
 class ReplicaLoading(Message):
     """A replica loads weights and starts no requests meanwhile."""
--- a/src/crocuswick/relay/engine_state.py
+++ b/src/crocuswick/relay/engine_state.py
@@ -21,3 +21,6 @@
 
     prefill_tokens: int
     """Outstanding prompt tokens; an order to load weights waits for them."""
+
+    unwanted_for_s: float = 0.0
+    """Time for which the engine wants no requests from this node, orders included."""
--- a/src/crocuswick/relay/relay_request.py
+++ b/src/crocuswick/relay/relay_request.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from crocuswick.relay.replica import Availability
 from crocuswick.relay.serving import Organisation, Route
 
 __all__ = [
@@ -160,3 +161,5 @@
     weights_version: int | None
     is_encoded: bool
     """Whether the body has a content encoding, which no request asks for."""
+
+    availability: Availability = Availability()
--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -14,6 +14,7 @@
 from crocuswick.relay.event_splitter import EventSplitter
 from crocuswick.relay.refusal_answer import CompleteAnswer, refusal_answer
 from crocuswick.relay.relay_request import ResponseHead
+from crocuswick.relay.replica import Availability
 from crocuswick.relay.replica_health import AttemptResult
 from crocuswick.relay.run_report import EndedAttempt, RunReport
 from crocuswick.relay.serving import RouteKind
@@ -53,6 +54,10 @@
 REPLACE_INTERVAL_S = 0.1
 """Interval at which the retry of a begun stream is placed again after a refusal."""
 
+CONFIRM_AFTER_S = 0.1
+"""Duration of a handshake after which the dispatcher is asked whether the replica still
+takes requests; it may have turned others away or begun to leave meanwhile."""
+
 MIN_RETRY_S = 0.1
 """Minimum remaining time for a retry to be sent."""
 
@@ -169,6 +174,9 @@
             if connected.is_err():
                 result = AttemptResult.UNREACHABLE
                 return self._after_no_connection(attempt, connected.err_value)
+            if not self._may_still_send(attempt, started_s):
+                result = AttemptResult.NOT_SENT
+                return self._after_not_sent(attempt)
             self._progress.connected_attempts += 1
             self._progress.has_reserved_retry = False
             head, result, outcome = self._exchange_with(upstream, attempt)
@@ -210,6 +218,7 @@
             return None, *self._after_loss(attempt, sent.err_value)
         self._context.stalls.record_activity(attempt.incarnation, self._watched)
         head = self._context.dialect.decode_response(sent.ok_value)
+        self._report_availability(attempt, head)
         if head.request_id not in (None, self._request.caller.request_id):
             return None, *self._after_bad_response(
                 attempt, "response to another request"
@@ -227,6 +236,21 @@
                 return head, *self._relay_stream(upstream, attempt, head)
         return head, *self._relay_complete(upstream, attempt, head)
 
+    def _may_still_send(self, attempt: Attempt, started_s: float) -> bool:
+        if time.monotonic() - started_s < CONFIRM_AFTER_S:
+            return True
+        return self._context.dispatcher.ask(
+            dispatcher_messages.IsUsable(incarnation=attempt.incarnation)
+        )
+
+    def _report_availability(self, attempt: Attempt, head: ResponseHead) -> None:
+        """Report at once that a replica leaves or wants no more requests."""
+        is_other = head.replica_id not in (None, attempt.replica_id)
+        if is_other or head.request_id not in (None, self._request.caller.request_id):
+            return
+        if head.availability != Availability():
+            self._report.availability(attempt, head.availability)
+
     # Complete answers.
 
     def _relay_complete(
@@ -341,6 +365,11 @@
         self._progress.error = str(error)
         return None
 
+    def _after_not_sent(self, attempt: Attempt) -> str | None:
+        self._progress.tried.append(attempt.incarnation)
+        self._progress.error = "the replica stopped taking requests meanwhile"
+        return None
+
     def _after_not_run(
         self, attempt: Attempt, head: ResponseHead
     ) -> tuple[AttemptResult, str | None]:
--- a/src/crocuswick/relay/replica.py
+++ b/src/crocuswick/relay/replica.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-__all__ = ["Replica", "ReplicaState"]
+__all__ = ["Availability", "Replica", "ReplicaState"]
 
 
 class ReplicaState(enum.StrEnum):
@@ -17,6 +17,17 @@
     DRAINING = "draining"
 
 
+@attrs.frozen(kw_only=True)
+class Availability:
+    """What a replica says in a response about further requests."""
+
+    is_leaving: bool = False
+    """Whether it is about to shut down."""
+
+    pause_s: float | None = None
+    """Time for which it wants no requests from this node, None if it named none."""
+
+
 @attrs.frozen(kw_only=True)
 class Replica:
     """One running replica."""
--- a/src/crocuswick/relay/replica_health.py
+++ b/src/crocuswick/relay/replica_health.py
@@ -51,6 +51,9 @@
     OTHER_WEIGHTS = enum.auto()
     """The replica serves other weights than expected."""
 
+    NOT_SENT = enum.auto()
+    """The replica stopped taking requests before this one was sent."""
+
     CANCELLED = enum.auto()
     """The caller disconnected, which says nothing about the replica."""
 
@@ -64,6 +67,8 @@
     _updated_s: float = 0.0
     _consecutive_unreachable: int = 0
     _paused_until_s: float = 0.0
+    _unwanted_until_s: float = 0.0
+    """Until when the replica wants no requests from this node."""
 
     def record(self, result: AttemptResult, now_s: float) -> None:
         """Record the result of an attempt."""
@@ -80,9 +85,20 @@
         elif result in (AttemptResult.BUSY, AttemptResult.OTHER_WEIGHTS):
             self._paused_until_s = max(self._paused_until_s, now_s + BUSY_PAUSE_S)
 
+    def record_pause(self, pause_s: float, now_s: float) -> None:
+        """Record that the replica wants no requests from this node for a while.
+
+        Unlike other pauses, it isn't ended by a later answer.
+        """
+        self._unwanted_until_s = max(self._unwanted_until_s, now_s + pause_s)
+
     def paused_for_s(self, now_s: float) -> float:
         """Return the time until the replica is tried again."""
-        return max(0.0, self._paused_until_s - now_s)
+        return max(0.0, self._paused_until_s - now_s, self.unwanted_for_s(now_s))
+
+    def unwanted_for_s(self, now_s: float) -> float:
+        """Return the time for which the replica wants no requests from this node."""
+        return max(0.0, self._unwanted_until_s - now_s)
 
     def failure_share(self, now_s: float) -> float:
         """Return the share of recent results that were failures, 0 to 1."""
--- a/src/crocuswick/relay/replica_table.py
+++ b/src/crocuswick/relay/replica_table.py
@@ -8,9 +8,9 @@
 
 __all__ = ["ReplicaTable"]
 
-MAX_DRAINING = 4096
-"""Limit on remembered draining incarnations; late entries must not make them ready
-again."""
+MAX_REMEMBERED = 4096
+"""Limit on remembered incarnations that are draining or removed; late entries must not
+make them usable again."""
 
 
 @attrs.define(kw_only=True)
@@ -28,12 +28,15 @@
         self._replicas_by_id: dict[str, Replica] = {}
         self._removals_by_id: dict[str, _Removal] = {}
         self._draining_incarnations: dict[str, None] = {}
+        self._last_reports_by_removed: dict[str, int] = {}
 
     def update(self, replica: Replica) -> bool:
         """Update a replica from its store entry.
 
         An incarnation that has reported draining stays draining. Reports older than
-        the latest one are ignored.
+        the latest one are ignored, and so are those of a removed incarnation that
+        were written before its removal: a store that returns from an older copy has
+        them again.
 
         Args:
             replica: The entry.
@@ -44,6 +47,11 @@
         known = self._replicas_by_id.get(replica.id)
         if known is not None and _is_older(replica, known):
             return False
+        last_report = self._last_reports_by_removed.get(replica.incarnation, -1)
+        if replica.id in self._removals_by_id and not _is_older(known, replica):
+            return False
+        if replica.report_number <= last_report:
+            return False
         if replica.state is ReplicaState.DRAINING:
             self._remember_draining(replica.incarnation)
         elif replica.incarnation in self._draining_incarnations:
@@ -53,6 +61,22 @@
         unnumbered = attrs.evolve(replica, report_number=0)
         return known is None or unnumbered != attrs.evolve(known, report_number=0)
 
+    def mark_leaving(self, incarnation: str) -> bool:
+        """Mark an incarnation as draining for good, whatever its entries say.
+
+        Returns:
+            Whether it was not known to be draining.
+        """
+        if incarnation in self._draining_incarnations:
+            return False
+        self._remember_draining(incarnation)
+        for replica_id, replica in self._replicas_by_id.items():
+            if replica.incarnation == incarnation:
+                self._replicas_by_id[replica_id] = attrs.evolve(
+                    replica, state=ReplicaState.DRAINING
+                )
+        return True
+
     def remove(self, replica_id: str, *, takes_effect_s: float) -> None:
         """Schedule the removal of a replica whose entry was deleted.
 
@@ -81,6 +105,14 @@
             if replica.service == service and replica.state is ReplicaState.READY
         ]
 
+    def is_ready(self, incarnation: str, now_s: float) -> bool:
+        """Whether an incarnation may take new requests."""
+        self._drop_removed(now_s)
+        return any(
+            replica.incarnation == incarnation and replica.state is ReplicaState.READY
+            for replica in self._replicas_by_id.values()
+        )
+
     def find(self, replica_id: str, now_s: float) -> Replica | None:
         """Return a replica by its id, or None if it is unknown or removed."""
         self._drop_removed(now_s)
@@ -99,14 +131,20 @@
         ]
         for replica_id in due:
             del self._removals_by_id[replica_id]
-            del self._replicas_by_id[replica_id]
+            removed = self._replicas_by_id.pop(replica_id)
+            _make_room(self._last_reports_by_removed)
+            self._last_reports_by_removed[removed.incarnation] = removed.report_number
 
     def _remember_draining(self, incarnation: str) -> None:
-        if len(self._draining_incarnations) >= MAX_DRAINING:
-            del self._draining_incarnations[next(iter(self._draining_incarnations))]
+        _make_room(self._draining_incarnations)
         self._draining_incarnations[incarnation] = None
 
 
+def _make_room(remembered: dict[str, object]) -> None:
+    if len(remembered) >= MAX_REMEMBERED:
+        del remembered[next(iter(remembered))]
+
+
 def _is_older(entry: Replica, known: Replica) -> bool:
     if entry.started_ms != known.started_ms:
         return entry.started_ms < known.started_ms
--- a/src/crocuswick/relay/run_report.py
+++ b/src/crocuswick/relay/run_report.py
@@ -16,6 +16,7 @@
     from crocuswick.relay.dispatcher_messages import Placed
     from crocuswick.relay.relay_context import RelayContext
     from crocuswick.relay.relay_request import Attempt, RoutedRequest
+    from crocuswick.relay.replica import Availability
 
 __all__ = ["EndedAttempt", "RunReport"]
 
@@ -102,6 +103,22 @@
         )
         self._log_attempt(placed, ended)
 
+    def availability(self, attempt: Attempt, availability: Availability) -> None:
+        """Report that a replica leaves or wants no requests for a while."""
+        self._context.dispatcher.tell(
+            dispatcher_messages.AvailabilityChanged(
+                incarnation=attempt.incarnation, availability=availability
+            )
+        )
+        self._context.log.record(
+            "replica unavailable",
+            failed=True,
+            request=self._request.caller.request_id,
+            replica=attempt.replica_id,
+            leaving=availability.is_leaving,
+            pause_s=availability.pause_s,
+        )
+
     def retry_not_reserved(self, attempt: Attempt, refusal: Refusal) -> None:
         """Report that a stalled attempt goes on because it can't be retried."""
         self._context.log.record(
--- a/src/crocuswick/rollouts/driver.py
+++ b/src/crocuswick/rollouts/driver.py
@@ -33,6 +33,7 @@
     from crocuswick.decision_log import DecisionLog
     from crocuswick.gossip.messages import GossipMessage
     from crocuswick.records.store import RecordStore
+    from crocuswick.records.store_era import StoreEra
     from crocuswick.relay.engine_state import EngineState
     from crocuswick.relay.replica import Replica
     from crocuswick.rollouts.engine_orders import EngineOrders
@@ -85,6 +86,7 @@
         handover_s: Minimum time between the last order of one lease holder and the
             first order of the next.
         store: Client of the store, used by one worker at a time.
+        era: The store's era, as that client knows it.
         orders: Client of the engines.
         engines: Returns the state of all engines.
         rank: Returns this node's rank among the live nodes for acquiring the lease.
@@ -153,6 +155,7 @@
         topic: str,
         handover_s: float,
         store: RecordStore,
+        era: StoreEra,
         orders: EngineOrders,
         engines: Callable[[], Sequence[EngineState]],
         rank: Callable[[], int],
@@ -161,7 +164,7 @@
     ):
         super().__init__()
         self._node_id = node_id
-        self._claims = LeaseClaims(node_id=node_id, topic=topic, store=store)
+        self._claims = LeaseClaims(node_id=node_id, topic=topic, store=store, era=era)
         self._orders = orders
         self._engines = engines
         self._rank = rank
@@ -369,6 +372,7 @@
             now_s=now_s,
             previous=claim.previous,
             clock_s=time.time(),
+            era_since_s=claim.era_since_s,
         )
         usable_in_ms = round(self._lease.remaining_wait_s(now_s) * 1000)
         self._log.record_state(
--- a/src/crocuswick/rollouts/engine_orders.py
+++ b/src/crocuswick/rollouts/engine_orders.py
@@ -9,10 +9,12 @@
 import attrs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from result import Result
 
     from crocuswick.errors import PeerError
-    from crocuswick.relay.replica import Replica
+    from crocuswick.relay.replica import Availability, Replica
 
 __all__ = ["EngineOrders", "EngineReport", "OrderResponse", "WeightsOrder"]
 
@@ -69,6 +71,11 @@
 class EngineOrders(Protocol):
     """Reads reports and sends orders."""
 
+    def on_availability(
+        self, callback: Callable[[Replica, Availability], None]
+    ) -> None:
+        """Register a function that is called if a response names an availability."""
+
     def report(self, replica: Replica) -> Result[EngineReport, PeerError]:
         """Read an engine's report."""
 
--- a/src/crocuswick/rollouts/lease_claims.py
+++ b/src/crocuswick/rollouts/lease_claims.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from crocuswick.records.position import era_of, offset_of
 from crocuswick.rollouts.order_lease import (
     LEASE_VALID_S,
     MAX_CLOCK_SKEW_S,
@@ -18,6 +19,7 @@
 
 if TYPE_CHECKING:
     from crocuswick.records.store import RecordStore
+    from crocuswick.records.store_era import StoreEra
 
 __all__ = ["EXPIRED_S", "LeaseClaim", "LeaseClaims", "boot_clock_s"]
 
@@ -38,7 +40,7 @@
     """Result of an attempt to acquire or renew the lease."""
 
     token: int | None
-    """Offset of the new record, None if the append is not known to have succeeded."""
+    """Position of the new record, None if the append is not known to have succeeded."""
 
     sent_s: float
     """Time at which the append was sent, from `boot_clock_s`."""
@@ -55,6 +57,10 @@
     is_contested: bool = False
     """Whether another node appended a record of which this node did not know."""
 
+    era_since_s: float | None = None
+    """Time since which the store's era is known if this is the first valid record of
+    the era, from `boot_clock_s`; else None."""
+
     error: str = ""
 
 
@@ -65,9 +71,11 @@
         node_id: This node.
         topic: Topic of the lease records.
         store: Client of the store.
+        era: The store's era, as that client knows it.
     """
 
-    def __init__(self, *, node_id: str, topic: str, store: RecordStore):
+    def __init__(self, *, node_id: str, topic: str, store: RecordStore, era: StoreEra):
+        self._era = era
         self._node_id = node_id
         self._topic = topic
         self._store = store
@@ -96,7 +104,10 @@
 
     def _claim(self, own_token: int | None) -> LeaseClaim:
         record = LeaseRecord(
-            node_id=self._node_id, nonce=uuid.uuid4().hex[:12], clock_s=time.time()
+            node_id=self._node_id,
+            nonce=uuid.uuid4().hex[:12],
+            clock_s=time.time(),
+            era=self._era.current,
         )
         if own_token is not None:
             claim = self._append(record, own_token + 1)
@@ -131,9 +142,16 @@
         if ack.is_err():
             return LeaseClaim(token=None, sent_s=sent_s, error=str(ack.err_value))
         offset = ack.ok_value.offset
-        if ack.ok_value.is_appended:
-            return LeaseClaim(token=offset, sent_s=sent_s)
-        return LeaseClaim(token=None, sent_s=sent_s, last_offset=offset - 1)
+        if not ack.ok_value.is_appended:
+            return LeaseClaim(token=None, sent_s=sent_s, last_offset=offset - 1)
+        if era_of(offset) != record.era:
+            return LeaseClaim(
+                token=None,
+                sent_s=sent_s,
+                last_offset=offset,
+                error="the store returned from an older copy during the claim",
+            )
+        return LeaseClaim(token=offset, sent_s=sent_s)
 
     def _claim_after(self, record: LeaseRecord, last: int) -> LeaseClaim:
         claim = self._append(record, last + 1)
@@ -147,9 +165,15 @@
 
     def _with_previous(self, claim: LeaseClaim, last: int) -> LeaseClaim:
         """Add the preceding record to a claim that was appended."""
-        if claim.token is None or last < 0:
+        if claim.token is None or claim.token == 0:
             return claim
-        previous = self._read_record(last)
+        era = era_of(claim.token)
+        previous = self._read_record(last) if offset_of(claim.token) else None
+        is_first_of_era = offset_of(claim.token) == 0 or (
+            previous is not None and previous.era != era
+        )
+        if is_first_of_era:
+            return attrs.evolve(claim, previous=previous, era_since_s=self._era.since_s)
         if previous is None:
             # The store may drop records immediately, so the previous holder may have
             # just sent an order.
--- a/src/crocuswick/rollouts/order_lease.py
+++ b/src/crocuswick/rollouts/order_lease.py
@@ -37,6 +37,9 @@
     clock_s: float
     """Unix time at the node when the append was sent."""
 
+    era: int = 0
+    """Era of the store as the node knew it. A record in a later era is void."""
+
 
 def encode_lease(record: LeaseRecord) -> bytes:
     """Encode a lease record."""
@@ -51,8 +54,9 @@
             node_id=str(fields["node_id"]),
             nonce=str(fields["nonce"]),
             clock_s=float(fields["clock_s"]),
+            era=int(fields.get("era", 0)),
         )
-    except (KeyError, TypeError, ValueError):
+    except (AttributeError, KeyError, OverflowError, TypeError, ValueError):
         return None
 
 
@@ -119,6 +123,7 @@
         now_s: float,
         previous: LeaseRecord | None,
         clock_s: float,
+        era_since_s: float | None = None,
     ) -> None:
         """Record that this node acquired the lease.
 
@@ -128,8 +133,17 @@
             now_s: Time of the response.
             previous: Preceding record, None for the first one of the topic.
             clock_s: Unix time at this node.
+            era_since_s: Time since which the store's era is known if the record is the
+                first valid one of that era, else None. The records of the last holders
+                are lost then.
         """
         self.renewed(token, sent_s=sent_s)
+        if era_since_s is not None:
+            # An earlier holder can't have renewed its lease in the new era.
+            self._previous_holder = ""
+            last_order_s = min(now_s, era_since_s) + LEASE_VALID_S
+            self._not_before_s = self._usable_from_s(last_order_s)
+            return
         self._previous_holder = previous.node_id if previous else ""
         if previous is None or previous.node_id == self._node_id:
             return
--- a/src/crocuswick/rollouts/rollout_plan.py
+++ b/src/crocuswick/rollouts/rollout_plan.py
@@ -51,7 +51,7 @@
             ),
         )
         for engine in engines
-        if engine.replica.state is ReplicaState.READY
+        if engine.replica.state is ReplicaState.READY and not engine.unwanted_for_s
         for model, version in engine.weights_by_model.items()
         if version < target_by_model.get(model, 0)
     ]
--- a/tests/gossip/in_memory_fleet.py
+++ b/tests/gossip/in_memory_fleet.py
@@ -17,6 +17,7 @@
     decode_gossip,
 )
 from crocuswick.gossip.service import GossipService
+from crocuswick.records.store_era import StoreEra
 
 BOUNDS = FleetBounds(
     grace_ms=8_000,
@@ -118,6 +119,7 @@
                 on_engine_active=self.active_engines.append,
                 topics=(),
                 zonal_topic="",
+                era=StoreEra(),
             )
         self.gossip.set_driver(self.driver)
 
--- a/tests/gossip/test_fleet_gossip.py
+++ b/tests/gossip/test_fleet_gossip.py
@@ -12,6 +12,7 @@
 from crocuswick.gossip.service import GossipService
 from crocuswick.records.mirror import TopicUpdate
 from crocuswick.records.record_cache import RecordCache
+from crocuswick.records.store_era import StoreEra
 from tests.gossip.in_memory_fleet import InMemoryFleet
 
 TOPIC = "configuration"
@@ -52,6 +53,7 @@
                 on_engine_active=mock.Mock(),
                 topics=(TOPIC,),
                 zonal_topic="",
+                era=StoreEra(),
             )
             gossip._on_peers(
                 frozenset(node(each) for each in range(ZONE_NODES)), ZONE_NODES
--- a/tests/platform/metadata_store.py
+++ b/tests/platform/metadata_store.py
@@ -36,6 +36,9 @@
         runs them but closes the connection without a response; empty: none."""
 
         self.calls: list[str] = []
+        self.era_header: str | None = None
+        """Value of the header ``Store-Era`` in all answers, None for no header."""
+
         store = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -89,6 +92,25 @@
             trimmed = self._topics_by_name[topic]
             trimmed.first_retained = len(trimmed.records)
 
+    def copy(self) -> dict[str, list[bytes]]:
+        """Return a copy of all records, from which `return_from` restores them."""
+        with self._lock:
+            return {
+                name: list(topic.records)
+                for name, topic in self._topics_by_name.items()
+            }
+
+    def return_from(self, copy: dict[str, list[bytes]]) -> None:
+        """Lose what was written since a copy was made, and begin the next era.
+
+        Offsets are given out again, and reads from later ones get status 410.
+        """
+        with self._lock:
+            self._topics_by_name.clear()
+            for name, records in copy.items():
+                self._topics_by_name[name].records = list(records)
+            self.era_header = str(int(self.era_header or 0) + 1)
+
     def answer(self, handler: BaseHTTPRequestHandler, body: bytes) -> None:
         """Respond to a call."""
         url = urlsplit(handler.path)
@@ -131,7 +153,8 @@
                 topic = self._topics_by_name[query["Topic"]]
                 records = topic.records[start:]
                 end, first_retained = len(topic.records), topic.first_retained
-            if start < first_retained:
+            is_ahead = self.era_header is not None and start > end
+            if start < first_retained or is_ahead:
                 return 410, json.dumps({"First": first_retained}).encode()
             if records or time.monotonic() >= deadline_s or self.fault:
                 break
@@ -161,6 +184,8 @@
         try:
             handler.send_response(status)
             handler.send_header("Content-Length", str(len(body)))
+            if self.era_header is not None:
+                handler.send_header("Store-Era", self.era_header)
             handler.end_headers()
             handler.wfile.write(body)
         except OSError:
--- a/tests/platform/scripted_replica.py
+++ b/tests/platform/scripted_replica.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 import threading
+import time
 from typing import TYPE_CHECKING
 
 import attrs
@@ -14,7 +15,15 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["ReceivedRequest", "ScriptedReplica", "plain_answer", "stream_head"]
+__all__ = [
+    "ReceivedRequest",
+    "ScriptedReplica",
+    "event",
+    "plain_answer",
+    "plain_script",
+    "stream",
+    "stream_head",
+]
 
 
 @attrs.frozen(kw_only=True)
@@ -142,6 +151,30 @@
     request.send(plain_answer(request))
 
 
+def event(number: int) -> bytes:
+    """Return a chunk with one event."""
+    data = b"id: %d\ndata: piece %d\n\n" % (number, number)
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def stream(first: int, last: int, *, ends: bool = True):
+    """Return a script that sends events and then ends or resets the stream."""
+
+    def script(received: ReceivedRequest) -> None:
+        received.send(stream_head(received))
+        start = int(received.headers.get("last-event-id", first - 1)) + 1
+        for number in range(start, last + 1):
+            received.send(event(number))
+            time.sleep(0.01)
+        if ends:
+            received.send(b"0\r\n\r\n")
+        else:
+            time.sleep(0.05)
+            received.reset()
+
+    return script
+
+
 def _read_request(connection: socket.socket) -> ReceivedRequest | None:
     data = b""
     while b"\r\n\r\n" not in data:
--- a/tests/platform/test_node_relay.py
+++ b/tests/platform/test_node_relay.py
@@ -11,8 +11,10 @@
 from tests.platform.node_process import RawCaller
 from tests.platform.scripted_replica import (
     ReceivedRequest,
+    event,
     plain_answer,
     plain_script,
+    stream,
     stream_head,
 )
 
@@ -20,11 +22,6 @@
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
 
-def event(number: int) -> bytes:
-    data = b"id: %d\ndata: piece %d\n\n" % (number, number)
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
 def reset(received: ReceivedRequest) -> None:
     received.reset()
 
@@ -35,24 +32,6 @@
     )
 
 
-def stream(first: int, last: int, *, ends: bool = True):
-    """Return a script that sends events and then ends or resets the stream."""
-
-    def script(received: ReceivedRequest) -> None:
-        received.send(stream_head(received))
-        start = int(received.headers.get("last-event-id", first - 1)) + 1
-        for number in range(start, last + 1):
-            received.send(event(number))
-            time.sleep(0.01)
-        if ends:
-            received.send(b"0\r\n\r\n")
-        else:
-            time.sleep(0.05)
-            received.reset()
-
-    return script
-
-
 class RelayCase(unittest.TestCase):
     @classmethod
     def setUpClass(cls):
--- a/tests/records/test_mirror.py
+++ b/tests/records/test_mirror.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from crocuswick.records.mirror import KeyedRecord, RecordMirror, TopicUpdate
+from crocuswick.records.position import to_position
 
 TOPIC = "t"
 
@@ -27,6 +28,13 @@
     )
 
 
+def versioned_mirror():
+    """Return a mirror of records whose content is their version."""
+    return RecordMirror(
+        version_of=lambda _topic, each: int(each.value) if each.value else None
+    )
+
+
 class RecordMirrorTests(unittest.TestCase):
     @given(st.lists(st.sampled_from("abc"), max_size=20), st.randoms())
     def test_the_merged_records_do_not_depend_on_their_order(self, keys, rng):
@@ -55,6 +63,42 @@
         mirror.merge(update(record(12, "a")))
         self.assertEqual(mirror.merge(update(end=9, is_listing=True)), ())
 
+    def test_a_record_of_a_later_era_is_newer_whatever_its_offset(self):
+        """After the store has returned from an older copy, operators write again at
+        offsets that were in use before."""
+        mirror = RecordMirror()
+        mirror.merge(update(record(9, value=b"old")))
+        changed = mirror.merge(update(record(to_position(1, 3), value=b"new")))
+        self.assertEqual([each.value for each in changed], [b"new"])
+
+    def test_an_older_version_at_a_higher_position_does_not_replace_the_content(self):
+        """The store's copy is older than what it has acknowledged."""
+        mirror = versioned_mirror()
+        mirror.merge(update(record(9, value=b"7")))
+        listed = record(to_position(1, 3), value=b"5")
+        mirror.merge(update(listed, end=to_position(1, 4), is_listing=True))
+        kept = mirror.records(TOPIC)["k"]
+        self.assertEqual((kept.value, kept.offset), (b"7", to_position(1, 3)))
+        self.assertEqual(mirror.kept(TOPIC), (kept,))
+        mirror.merge(update(record(to_position(1, 6), value=b"7")))
+        self.assertEqual(mirror.kept(TOPIC), ())
+
+    def test_a_key_that_the_copy_lacks_keeps_its_versioned_content(self):
+        mirror = versioned_mirror()
+        mirror.merge(update(record(9, value=b"7")))
+        mirror.merge(update(end=to_position(1, 4), is_listing=True))
+        self.assertEqual(mirror.records(TOPIC)["k"].value, b"7")
+
+    def test_a_node_takes_what_its_peers_have_kept(self):
+        """A node that restarts after the return finds only the older copy."""
+        mirror = versioned_mirror()
+        listed = record(to_position(1, 3), value=b"5")
+        mirror.merge(update(listed, end=to_position(1, 4), is_listing=True))
+        kept = record(to_position(1, 3), value=b"7")
+        self.assertEqual(mirror.merge_kept(TOPIC, [kept]), (kept,))
+        self.assertEqual(mirror.merge_kept(TOPIC, [kept]), ())
+        self.assertEqual(mirror.records(TOPIC)["k"].value, b"7")
+
     def test_updates_that_skip_records_do_not_move_the_end(self):
         mirror = RecordMirror()
         mirror.merge(update(record(3)))
--- a/tests/relay/test_replica_table.py
+++ b/tests/relay/test_replica_table.py
@@ -46,6 +46,27 @@
         self.table.update(replica("r", report_number=6))
         self.assertEqual(self.usable(3.0), ["r"])
 
+    def test_an_entry_from_before_the_removal_does_not_bring_a_replica_back(self):
+        """A store that returns from an older copy has entries of replicas that have
+        left since."""
+        self.table.remove("r", takes_effect_s=2.0)
+        self.table.update(replica("r", report_number=5))
+        self.assertEqual(self.usable(2.0), [])
+        self.table.update(replica("r", report_number=5))
+        self.assertEqual(self.usable(2.0), [])
+        self.table.update(replica("r", report_number=6))
+        self.assertEqual(self.usable(2.0), ["r"])
+
+    def test_a_replica_that_says_that_it_leaves_is_not_usable_until_it_restarts(self):
+        """Its entry may be late, or may never say so."""
+        self.assertTrue(self.table.mark_leaving("r@1"))
+        self.assertFalse(self.table.mark_leaving("r@1"))
+        self.assertEqual(self.usable(), [])
+        self.table.update(replica("r", report_number=9))
+        self.assertEqual(self.usable(), [])
+        self.table.update(replica("r", started_ms=2, report_number=1))
+        self.assertEqual(self.usable(), ["r"])
+
     def test_a_removal_takes_effect_without_a_new_entry(self):
         self.table.remove("r", takes_effect_s=2.0)
         self.assertEqual(self.usable(2.0), [])
--- a/tests/rollouts/test_driver.py
+++ b/tests/rollouts/test_driver.py
@@ -11,6 +11,7 @@
 
 from crocuswick.gossip.messages import LeaseAcquired, LeaseReleased
 from crocuswick.records.store import AppendAck, LogTail
+from crocuswick.records.store_era import StoreEra
 from crocuswick.relay.engine_state import EngineState
 from crocuswick.relay.replica import Replica, ReplicaState
 from crocuswick.rollouts import lease_takeover
@@ -116,6 +117,7 @@
             topic="leases",
             handover_s=HANDOVER_S,
             store=self.store,
+            era=StoreEra(),
             orders=self.engines,
             engines=self.engines.states,
             rank=lambda: 0,
--- a/tests/rollouts/test_lease_claims.py
+++ b/tests/rollouts/test_lease_claims.py
@@ -7,7 +7,9 @@
 from unittest import mock
 
 from crocuswick.platform.store_client import StoreClient
-from crocuswick.rollouts.lease_claims import EXPIRED_S, LeaseClaims
+from crocuswick.records.store_era import StoreEra
+from crocuswick.rollouts.lease_claims import EXPIRED_S, LeaseClaims, boot_clock_s
+from crocuswick.rollouts.order_lease import OrderLease
 from tests.platform.metadata_store import MetadataStore
 
 TOPIC = "leases"
@@ -21,10 +23,12 @@
         self.two = self.claims("two")
 
     def claims(self, node_id):
+        era = StoreEra()
         return LeaseClaims(
             node_id=node_id,
             topic=TOPIC,
-            store=StoreClient(address=self.store.address),
+            store=StoreClient(address=self.store.address, era=era),
+            era=era,
         )
 
     def test_the_first_claim_has_no_previous_holder(self):
@@ -115,6 +119,47 @@
         self.assertIsNotNone(taken.previous)
         self.assertNotEqual(taken.previous.node_id, "two")
 
+    def test_a_token_rises_although_the_store_gives_its_offset_out_again(self):
+        """Replicas and rules compare tokens; one that falls lets an old order win."""
+        copy = self.store.copy()
+        first = self.one.claim(None)
+        self.store.return_from(copy)
+        lost = self.one.claim(first.token)
+        self.assertIsNone(lost.token)
+        again = self.one.claim(None)
+        self.assertGreater(again.token, first.token)
+
+    def test_the_first_holder_after_the_return_waits_for_one_whose_record_is_lost(self):
+        """The store no longer has the record of a holder that may still send orders."""
+        with mock.patch("time.time", return_value=time.time() - 60):
+            self.two.claim(None)
+        copy = self.store.copy()
+        self.one.claim(None)
+        self.store.return_from(copy)
+        claims = [self.two.claim(None) for _ in range(3)]
+        taken = next(each for each in claims if each.token is not None)
+        lease = OrderLease(node_id="two", handover_s=3.0)
+        now_s = boot_clock_s()
+        lease.acquired(
+            taken.token,
+            sent_s=now_s,
+            now_s=now_s,
+            previous=taken.previous,
+            clock_s=time.time(),
+            era_since_s=taken.era_since_s,
+        )
+        self.assertGreater(lease.remaining_wait_s(now_s), 3.0)
+
+    def test_a_record_that_meets_a_later_era_grants_no_lease(self):
+        """A holder that doesn't know of the return may append at an offset that another
+        record had; what lies before it is unknown."""
+        first = self.one.claim(None)
+        copy = self.store.copy()
+        self.store.return_from(copy)
+        renewal = self.one.claim(first.token)
+        self.assertIsNone(renewal.token)
+        self.assertIn("older copy", renewal.error)
+
     def test_a_store_that_is_down_is_an_error(self):
         self.store.fault = "busy"
         claim = self.one.claim(None)
