Serve peers on one thread and callers on as many as there are requests

Cause: a node kept 192 threads for callers from its start and one thread for each link to and from a peer, 16 for orders and 8 for reading caches; cheroot adds one a server for connections that find no room. A fleet of 195 nodes asked the machine for over 45,000 threads and did not start.

Change: peers' connections share one event loop (asyncio, GossipTransport); callers, orders and calls to engines run on threads that are started when there is work and end after 5 s without (ElasticThreads, HttpWorkers); periodic calls share one thread, which logs what they raise and goes on.

The tests of the transport cover order, reconnecting, a peer that reads nothing, malformed data and a failing handler.

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -6,7 +6,6 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from crocuswick.actor import Ticker
 from crocuswick.gossip.fleet_messages import FleetMessages
 from crocuswick.gossip.messages import (
     CompressedRecords,
@@ -30,8 +29,8 @@
 )
 from crocuswick.gossip.peers import FORWARDERS, PROMPT_FORWARDERS, task_rank
 from crocuswick.gossip.record_compression import compress_records, decompress_records
-from crocuswick.gossip.server import GossipServer
-from crocuswick.gossip.service import TICK_S, GossipService
+from crocuswick.gossip.service import GossipService
+from crocuswick.gossip.transport import GossipTransport
 from crocuswick.records.mirror import KeyedRecord, TopicUpdate
 from crocuswick.records.position import era_of
 from crocuswick.records.record_cache import RecordCache
@@ -144,30 +143,26 @@
         self._known_count = 1
         self._fleet_messages = FleetMessages(own=self.own)
         self._publish_lock = threading.Lock()
+        self._transport = GossipTransport(
+            address=settings.peers_address,
+            on_message=lambda gossip, connection: self._gossip_service.tell(
+                GossipService.Received(gossip=gossip, connection=connection)
+            ),
+            on_closed=lambda connection: self._gossip_service.tell(
+                GossipService.Closed(connection=connection)
+            ),
+        )
         self._gossip_service = GossipService.start(
             own=self.own,
             seeds=settings.seeds,
             ends=self._topic_ends,
             initial_messages=self._initial_messages,
+            open_link=self._transport.open_link,
             on_message=self._on_message,
             on_peers=self._on_peers,
             on_sent=metrics.observe_gossip,
             log=log,
         )
-        self._server = GossipServer(
-            address=settings.peers_address,
-            on_message=lambda gossip, connection: self._gossip_service.tell(
-                GossipService.Received(gossip=gossip, connection=connection)
-            ),
-            on_closed=lambda connection: self._gossip_service.tell(
-                GossipService.Closed(connection=connection)
-            ),
-        )
-        self._ticker = Ticker(
-            name="news",
-            interval_s=TICK_S,
-            callback=lambda: self._gossip_service.tell(GossipService.Tick()),
-        )
 
     @property
     def live_nodes(self) -> int:
@@ -176,16 +171,18 @@
 
     def start(self) -> None:
         """Start receiving and sending."""
-        self._server.start()
-        self._gossip_service.tell(GossipService.Tick())
-        self._ticker.start()
+        self._transport.start()
+        self.tick()
 
     def stop(self) -> None:
         """Close the listening port and the connections to peers."""
-        self._ticker.stop()
-        self._server.stop()
+        self._transport.stop()
         self._gossip_service.stop(block=False)
 
+    def tick(self) -> None:
+        """Exchange messages with the peers; to be called every `TICK_S`."""
+        self._gossip_service.tell(GossipService.Tick())
+
     def broadcast(self, gossip: GossipMessage, *, is_zonal: bool = False) -> None:
         """Broadcast a message to the neighbours, or to the fleet if all need it."""
         if self._is_for_fleet(gossip):
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -3,22 +3,23 @@
 from __future__ import annotations
 
 import os
-import threading
 import time
 from typing import TYPE_CHECKING
 
 import logbook
 
-from crocuswick.actor import Ticker
+from crocuswick.actor import Tickers
 from crocuswick.application import Application
 from crocuswick.decision_log import DecisionLog
 from crocuswick.drain_progress import DrainProgress, DrainStep
+from crocuswick.elastic_threads import ElasticThreads
 from crocuswick.fleet_gossip import FleetGossip
 from crocuswick.fleet_metrics import FleetMetrics
 from crocuswick.fleet_platform import TargetWeights
-from crocuswick.fleet_reload import SettingsReload
+from crocuswick.fleet_reload import RELOAD_INTERVAL_S, SettingsReload
 from crocuswick.gossip.messages import WeightsServed
 from crocuswick.gossip.registry import NodeRegistry
+from crocuswick.gossip.service import TICK_S
 from crocuswick.host_port import HostPort
 from crocuswick.http_server import HttpServer
 from crocuswick.records.reader import TopicReader
@@ -30,7 +31,7 @@
 from crocuswick.relay.relay_context import RelayContext
 from crocuswick.relay.relay_server import RelayServer
 from crocuswick.relay.serving import CallerLimits, ServingConfiguration
-from crocuswick.relay.stall_watch import StallWatch
+from crocuswick.relay.stall_watch import CHECK_INTERVAL_S, StallWatch
 from crocuswick.rollouts.driver import RolloutDriver
 
 if TYPE_CHECKING:
@@ -51,6 +52,9 @@
 CALLER_THREADS = 192
 """Requests served concurrently; further ones are not read until a thread is free."""
 
+CALL_THREADS = 8
+"""Calls to engines and KV-cache stores made concurrently, apart from orders."""
+
 ORDERS_TASK = "orders"
 ROLLOUT_TICK_S = 0.1
 SEGMENTS_INTERVAL_S = 0.2
@@ -101,6 +105,7 @@
         self._metrics = FleetMetrics(node_id=settings.node_id)
         self.application.add(self._log)
         self._stalls = StallWatch()
+        self._calls = ElasticThreads(name="calls", max_threads=CALL_THREADS)
         self._dispatcher = RelayDispatcher.start(
             zone=settings.zone,
             bounds=settings.bounds,
@@ -134,9 +139,11 @@
         platform.store_era.on_step(lambda _era: registry.write_again())
         self.application.add(registry)
         self._warm_up = KvWarmUp(
-            events=platform.kv_events, dispatcher=self._dispatcher, log=self._log
+            events=platform.kv_events,
+            dispatcher=self._dispatcher,
+            threads=self._calls,
+            log=self._log,
         )
-        self.application.add(self._warm_up)
         self._build_rollouts()
         self._build_readers()
         self._build_servers()
@@ -147,7 +154,7 @@
             on_change=self._apply_settings,
             log=self._log,
         )
-        self.application.add(reload)
+        self._build_tickers(reload)
         self.application.on_reload(reload.check)
         self.application.on_drain(self._drain)
 
@@ -180,20 +187,21 @@
             log=self._log,
         )
         self._gossip.set_driver(self._driver)
-        self.application.add(
-            Ticker(
-                name="parts",
-                interval_s=SEGMENTS_INTERVAL_S,
-                callback=self._publish_segments,
-            )
+
+    def _build_tickers(self, reload: SettingsReload) -> None:
+        tickers = Tickers()
+        tickers.add("settings", RELOAD_INTERVAL_S, reload.check)
+        tickers.add("gossip", TICK_S, self._gossip.tick)
+        tickers.add("segments", SEGMENTS_INTERVAL_S, self._publish_segments)
+        tickers.add(
+            "rollouts",
+            ROLLOUT_TICK_S,
+            lambda: self._driver.tell(RolloutDriver.Tick()),
         )
-        self.application.add(
-            Ticker(
-                name="rollouts",
-                interval_s=ROLLOUT_TICK_S,
-                callback=lambda: self._driver.tell(RolloutDriver.Tick()),
-            )
+        tickers.add(
+            "stalls", CHECK_INTERVAL_S, lambda: self._stalls.check(time.monotonic())
         )
+        self.application.add(tickers)
 
     def _on_availability(self, replica: Replica, availability: Availability) -> None:
         self._dispatcher.tell(
@@ -210,9 +218,7 @@
 
     def _query_weights(self, replica_id: str) -> None:
         """Query the weights that an engine serves, on a separate thread."""
-        threading.Thread(
-            target=self._fetch_weights, args=(replica_id,), daemon=True
-        ).start()
+        self._calls.submit(self._fetch_weights, replica_id)
 
     def _fetch_weights(self, replica_id: str) -> None:
         for engine in self._engines():
@@ -281,7 +287,7 @@
             application=self._readiness_page,
             threads=READINESS_THREADS,
         )
-        for component in (watch, self._stalls, self._relay_server, readiness):
+        for component in (watch, self._relay_server, readiness):
             self.application.add(component)
         if self._settings.metrics_port:
             self._metrics.on_render(self._set_gauges)
--- a/src/crocuswick/fleet_reload.py
+++ b/src/crocuswick/fleet_reload.py
@@ -7,8 +7,6 @@
 
 import attrs
 
-from crocuswick.actor import Ticker
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -17,17 +15,18 @@
     from crocuswick.decision_log import DecisionLog
     from crocuswick.fleet_settings import FleetSettings
 
-__all__ = ["SettingsReload"]
+__all__ = ["RELOAD_INTERVAL_S", "SettingsReload"]
 
-CHECK_INTERVAL_S = 2.0
-"""Interval at which the settings file is read, because it may change without a signal."""
+RELOAD_INTERVAL_S = 2.0
+"""Interval at which the settings file is to be read, because it may change without a
+signal."""
 
 _RELOADABLE = ("seeds", "bounds")
 """Fields that a running node applies; changes of the others need a restart."""
 
 
 class SettingsReload:
-    """Reloads the settings file on request and every `CHECK_INTERVAL_S`.
+    """Reloads the settings file.
 
     If the file is unreadable or has faults, the settings in force stay.
 
@@ -53,17 +52,6 @@
         self._on_change = on_change
         self._log = log
         self._lock = threading.Lock()
-        self._ticker = Ticker(
-            name="settings", interval_s=CHECK_INTERVAL_S, callback=self.check
-        )
-
-    def start(self) -> None:
-        """Start checking."""
-        self._ticker.start()
-
-    def stop(self) -> None:
-        """Stop checking."""
-        self._ticker.stop()
 
     def check(self) -> None:
         """Read the file and apply changed settings."""
--- a/src/crocuswick/gossip/service.py
+++ b/src/crocuswick/gossip/service.py
@@ -8,7 +8,6 @@
 import attrs
 
 from crocuswick.actor import Actor, Message
-from crocuswick.gossip.link import PeerLink, pack_gossip
 from crocuswick.gossip.messages import (
     CompressedRecords,
     FleetMessage,
@@ -20,11 +19,13 @@
     message_kind,
 )
 from crocuswick.gossip.peers import FORGET_AFTER_S, FORWARDERS, PeerTable
+from crocuswick.gossip.transport import pack_gossip
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from crocuswick.decision_log import DecisionLog
+    from crocuswick.gossip.transport import PeerLink
 
 __all__ = ["GossipService"]
 
@@ -50,6 +51,8 @@
         seeds: Addresses of a few nodes to connect to first; may be stale.
         ends: Returns the end offset of each topic, as this node knows it.
         initial_messages: Returns further messages to send first on each connection.
+        open_link: Opens a link to an address, with a function that returns the first
+            messages to send on each connection.
         on_message: Called with each message and the id of its sender.
         on_peers: Called with the live nodes and the number of known nodes, both
             including this one, when they change.
@@ -125,6 +128,7 @@
         seeds: tuple[str, ...],
         ends: Callable[[], TopicEnds],
         initial_messages: Callable[[], list[GossipMessage]],
+        open_link: Callable[[str, Callable[[], list[GossipMessage]]], PeerLink],
         on_message: Callable[[GossipMessage, str], None],
         on_peers: Callable[[frozenset[NodeAddress], int], None],
         on_sent: Callable[[str, int, int], None],
@@ -135,6 +139,7 @@
         self._seeds = [seed for seed in seeds if seed != own.address]
         self._ends = ends
         self._initial_messages = initial_messages
+        self._open_link = open_link
         self._on_message = on_message
         self._on_peers = on_peers
         self._on_sent = on_sent
@@ -270,9 +275,9 @@
         for address in self._links_by_address.keys() - wanted:
             self._links_by_address.pop(address).stop()
         for address in wanted - self._links_by_address.keys():
-            link = PeerLink(address=address, handshake=self._handshake_messages)
-            self._links_by_address[address] = link
-            link.start()
+            self._links_by_address[address] = self._open_link(
+                address, self._handshake_messages
+            )
 
     def _forget_unreachable(self) -> None:
         now_s = time.monotonic()
@@ -288,7 +293,7 @@
                 self._table.forget(address.node_id)
 
     def _handshake_messages(self) -> list[GossipMessage]:
-        # Runs on a link's thread; safe because the table returns copies.
+        # Runs on the transport's thread; safe because the table returns copies.
         peers = [
             [peer.node_id, peer.zone, peer.address] for peer in self._table.addresses()
         ]
--- /dev/null
+++ b/src/crocuswick/gossip/transport.py
@@ -0,0 +1,388 @@
+"""Connections to and from all peers, served by one thread."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import socket
+import threading
+import time
+from collections import deque
+from typing import TYPE_CHECKING
+
+import logbook
+import msgpack
+
+from crocuswick.backoff import backoff_s, with_jitter_s
+from crocuswick.gossip.messages import decode_gossip, encode_gossip
+from crocuswick.host_port import HostPort
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from crocuswick.gossip.messages import GossipMessage
+
+__all__ = ["GossipTransport", "PeerLink", "pack_gossip"]
+
+logger = logbook.Logger(__name__)
+
+BACKLOG = 256
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+"""More than any configuration needs; a larger message closes the connection."""
+
+CONNECT_TIMEOUT_S = 0.5
+SEND_TIMEOUT_S = 1.0
+"""Time without progress in sending after which a link reconnects; a peer that reads
+nothing exceeds it."""
+
+ACKNOWLEDGEMENT_TIMEOUT_MS = 1_500
+"""Time without acknowledgement of sent data after which a link reconnects."""
+
+SILENCE_TIMEOUT_S = 5.0
+"""Time without data after which a peer's connection is closed; peers send at least once
+a second."""
+
+SILENCE_CHECK_S = 1.0
+MAX_QUEUED = 2_000
+"""Limit on queued messages. Further ones are dropped; records that the peer lacks are
+sent again later."""
+
+FIRST_BACKOFF_S = 0.2
+MAX_BACKOFF_S = 3.0
+STOP_TIMEOUT_S = 1.0
+
+
+def pack_gossip(gossip: GossipMessage) -> bytes:
+    """Encode a message for the wire."""
+    return msgpack.packb(encode_gossip(gossip))
+
+
+class GossipTransport:
+    """Receives messages from peers and opens links to them.
+
+    Args:
+        address: ``host:port`` to listen at.
+        on_message: Called with each message and the number of its connection.
+        on_closed: Called with that number when the connection has closed.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        on_message: Callable[[GossipMessage, int], None],
+        on_closed: Callable[[int], None],
+    ):
+        self._address = HostPort.parse(address)
+        self._on_message = on_message
+        self._on_closed = on_closed
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._server: asyncio.Server | None = None
+        self._numbers = itertools.count(1)
+        self._receivers: set[_Receiver] = set()
+        self._unsent: set[PeerLink] = set()
+        self._lock = threading.Lock()
+        self._thread = threading.Thread(
+            target=self._run_loop, name="gossip", daemon=True
+        )
+
+    def start(self) -> None:
+        """Bind the port and start receiving.
+
+        Raises:
+            OSError: The port can't be bound.
+        """
+        self._loop = asyncio.new_event_loop()
+        self._thread.start()
+        self._run(self._listen()).result()
+
+    def stop(self) -> None:
+        """Close the port and all connections."""
+        if not self._thread.is_alive():
+            return
+        with contextlib.suppress(TimeoutError):
+            self._run(self._close()).result(STOP_TIMEOUT_S)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(STOP_TIMEOUT_S)
+
+    def open_link(
+        self, address: str, handshake: Callable[[], list[GossipMessage]]
+    ) -> PeerLink:
+        """Open a link to a peer, which reconnects until it is stopped.
+
+        Args:
+            address: ``host:port`` of the peer.
+            handshake: Returns the first messages to send on each connection; called on
+                the thread of the transport.
+        """
+        link = PeerLink(
+            address=address, handshake=handshake, on_queued=self._flush_soon
+        )
+        link.task = self._run(link.run())
+        return link
+
+    def _run_loop(self) -> None:
+        try:
+            self._loop.run_forever()
+        finally:
+            self._loop.close()
+
+    async def _listen(self) -> None:
+        self._server = await self._loop.create_server(
+            lambda: _Receiver(
+                number=next(self._numbers),
+                receivers=self._receivers,
+                on_message=self._on_message,
+                on_closed=self._on_closed,
+            ),
+            self._address.host,
+            self._address.port,
+            backlog=BACKLOG,
+        )
+        self._loop.call_later(SILENCE_CHECK_S, self._close_silent)
+
+    async def _close(self) -> None:
+        self._server.close()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for receiver in list(self._receivers):
+            receiver.abort()
+
+    def _close_silent(self) -> None:
+        oldest_s = time.monotonic() - SILENCE_TIMEOUT_S
+        for receiver in list(self._receivers):
+            if receiver.last_data_s < oldest_s:
+                receiver.abort()
+        self._loop.call_later(SILENCE_CHECK_S, self._close_silent)
+
+    def _run(self, coroutine: Coroutine) -> asyncio.Future:
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+
+    def _flush_soon(self, link: PeerLink) -> None:
+        """Send a link's messages, together with those queued until the loop wakes."""
+        with self._lock:
+            is_first = not self._unsent
+            self._unsent.add(link)
+        if is_first:
+            self._loop.call_soon_threadsafe(self._flush)
+
+    def _flush(self) -> None:
+        with self._lock:
+            unsent, self._unsent = self._unsent, set()
+        for link in unsent:
+            link.flush()
+
+
+class PeerLink:
+    """Sends messages to one peer, and reconnects after failures.
+
+    Args:
+        address: ``host:port`` of the peer.
+        handshake: Returns the first messages to send on each connection.
+        on_queued: Called if messages wait to be sent.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        handshake: Callable[[], list[GossipMessage]],
+        on_queued: Callable[[PeerLink], None],
+    ):
+        self.address = address
+        self.task: asyncio.Future | None = None
+        self._handshake = handshake
+        self._on_queued = on_queued
+        self._queue: deque[bytes] = deque()
+        self._sender: _Sender | None = None
+        # Monotonic time since which there is no connection, None while connected.
+        self.disconnected_since_s: float | None = time.monotonic()
+
+    def send(self, packed: bytes) -> bool:
+        """Queue an encoded message.
+
+        Returns:
+            False if it was dropped: there is no connection or the queue is full.
+        """
+        if self._sender is None:
+            return False
+        if len(self._queue) >= MAX_QUEUED:
+            logger.warning(
+                "send queue of peer {} is full, message dropped", self.address
+            )
+            return False
+        self._queue.append(packed)
+        self._on_queued(self)
+        return True
+
+    def stop(self) -> None:
+        """Close the connection for good."""
+        self.task.cancel()
+
+    async def run(self) -> None:
+        """Keep a connection to the peer until the task is cancelled."""
+        failures = 0
+        while True:
+            try:
+                sender = await self._connect()
+                failures = 0
+                await self._serve(sender)
+            except (OSError, TimeoutError) as error:
+                logger.debug("link to {} failed: {}", self.address, error)
+            except Exception:  # noqa: BLE001 - a link must not stay closed
+                logger.exception("link to {} failed", self.address)
+            failures += 1
+            pause_s = backoff_s(
+                failures, initial_s=FIRST_BACKOFF_S, max_s=MAX_BACKOFF_S
+            )
+            await asyncio.sleep(with_jitter_s(pause_s))
+
+    def flush(self) -> None:
+        """Pass the queued messages to the connection; runs on the transport's thread."""
+        if self._sender is None or self._sender.is_paused or not self._queue:
+            return
+        messages = [self._queue.popleft() for _ in range(len(self._queue))]
+        self._sender.transport.write(b"".join(messages))
+
+    async def _connect(self) -> _Sender:
+        peer = HostPort.parse(self.address)
+        loop = asyncio.get_running_loop()
+        _, sender = await asyncio.wait_for(
+            loop.create_connection(
+                lambda: _Sender(on_writable=self.flush), peer.host, peer.port
+            ),
+            CONNECT_TIMEOUT_S,
+        )
+        return sender
+
+    async def _serve(self, sender: _Sender) -> None:
+        try:
+            self._queue.clear()
+            for gossip in self._handshake():
+                sender.transport.write(pack_gossip(gossip))
+            self.disconnected_since_s = None
+            self._sender = sender
+            await sender.wait_closed()
+        finally:
+            self._sender = None
+            self.disconnected_since_s = time.monotonic()
+            sender.transport.abort()
+
+
+class _Sender(asyncio.Protocol):
+    """Connection of a link.
+
+    Args:
+        on_writable: Called when the connection takes data again.
+    """
+
+    def __init__(self, *, on_writable: Callable[[], None]):
+        self.transport: asyncio.Transport | None = None
+        self.is_paused = False
+        self._on_writable = on_writable
+        self._closed = asyncio.Event()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        transport.get_extra_info("socket").setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, ACKNOWLEDGEMENT_TIMEOUT_MS
+        )
+
+    def connection_lost(self, _error: Exception | None) -> None:
+        self._closed.set()
+
+    def pause_writing(self) -> None:
+        self.is_paused = True
+        self._check_later()
+
+    def resume_writing(self) -> None:
+        self.is_paused = False
+        self._on_writable()
+
+    async def wait_closed(self) -> None:
+        """Wait until the connection has closed."""
+        await self._closed.wait()
+
+    def _check_later(self) -> None:
+        unsent = self.transport.get_write_buffer_size()
+        asyncio.get_running_loop().call_later(
+            SEND_TIMEOUT_S, self._abort_without_progress, unsent
+        )
+
+    def _abort_without_progress(self, unsent: int) -> None:
+        if not self.is_paused:
+            return
+        if self.transport.get_write_buffer_size() >= unsent:
+            self.transport.abort()
+        else:
+            self._check_later()
+
+
+class _Receiver(asyncio.Protocol):
+    """Connection from a peer.
+
+    Args:
+        number: Number of the connection.
+        receivers: All open connections; it adds and removes itself.
+        on_message: Called with each message and the number.
+        on_closed: Called with the number at the end.
+    """
+
+    def __init__(
+        self,
+        *,
+        number: int,
+        receivers: set[_Receiver],
+        on_message: Callable[[GossipMessage, int], None],
+        on_closed: Callable[[int], None],
+    ):
+        self.last_data_s = time.monotonic()
+        self._number = number
+        self._receivers = receivers
+        self._on_message = on_message
+        self._on_closed = on_closed
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
+        self._transport: asyncio.Transport | None = None
+        self._peer = ""
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        host, port = transport.get_extra_info("peername")[:2]
+        self._peer = f"{host}:{port}"
+        self._receivers.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        logger.debug("connection from peer {} closed: {}", self._peer, error)
+        self._receivers.discard(self)
+        self._on_closed(self._number)
+
+    def data_received(self, data: bytes) -> None:
+        self.last_data_s = time.monotonic()
+        try:
+            self._unpacker.feed(data)
+            for value in self._unpacker:
+                self._handle(value)
+        except (
+            ValueError,
+            RecursionError,
+            msgpack.exceptions.UnpackException,
+        ) as error:
+            logger.warning("malformed data from peer {}: {}", self._peer, error)
+            self.abort()
+
+    def abort(self) -> None:
+        """Close the connection."""
+        self._transport.abort()
+
+    def _handle(self, value: object) -> None:
+        decoded = decode_gossip(value, self._peer)
+        if decoded.is_err():
+            logger.warning("{}", decoded.err_value)
+            return
+        try:
+            self._on_message(decoded.ok_value, self._number)
+        except Exception:  # noqa: BLE001 - later messages must still be handled
+            logger.exception("handling a message from peer {} failed", self._peer)
--- a/src/crocuswick/http_server.py
+++ b/src/crocuswick/http_server.py
@@ -16,6 +16,7 @@
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
 from crocuswick.errors import Refusal
+from crocuswick.http_workers import HttpWorkers
 from crocuswick.outcome import Outcome
 from crocuswick.problem import problem_body, problem_headers
 from crocuswick.timeout_socket import TimeoutSocket
@@ -307,6 +308,12 @@
     max_request_header_size = MAX_HEAD_BYTES
     request_timeout_s = REQUEST_TIMEOUT_S
 
+    def _serve_unservicable(self) -> None:
+        """End the thread that answers connections for which the workers have no room.
+
+        `HttpWorkers` turns none away.
+        """
+
 
 class HttpServer:
     """Serves one WSGI application on one port.
@@ -337,13 +344,14 @@
         self._server = Server(
             (host, port),
             application,
-            numthreads=threads,
-            max=threads,
             request_queue_size=ACCEPT_BACKLOG,
             timeout=idle_timeout_s,
             shutdown_timeout=STOP_TIMEOUT_S,
             server_name="crocuswick",
         )
+        self._server.requests = HttpWorkers(
+            server=self._server, max_threads=threads, name=f"http-{host}:{port}"
+        )
         self._server.request_timeout_s = request_timeout_s
         if certificate_file:
             self._server.ssl_adapter = BuiltinSSLAdapter(certificate_file, key_file)
--- /dev/null
+++ b/src/crocuswick/http_workers.py
@@ -0,0 +1,97 @@
+"""Threads that serve the connections of an HTTP server while they have requests."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+from typing import TYPE_CHECKING
+
+import logbook
+
+from crocuswick.elastic_threads import ElasticThreads
+
+if TYPE_CHECKING:
+    from cheroot.server import HTTPConnection, HTTPServer
+
+__all__ = ["HttpWorkers"]
+
+logger = logbook.Logger(__name__)
+
+END_TIMEOUT_S = 0.5
+"""Time for requests to end after their connections were shut down."""
+
+
+class HttpWorkers:
+    """Takes the place of cheroot's thread pool, which keeps all its threads.
+
+    Connections without a request stay with the server's selector.
+
+    Args:
+        server: The server.
+        max_threads: Number of requests served concurrently.
+        name: Name of the threads.
+    """
+
+    min = 0
+    """Number of threads without requests, which cheroot's server reads."""
+
+    def __init__(self, *, server: HTTPServer, max_threads: int, name: str):
+        self._server = server
+        self._threads = ElasticThreads(name=name, max_threads=max_threads)
+        self._served: set[HTTPConnection] = set()
+        self._lock = threading.Lock()
+
+    @property
+    def idle(self) -> int:
+        """Number of threads that wait for requests."""
+        return self._threads.idle
+
+    @property
+    def qsize(self) -> int:
+        """Number of connections that wait for a thread."""
+        return self._threads.queued
+
+    def start(self) -> None:
+        """Do nothing; threads start with the first request."""
+
+    def put(self, connection: HTTPConnection) -> None:
+        """Serve the next request of a connection."""
+        self._threads.submit(self._serve, connection)
+
+    def stop(self, timeout: float | None = 5) -> None:
+        """Wait for the requests in progress, then shut their connections down.
+
+        Args:
+            timeout: Longest wait in seconds.
+        """
+        if self._threads.stop(timeout or 0.0):
+            return
+        with self._lock:
+            served = list(self._served)
+        for connection in served:
+            with contextlib.suppress(OSError):
+                connection.socket.shutdown(socket.SHUT_RD)
+        self._threads.stop(END_TIMEOUT_S)
+
+    def _serve(self, connection: HTTPConnection) -> None:
+        stays_open = False
+        with self._lock:
+            self._served.add(connection)
+        try:
+            stays_open = connection.communicate()
+        except ConnectionError as error:
+            logger.debug("connection of {} lost: {}", connection.remote_addr, error)
+        finally:
+            with self._lock:
+                self._served.discard(connection)
+            if stays_open:
+                self._server.put_conn(connection)
+            else:
+                self._close(connection)
+
+    def _close(self, connection: HTTPConnection) -> None:
+        try:
+            connection.close()
+        except OSError as error:
+            logger.debug("closing {} failed: {}", connection.remote_addr, error)
--- a/src/crocuswick/relay/kv_warm_up.py
+++ b/src/crocuswick/relay/kv_warm_up.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
 from crocuswick.relay import dispatcher_messages
@@ -14,6 +13,7 @@
     import pykka
 
     from crocuswick.decision_log import DecisionLog
+    from crocuswick.elastic_threads import ElasticThreads
     from crocuswick.relay.kv_events import KvEvent, KvEventReader
     from crocuswick.relay.replica import Replica
     from crocuswick.relay.serving import KvStore
@@ -24,9 +24,6 @@
 """Time after the node's start within which caches are read; engines that appear later
 have just started with an empty cache."""
 
-WORKERS = 8
-"""Number of caches read in parallel; each read takes some tens of milliseconds."""
-
 
 class KvWarmUp:
     """Reads the newest events of each cache once.
@@ -37,11 +34,18 @@
     Args:
         events: Reader of cache events.
         dispatcher: Actor that receives the events.
+        threads: Threads on which the caches are read; each read takes some tens of
+            milliseconds.
         log: Decision log.
     """
 
     def __init__(
-        self, *, events: KvEventReader, dispatcher: pykka.ActorRef, log: DecisionLog
+        self,
+        *,
+        events: KvEventReader,
+        dispatcher: pykka.ActorRef,
+        threads: ElasticThreads,
+        log: DecisionLog,
     ):
         self._events = events
         self._dispatcher = dispatcher
@@ -50,20 +54,13 @@
         self._is_configured = False
         self._early_engines_by_incarnation: dict[str, Replica] = {}
         self._seen: set[str] = set()
-        self._workers = ThreadPoolExecutor(WORKERS, thread_name_prefix="kv-warm-up")
-
-    def start(self) -> None:
-        """Do nothing; reading starts with the first configuration."""
-
-    def stop(self) -> None:
-        """Stop reading."""
-        self._workers.shutdown(wait=False, cancel_futures=True)
+        self._threads = threads
 
     def set_stores(self, stores: Iterable[KvStore]) -> None:
         """Read the caches of the stores and of the engines added earlier."""
         for store in stores:
             if self._is_new(store.address):
-                self._workers.submit(self._read_store, store)
+                self._threads.submit(self._read_store, store)
         self._is_configured = True
         for replica in self._early_engines_by_incarnation.values():
             self.add_engine(replica)
@@ -75,7 +72,7 @@
             # The capacity of its cache is part of the configuration.
             self._early_engines_by_incarnation[replica.incarnation] = replica
         elif self._is_new(replica.incarnation):
-            self._workers.submit(self._read_engine, replica)
+            self._threads.submit(self._read_engine, replica)
 
     def _is_new(self, key: str) -> bool:
         if time.monotonic() > self._deadline_s or key in self._seen:
--- a/src/crocuswick/relay/relay_server.py
+++ b/src/crocuswick/relay/relay_server.py
@@ -13,6 +13,7 @@
 
 from crocuswick.host_port import HostPort
 from crocuswick.http_server import Connection, Request
+from crocuswick.http_workers import HttpWorkers
 from crocuswick.relay.refusal_answer import refusal_answer
 from crocuswick.relay.relay_run import RelayRun
 from crocuswick.relay.request_body import read_body
@@ -91,6 +92,12 @@
     keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
     expiration_interval = EXPIRY_CHECK_S
 
+    def _serve_unservicable(self) -> None:
+        """End the thread that answers connections for which the workers have no room.
+
+        `HttpWorkers` turns none away.
+        """
+
 
 class RelayServer:
     """Serves callers, with one thread for each request in flight.
@@ -123,10 +130,11 @@
         self._server = _CherootServer(
             (listen.host, listen.port),
             lambda request: RelayGateway(request, self),
-            minthreads=threads,
-            maxthreads=threads,
             server_name="crocuswick",
         )
+        self._server.requests = HttpWorkers(
+            server=self._server, max_threads=threads, name="callers"
+        )
         self._server.request_queue_size = ACCEPT_BACKLOG
         self._server.shutdown_timeout = STOP_TIMEOUT_S
         self._server.max_request_body_size = 0
--- a/src/crocuswick/relay/stall_watch.py
+++ b/src/crocuswick/relay/stall_watch.py
@@ -8,11 +8,11 @@
 
 import attrs
 
-from crocuswick.actor import Ticker
-
-__all__ = ["StallWatch", "WatchedAttempt"]
+__all__ = ["CHECK_INTERVAL_S", "StallWatch", "WatchedAttempt"]
 
 CHECK_INTERVAL_S = 0.1
+"""Interval at which `StallWatch.check` is to be called."""
+
 IDLE_RETENTION_S = 60.0
 """Time without activity after which the state of a replica is discarded."""
 
@@ -63,19 +63,6 @@
         self._attempts: set[WatchedAttempt] = set()
         self._last_activity_s_by_incarnation: dict[str, float] = {}
         self._lock = threading.Lock()
-        self._ticker = Ticker(
-            name="stall-watch",
-            interval_s=CHECK_INTERVAL_S,
-            callback=lambda: self.check(time.monotonic()),
-        )
-
-    def start(self) -> None:
-        """Start checking."""
-        self._ticker.start()
-
-    def stop(self) -> None:
-        """Stop checking."""
-        self._ticker.stop()
 
     def begin(self, attempt: WatchedAttempt) -> None:
         """Watch an attempt until `end` is called."""
--- a/src/crocuswick/rollouts/driver.py
+++ b/src/crocuswick/rollouts/driver.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import time
-from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
 import attrs
 
 from crocuswick.actor import Actor, Message
 from crocuswick.backoff import backoff_s
+from crocuswick.elastic_threads import ElasticThreads
 from crocuswick.gossip.messages import (
     LeaseAcquired,
     LeaseReleased,
@@ -185,7 +185,7 @@
         self._last_order_s: float | None = None
         self._is_claiming = False
         self._is_shutting_down = False
-        self._workers = ThreadPoolExecutor(WORKERS, thread_name_prefix="orders")
+        self._workers = ElasticThreads(name="orders", max_threads=WORKERS)
 
     def on_set_target_version(self, message: SetTargetVersion) -> None:
         """Raise the target version of a model."""
@@ -293,8 +293,8 @@
         self._announce_loading(incarnation, 0.0)
 
     def on_stop(self) -> None:
-        """Shut down the pool without waiting for running workers."""
-        self._workers.shutdown(wait=False, cancel_futures=True)
+        """Shut down the threads without waiting for calls in progress."""
+        self._workers.stop()
 
     def _continue_rollout(self) -> None:
         now_s = boot_clock_s()
--- /dev/null
+++ b/tests/gossip/test_transport.py
@@ -0,0 +1,134 @@
+"""Tests of the connections between peers, over sockets."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+import unittest
+from unittest import mock
+
+import msgpack
+
+from crocuswick.gossip import transport
+from crocuswick.gossip.messages import Hello, PromptEnded
+from crocuswick.gossip.transport import GossipTransport, pack_gossip
+from tests.ports import stable_ports
+
+TIMEOUT_S = 5.0
+GOSSIP = PromptEnded(request_id="r", incarnation="e@1")
+
+
+def hello(name="one"):
+    return Hello(node_id=name, zone="a", address="127.0.0.1:1", peers=[])
+
+
+class GossipTransportTests(unittest.TestCase):
+    def setUp(self):
+        self.received = []
+        self.closed = []
+        self.address = f"127.0.0.1:{stable_ports(1)[0]}"
+        self.transport = self.start(self.address)
+
+    def start(self, address):
+        started = GossipTransport(
+            address=address,
+            on_message=self.on_message,
+            on_closed=self.closed.append,
+        )
+        started.start()
+        self.addCleanup(started.stop)
+        return started
+
+    def on_message(self, gossip, connection):
+        if gossip == PromptEnded(request_id="bad", incarnation="bad"):
+            raise RuntimeError("handler failed")
+        self.received.append((gossip, connection))
+
+    def wait_for(self, condition):
+        deadline_s = time.monotonic() + TIMEOUT_S
+        while not condition():
+            self.assertLess(time.monotonic(), deadline_s)
+            time.sleep(0.005)
+
+    def sender(self):
+        return self.start(f"127.0.0.1:{stable_ports(1)[0]}")
+
+    def connect(self):
+        host, _, port = self.address.rpartition(":")
+        connection = socket.create_connection((host, int(port)))
+        self.addCleanup(connection.close)
+        return connection
+
+    def test_a_link_sends_its_handshake_and_then_each_message_in_order(self):
+        link = self.sender().open_link(self.address, lambda: [hello()])
+        self.wait_for(lambda: link.disconnected_since_s is None)
+        sent = [PromptEnded(request_id=str(n), incarnation="e") for n in range(500)]
+        for gossip in sent:
+            self.assertTrue(link.send(pack_gossip(gossip)))
+        self.wait_for(lambda: len(self.received) == 501)
+        self.assertEqual([gossip for gossip, _ in self.received], [hello(), *sent])
+
+    def test_a_link_reconnects_when_its_peer_comes_back(self):
+        link = self.sender().open_link(self.address, lambda: [hello()])
+        self.wait_for(lambda: link.disconnected_since_s is None)
+        self.transport.stop()
+        self.wait_for(lambda: link.disconnected_since_s is not None)
+        self.assertFalse(link.send(pack_gossip(GOSSIP)))
+        self.start(self.address)
+        self.wait_for(lambda: link.disconnected_since_s is None)
+
+    def test_a_stopped_link_closes_its_connection(self):
+        link = self.sender().open_link(self.address, lambda: [hello()])
+        self.wait_for(lambda: self.received)
+        link.stop()
+        self.wait_for(lambda: self.closed)
+        self.assertFalse(link.send(pack_gossip(GOSSIP)))
+
+    def test_malformed_data_closes_only_its_own_connection(self):
+        """One malformed message must not end the thread that serves all peers."""
+        sound = self.connect()
+        sound.sendall(pack_gossip(hello("sound")))
+        deep = b"\x91" * 100_000
+        for data in (b"\xc1", deep, msgpack.packb(["hello", {"node_id": 1}])):
+            broken = self.connect()
+            broken.sendall(data)
+        self.wait_for(lambda: len(self.closed) == 2)
+        sound.sendall(pack_gossip(GOSSIP))
+        self.wait_for(lambda: GOSSIP in [gossip for gossip, _ in self.received])
+
+    def test_a_handler_that_fails_does_not_end_the_receiving(self):
+        failing = self.connect()
+        bad = PromptEnded(request_id="bad", incarnation="bad")
+        failing.sendall(pack_gossip(bad) + pack_gossip(GOSSIP))
+        self.wait_for(lambda: [gossip for gossip, _ in self.received] == [GOSSIP])
+
+    def test_a_silent_connection_is_closed(self):
+        """Its peer may be gone without a reset."""
+        with mock.patch.object(transport, "SILENCE_TIMEOUT_S", 0.2):
+            self.connect()
+            self.wait_for(lambda: self.closed)
+
+    def test_a_peer_that_reads_nothing_does_not_delay_the_others(self):
+        deaf = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(deaf.close)
+        sender = self.sender()
+        deaf_address = f"127.0.0.1:{deaf.getsockname()[1]}"
+        to_deaf = sender.open_link(deaf_address, lambda: [hello()])
+        to_sound = sender.open_link(self.address, lambda: [hello()])
+        self.wait_for(lambda: to_deaf.disconnected_since_s is None)
+        self.wait_for(lambda: to_sound.disconnected_since_s is None)
+        large = PromptEnded(request_id="x" * 1_000_000, incarnation="e")
+        for _ in range(20):
+            to_deaf.send(pack_gossip(large))
+        to_sound.send(pack_gossip(GOSSIP))
+        self.wait_for(lambda: GOSSIP in [gossip for gossip, _ in self.received])
+        self.wait_for(lambda: to_deaf.disconnected_since_s is not None)
+
+    def test_many_links_share_one_thread(self):
+        sender = self.sender()
+        before = threading.active_count()
+        links = [sender.open_link(self.address, lambda: [hello()]) for _ in range(200)]
+        for link in links:
+            self.wait_for(lambda link=link: link.disconnected_since_s is None)
+        self.assertEqual(threading.active_count(), before)
