Keep a node working after malformed records and unexpected errors

Cause: content nested 100,000 levels deep and numbers beyond all bounds raised errors that the decoders don't name (RecursionError, OverflowError); in the record cache they dropped the records read with the malformed one for good.

The log's thread wakes only when there are lines, and readers look for their turn four times a second (ten before).

--- a/src/crocuswick/decision_log.py
+++ b/src/crocuswick/decision_log.py
@@ -50,6 +50,7 @@
         self._second = 0
         self._lines_in_second = 0
         self._stopped = threading.Event()
+        self._has_lines = threading.Event()
         self._thread = threading.Thread(target=self._run, name="log", daemon=True)
 
     def start(self) -> None:
@@ -59,6 +60,7 @@
     def stop(self) -> None:
         """Write the queued lines and stop."""
         self._stopped.set()
+        self._has_lines.set()
         self._thread.join(timeout=1.0)
 
     def record(self, event: str, *, failed: bool = False, **fields: Any) -> None:
@@ -88,6 +90,7 @@
         with self._lock:
             if self._has_room(int(now_s), is_important=is_important):
                 self._queue.append(line)
+                self._has_lines.set()
             else:
                 self._dropped += 1
                 self.total_dropped += 1
@@ -103,7 +106,10 @@
         return within_rate and len(self._queue) < UNRESERVED_FRACTION * MAX_QUEUED_LINES
 
     def _run(self) -> None:
-        while not self._stopped.wait(FLUSH_INTERVAL_S):
+        while not self._stopped.is_set():
+            self._has_lines.wait()
+            self._has_lines.clear()
+            self._stopped.wait(FLUSH_INTERVAL_S)
             self._flush()
         self._flush()
 
--- a/src/crocuswick/platform/decoders.py
+++ b/src/crocuswick/platform/decoders.py
@@ -29,7 +29,15 @@
 __all__ = ["decode_configuration", "decode_replica", "decode_target_version"]
 
 DEFAULT_MAX_CONNECTIONS = 100
-_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
+_MALFORMED = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+"""What decoding raises for content that another writer may have written."""
 
 
 def decode_configuration(value: bytes) -> Result[ServingConfiguration, PeerError]:
--- a/src/crocuswick/records/reader.py
+++ b/src/crocuswick/records/reader.py
@@ -6,7 +6,11 @@
 import time
 from typing import TYPE_CHECKING
 
+import logbook
+from result import Err
+
 from crocuswick.backoff import backoff_s, with_jitter_s
+from crocuswick.errors import PeerError
 from crocuswick.records.record_cache import RecordCache
 
 if TYPE_CHECKING:
@@ -16,17 +20,18 @@
     from result import Result
 
     from crocuswick.decision_log import DecisionLog
-    from crocuswick.errors import PeerError
     from crocuswick.records.mirror import TopicUpdate
     from crocuswick.records.store import RecordStore
 
 __all__ = ["TopicReader"]
 
+logger = logbook.Logger(__name__)
+
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
 """Longest pause after a failure; must be well below the time limit for updates."""
 
-ROLE_CHECK_INTERVAL_S = 0.1
+ROLE_CHECK_INTERVAL_S = 0.25
 """Interval at which an inactive reader checks whether its node has become responsible
 for the topic."""
 
@@ -85,7 +90,11 @@
             if not self._should_read():
                 self._stopped.wait(ROLE_CHECK_INTERVAL_S)
                 continue
-            read = self._read_once()
+            try:
+                read = self._read_once()
+            except Exception as error:  # noqa: BLE001 - the topic must be read again
+                logger.exception("reading {} failed", self._topic)
+                read = Err(_unexpected(error))
             if read.is_err():
                 self._after_failure(read.err_value)
                 continue
@@ -124,3 +133,9 @@
             self._failures, initial_s=FIRST_BACKOFF_S, max_s=MAX_BACKOFF_S
         )
         self._stopped.wait(with_jitter_s(pause_s))
+
+
+def _unexpected(error: Exception) -> PeerError:
+    return PeerError(
+        step="read records", peer="store", detail=f"{type(error).__name__}: {error}"
+    )
--- a/src/crocuswick/records/record_cache.py
+++ b/src/crocuswick/records/record_cache.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+import logbook
 
 from crocuswick.actor import Actor, Message
 from crocuswick.records.mirror import KeyedRecord, RecordMirror, TopicUpdate
@@ -14,6 +15,8 @@
 
 __all__ = ["RecordCache"]
 
+logger = logbook.Logger(__name__)
+
 
 class RecordCache(Actor):
     """Merges the updates of readers and peers and passes on new records.
@@ -81,7 +84,7 @@
         update = message.update
         changed = self._mirror.merge(update)
         for record in sorted(changed, key=lambda record: record.offset):
-            self._on_record(update.topic, record)
+            self._apply(update.topic, record)
         if changed:
             self._on_update(
                 TopicUpdate(
@@ -96,7 +99,14 @@
     def on_merge_kept(self, message: MergeKept) -> None:
         """Merge records that another node has kept."""
         for record in self._mirror.merge_kept(message.topic, message.records):
-            self._on_record(message.topic, record)
+            self._apply(message.topic, record)
+
+    def _apply(self, topic: str, record: KeyedRecord) -> None:
+        """Pass a record on; one that can't be applied does not affect the others."""
+        try:
+            self._on_record(topic, record)
+        except Exception:  # noqa: BLE001 - the content comes from other writers
+            logger.exception("applying record {} of {} failed", record.key, topic)
 
     def on_kept(self, message: Kept) -> tuple[KeyedRecord, ...]:
         """Return the records of a topic that the store has lost."""
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -93,3 +93,24 @@
     def test_a_version_is_decoded(self):
         value = json.dumps({"Model": "m", "Version": 2}).encode()
         self.assertEqual(decode_target_version(value).ok_value, ("m", 2))
+
+
+class HostileContentTests(unittest.TestCase):
+    def test_content_of_other_writers_is_an_error_and_no_exception(self):
+        """One malformed record must not end the handling of the others."""
+        values = (
+            b"[" * 100_000,
+            b'{"a":' * 100_000,
+            b"\xff\xfe",
+            b"null",
+            b"1e999",
+            b'{"Version": 1e999, "Model": "m"}',
+            b'{"Version": NaN, "Routes": [], "Services": []}',
+            b'{"Routes": 5, "Services": {}, "Version": 3}',
+            b'{"born": Infinity, "Sequence": 1e400}',
+        )
+        for value in values:
+            with self.subTest(value=value[:40]):
+                self.assertTrue(decode_configuration(value).is_err())
+                self.assertTrue(decode_replica("r", value).is_err())
+                self.assertTrue(decode_target_version(value).is_err())
