--- a/src/crocuswick/platform/store_client.py
+++ b/src/crocuswick/platform/store_client.py
@@ -68,9 +68,12 @@
 
     def __init__(self, *, address: str, era: StoreEra | None = None):
         self._era = StoreEra() if era is None else era
-        peer = HostPort.parse(address)
-        self._pool = urllib3.HTTPConnectionPool(
-            peer.host, peer.port, maxsize=1, retries=False
+        self._address = HostPort.parse(address)
+        self._pool = self._new_pool()
+
+    def _new_pool(self) -> urllib3.HTTPConnectionPool:
+        return urllib3.HTTPConnectionPool(
+            self._address.host, self._address.port, maxsize=1, retries=False
         )
 
     def list_newest(self, topic: str) -> Result[TopicUpdate, PeerError]:
@@ -130,6 +133,8 @@
         tail = response.ok_value
         if tail is None or tail.end < start:
             return Ok(None)
+        if tail.end < start + len(tail.records):
+            return Err(_error("read", "an answer to an earlier read"))
         records = [
             record
             for position, raw in enumerate(tail.records, start)
@@ -238,8 +243,11 @@
         accepted: tuple[int, ...] = (200,),
         timeout_s: float = RESPONSE_TIMEOUT_S,
     ) -> Result[_Answer, PeerError]:
+        # A late copy of an earlier answer would be taken for the answer to a write on the
+        # same connection. Reads check what they get.
+        pool = self._pool if method == "GET" else self._new_pool()
         try:
-            response = self._pool.request(
+            response = pool.request(
                 method,
                 f"{path}?{urlencode(query)}",
                 body=body,
@@ -247,6 +255,9 @@
             )
         except (HTTPError, OSError) as error:
             return Err(_error(step, f"{type(error).__name__}: {error}"))
+        finally:
+            if pool is not self._pool:
+                pool.close()
         era = self._answer_era(response)
         if response.status not in accepted:
             # These two statuses mean that the call had no effect.
--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -33,6 +33,9 @@
 __all__ = ["RelayRun"]
 
 MISDIRECTED = 421
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+"""Statuses that assure the caller that the request was not run."""
+
 SERVER_ERROR = 500
 UNAVAILABLE = 503
 HARD_FIRST_EVENT_FACTOR = 3.0
@@ -183,8 +186,7 @@
             return outcome
         finally:
             self._upstream = None
-            if self._watched is not None:
-                self._context.stalls.end(self._watched)
+            self._context.stalls.end(self._watched)
             upstream.close()
             if self._exchange.has_disconnected and result is not AttemptResult.ANSWERED:
                 result = AttemptResult.CANCELLED
@@ -199,7 +201,7 @@
                     events=self._events,
                     last_event_s=self._last_event_s,
                     error=self._progress.error,
-                    stalled=self._watched.stall_reason if self._watched else "",
+                    stalled=self._watched.stall_reason,
                 ),
             )
 
@@ -225,6 +227,11 @@
             )
         if head.is_not_run:
             return head, *self._after_not_run(attempt, head)
+        is_unfounded = not head.is_signed or self._progress.possible_runs > 0
+        if head.status in NOT_RUN_STATUSES and is_unfounded:
+            return head, *self._after_bad_response(
+                attempt, f"status {head.status}, although the request may have run"
+            )
         if head.is_encoded:
             return head, *self._after_bad_response(
                 attempt, "unexpected content encoding"
@@ -292,7 +299,7 @@
                 return self._after_loss(attempt, chunk.err_value)
             if not chunk.ok_value:
                 break
-            self._context.stalls.record_activity(attempt.incarnation, self._watched)
+            self._context.stalls.record_activity(attempt.incarnation, None)
             ended = self._relay_events(splitter.feed(chunk.ok_value), attempt, head)
             if ended is not None:
                 return ended
@@ -343,10 +350,12 @@
         """Count an event; report the first one and switch to the limits for gaps."""
         self._events += 1
         self._last_event_s = time.monotonic()
+        # Bytes that don't complete an event are no progress.
+        self._watched.last_activity_s = self._last_event_s
         if self._first_event_s is not None:
             return
         self._first_event_s = self._last_event_s
-        if self._watched is not None:
+        if self._watched.may_retry:
             gap_s = self._request.route.max_gap_ms / 1000
             self._watched.soft_limit_s = SOFT_GAP_FACTOR * gap_s
             self._watched.hard_limit_s = HARD_GAP_FACTOR * gap_s
@@ -396,8 +405,8 @@
     ) -> tuple[AttemptResult, str | None]:
         self._progress.possible_runs += 1
         self._progress.error = str(error)
-        is_stalled = self._watched is not None and self._watched.is_stalled
-        is_silent = is_stalled or error.timed_out
+        watched = self._watched
+        is_silent = watched.is_stalled or watched.is_overdue or error.timed_out
         result = AttemptResult.SILENT if is_silent else AttemptResult.FAILED
         return result, self._retry_or_fail(attempt, timed_out=is_silent)
 
@@ -483,16 +492,23 @@
         remaining_s = self._request.deadline_s - time.monotonic() - ANSWER_MARGIN_S
         return max(0.001, remaining_s)
 
-    def _watch(self, placed: Placed, upstream: Upstream) -> WatchedAttempt | None:
-        """Watch an attempt for stalls if the request may be retried."""
+    def _watch(self, placed: Placed, upstream: Upstream) -> WatchedAttempt:
+        """Watch an attempt for its deadline, and for stalls if it may be retried."""
         self._first_event_s = self._last_event_s = None
         self._events = 0
         route = self._request.route
+        deadline_s = self._request.deadline_s - ANSWER_MARGIN_S
         if (
             not route.may_run_again
             or self._progress.possible_runs + 1 >= route.max_attempts
         ):
-            return None
+            watched = WatchedAttempt(
+                incarnation=placed.attempt.incarnation,
+                abort=upstream.abort,
+                deadline_s=deadline_s,
+            )
+            self._context.stalls.begin(watched)
+            return watched
         is_stream = route.kind is RouteKind.STREAMING
         target_s = route.target_latency_ms / 1000
         expected_s = placed.expected_ms / 1000
@@ -503,6 +519,7 @@
             hard_limit_s=hard_factor * target_s + expected_s,
             reserve_retry=lambda: self._reserve_retry(placed.attempt),
             abort=upstream.abort,
+            deadline_s=deadline_s,
         )
         self._context.stalls.begin(watched)
         return watched
--- a/src/crocuswick/relay/relay_server.py
+++ b/src/crocuswick/relay/relay_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import select
 import socket
 import struct
 import threading
@@ -37,6 +38,10 @@
 STOP_TIMEOUT_S = 0.5
 MAX_IDLE_CONNECTIONS = 2_048
 NODE_FULL_RETRY_S = 0.5
+ACCEPT_REST_S = 0.5
+"""Longest time for which connections are still accepted before the port is closed."""
+
+ACCEPT_POLL_S = 0.005
 IDLE_TIMEOUT_FACTOR = 1.2
 """Multiple of the callers' idle time limit after which the server closes an idle
 connection."""
@@ -144,8 +149,8 @@
 
     @property
     def in_flight(self) -> int:
-        """Number of requests in flight."""
-        return self._in_flight
+        """Number of requests in flight or waiting for a thread."""
+        return self._in_flight + self._server.requests.qsize
 
     def start(self) -> None:
         """Bind the port and start serving."""
@@ -160,12 +165,19 @@
         """Refuse new connections, close idle ones and keep serving the others.
 
         A request that arrives on a connection while it is being closed is not read,
-        so its caller can safely send it again.
+        so its caller can safely send it again. Connections that wait to be accepted
+        are accepted first, since closing the port resets them.
         """
         self._is_closing = True
+        deadline_s = time.monotonic() + ACCEPT_REST_S
+        while self._has_pending_connections() and time.monotonic() < deadline_s:
+            time.sleep(ACCEPT_POLL_S)
         self._server.socket.close()
         self._server.timeout = 0
 
+    def _has_pending_connections(self) -> bool:
+        return bool(select.select([self._server.socket], [], [], 0)[0])
+
     def set_limits(self, limits: CallerLimits) -> None:
         """Apply the limits on what callers may send."""
         self._server.max_request_header_size = limits.max_header_bytes
--- a/src/crocuswick/relay/stall_watch.py
+++ b/src/crocuswick/relay/stall_watch.py
@@ -30,17 +30,24 @@
     """An attempt that may be aborted and retried."""
 
     incarnation: str
-    soft_limit_s: float
+    abort: Callable[[], None]
+    soft_limit_s: float = float("inf")
     """Longest silence of the attempt if the whole replica is silent."""
 
-    hard_limit_s: float
+    hard_limit_s: float = float("inf")
     """Longest silence of the attempt in any case."""
 
-    reserve_retry: Callable[[], bool]
+    reserve_retry: Callable[[], bool] | None = None
     """Reserves a retry, or confirms the one that is reserved. While it returns False,
-    the attempt goes on."""
+    the attempt goes on. None if the request may not be retried."""
+
+    deadline_s: float = float("inf")
+    """Monotonic time at which the attempt is aborted in any case. A read waits for the
+    next byte only, so that it would not notice the end of its time."""
+
+    is_overdue: bool = False
+    """Whether it was aborted for that reason."""
 
-    abort: Callable[[], None]
     last_activity_s: float = attrs.Factory(time.monotonic)
     begun_s: float = attrs.Factory(time.monotonic)
     next_reservation_s: float = float("-inf")
@@ -51,6 +58,11 @@
     """Limit that was exceeded and the silence of the attempt and of its replica, empty
     unless `is_stalled`."""
 
+    @property
+    def may_retry(self) -> bool:
+        """Whether the attempt is aborted and retried if it stalls."""
+        return self.reserve_retry is not None
+
     def silent_s(self, now_s: float) -> float:
         """Return the time since the last data of this attempt."""
         return now_s - self.last_activity_s
@@ -91,6 +103,9 @@
         with self._lock:
             attempts = list(self._attempts)
         for attempt in attempts:
+            if now_s >= attempt.deadline_s:
+                self._abort_overdue(attempt)
+                continue
             reason = self._stall_reason(attempt, now_s)
             if not reason or now_s < attempt.next_reservation_s:
                 continue
@@ -100,6 +115,14 @@
                 self._abort(attempt, reason)
         self._drop_idle(now_s)
 
+    def _abort_overdue(self, attempt: WatchedAttempt) -> None:
+        with self._lock:
+            if attempt not in self._attempts:
+                return
+            self._attempts.discard(attempt)
+        attempt.is_overdue = True
+        attempt.abort()
+
     def _abort(self, attempt: WatchedAttempt, reason: str) -> None:
         with self._lock:
             if attempt not in self._attempts:
--- a/tests/platform/test_node_relay.py
+++ b/tests/platform/test_node_relay.py
@@ -341,6 +341,99 @@
         self.assertLess(time.monotonic() - started_s, 1.8)
 
 
+class NodeTrickleTests(RelayCase):
+    """A replica that sends a byte now and then keeps each read from timing out."""
+
+    BUDGET_MS = 1_000
+    LATEST_S = 1.5
+    """A final answer may be half a second late."""
+
+    def trickle(self, head: bytes, piece: bytes):
+        def script(received: ReceivedRequest) -> None:
+            received.send(head.replace(b"ID", received.id.encode()))
+            while not received.is_closed_within(0.04):
+                received.send(piece)
+
+        return script
+
+    def ended_after_s(self, path, **changes):
+        started_s = time.monotonic()
+        self.deployment.ask(request(path, budget_ms=self.BUDGET_MS, **changes))
+        return time.monotonic() - started_s
+
+    def test_calls_end_in_time_whatever_part_of_the_answer_trickles(self):
+        head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Replica-Seal: s\r\n"
+        for name, first, piece in (
+            ("head", b"HTTP/1.1 200 OK\r\nX-A: ", b"a"),
+            ("body", head + b"Content-Length: 9999\r\n\r\n", b"a"),
+            ("chunk size", head + b"Transfer-Encoding: chunked\r\n\r\n", b"0"),
+            ("unframed", head + b"\r\n", b"a"),
+        ):
+            self.deployment.script("desk", self.trickle(first, piece))
+            for path in ("/lookup/1", "/book/1"):
+                with self.subTest(part=name, path=path):
+                    self.assertLess(self.ended_after_s(path), self.LATEST_S)
+
+    def test_a_stream_that_never_completes_an_event_ends_in_time(self):
+        head = (
+            b"HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Replica-Seal: s\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        self.deployment.script("engine", self.trickle(head, b"1\r\nx\r\n"))
+        for path in ("/ask/1", "/digest/1"):
+            with self.subTest(path=path):
+                ended_s = self.ended_after_s(path, host="ai.example")
+                self.assertLess(ended_s, self.LATEST_S)
+
+    def test_a_slow_but_sound_stream_is_not_cut(self):
+        """Its pauses are as long as the route allows."""
+
+        def script(received: ReceivedRequest) -> None:
+            received.send(stream_head(received))
+            for number in range(1, 9):
+                received.send(event(number))
+                time.sleep(0.2)
+            received.send(b"0\r\n\r\n")
+
+        self.deployment.script("engine", script)
+        for path in ("/ask/1", "/digest/1"):
+            answer = self.deployment.ask(request(path, host="ai.example"))
+            self.assertEqual(answer.count(b"data: piece"), 8)
+            self.assertTrue(answer.endswith(b"0\r\n\r\n"))
+            self.assertEqual(len(self.deployment.received("engine")), 1)
+            self.deployment.replicas_by_id["engine-1"].requests.clear()
+            self.deployment.replicas_by_id["engine-2"].requests.clear()
+
+
+class NodeRefusalTests(RelayCase):
+    def test_a_status_that_says_not_run_is_not_passed_on_unless_it_is_the_replicas(
+        self,
+    ):
+        """Something between node and replica may send it although the request runs."""
+        for status in ("503 Busy", "429 Many", "408 Late"):
+            for path in ("/book/1", "/lookup/1"):
+                with self.subTest(status=status, path=path):
+                    self.deployment.reset_scripts()
+                    self.deployment.script(
+                        "desk",
+                        lambda received, status=status: received.send(
+                            b"HTTP/1.1 %b\r\nContent-Length: 0\r\n\r\n"
+                            % status.encode()
+                        ),
+                    )
+                    answered, _ = self.ask(path, method="POST")
+                    self.assertNotIn(answered, NOT_EXECUTED_STATUSES)
+
+    def test_a_refusal_after_a_run_that_may_have_happened_does_not_say_not_run(self):
+        def refuse(received: ReceivedRequest) -> None:
+            received.send(plain_answer(received, status="503 Full"))
+
+        self.once("desk", reset, refuse)
+        answered, _ = self.ask("/lookup/1")
+        self.assertEqual(len(self.deployment.received("desk")), 2)
+        self.assertNotIn(answered, NOT_EXECUTED_STATUSES)
+
+
 class NodeStoreTests(RelayCase):
     def test_a_draining_replica_gets_no_request_within_two_seconds(self):
         self.deployment.register("desk-1", State="draining", Sequence=5)
@@ -497,6 +590,38 @@
         with self.assertRaises(ConnectionRefusedError):
             RawCaller(deployment.node.front)
 
+    def test_a_stop_under_load_answers_every_request_that_a_caller_could_send(self):
+        """Connections that the kernel has accepted wait in the port's backlog; closing
+        the port resets them."""
+        deployment = Deployment()
+        self.addCleanup(deployment.stop)
+        deployment.node.start()
+        refused = threading.Event()
+        outcomes = []
+
+        def call():
+            while not refused.is_set():
+                try:
+                    caller = RawCaller(deployment.node.front)
+                except OSError:
+                    refused.set()
+                    return
+                try:
+                    caller.send(request("/lookup/1"))
+                    outcomes.append(caller.receive_all()[9:12])
+                except OSError as error:
+                    outcomes.append(repr(error))
+
+        threads = [threading.Thread(target=call) for _ in range(40)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.5)
+        deployment.node.terminate()
+        for thread in threads:
+            thread.join(10)
+        self.assertTrue(refused.is_set())
+        self.assertEqual(set(outcomes), {b"200"})
+
     def test_bad_settings_are_reported_and_end_the_process_with_status_2(self):
         deployment = Deployment()
         self.addCleanup(deployment.stop)
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
+import struct
+import threading
 import unittest
 
 from crocuswick.platform.store_client import StoreClient
@@ -12,6 +16,75 @@
 TOPIC = "keyed.op"
 
 
+class RepeatingStore:
+    """A store that sends a late copy of its first answer before the second one."""
+
+    def __init__(self, answers):
+        self._answers = answers
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def stop(self):
+        self._socket.close()
+
+    def _run(self):
+        pending = list(self._answers)
+        with contextlib.suppress(OSError):
+            while pending:
+                connection, _ = self._socket.accept()
+                connection.settimeout(1.0)
+                last = None
+                with connection, contextlib.suppress(TimeoutError):
+                    while pending and connection.recv(65_536):
+                        if last is not None:
+                            connection.sendall(last)
+                        last = pending.pop(0)
+                        connection.sendall(last)
+
+
+def tail_answer(end, *records):
+    """Return an answer to a read."""
+    body = struct.pack(">QQ", end, 0)
+    body += b"".join(struct.pack(">I", len(each)) + each for each in records)
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+def ack_answer(status, body):
+    """Return an answer to an append."""
+    return b"HTTP/1.1 %b\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body)
+
+
+class LateCopyTests(unittest.TestCase):
+    """A late copy of an answer must not be taken for the answer to the next call."""
+
+    def client(self, *answers):
+        store = RepeatingStore(answers)
+        self.addCleanup(store.stop)
+        return StoreClient(address=store.address)
+
+    def test_a_copy_of_an_earlier_read_is_an_error(self):
+        """Its records would get the positions of later ones."""
+        client = self.client(
+            tail_answer(2, b"\x01a1", b"\x01b1"), tail_answer(3, b"\x01a2")
+        )
+        first = client.read_keyed(TOPIC, start=0, wait_ms=0)
+        self.assertEqual(first.ok_value.end, 2)
+        second = client.read_keyed(TOPIC, start=2, wait_ms=0)
+        self.assertTrue(second.is_err())
+
+    def test_a_copy_of_an_earlier_acknowledgement_does_not_grant_a_write(self):
+        """A node would believe that it has renewed the order lease."""
+        client = self.client(
+            ack_answer(b"200 OK", b'{"Offset": 4, "End": 5}'),
+            ack_answer(b"412 Precondition Failed", b'{"End": 9}'),
+        )
+        first = client.append("leases", b"r", at=4)
+        self.assertTrue(first.ok_value.is_appended)
+        second = client.append("leases", b"r", at=5)
+        self.assertFalse(second.ok_value.is_appended)
+
+
 class StoreClientTests(unittest.TestCase):
     def setUp(self):
         self.store = MetadataStore()
--- a/tests/relay/test_stall_watch.py
+++ b/tests/relay/test_stall_watch.py
@@ -25,6 +25,20 @@
         self.watch.begin(attempt)
         return attempt
 
+    def test_an_attempt_is_aborted_at_its_deadline_although_data_arrives(self):
+        """Guards against replicas that send a byte now and then, for each of which a
+        read begins anew."""
+        now_s = time.monotonic()
+        attempt = self.attempt(deadline_s=now_s + 2.0, reserve_retry=None)
+        attempt.soft_limit_s = attempt.hard_limit_s = float("inf")
+        for step in range(19):
+            self.watch.record_activity("x", attempt)
+            self.watch.check(now_s + step / 10)
+        self.assertEqual(self.aborted, [])
+        self.watch.check(now_s + 2.0)
+        self.assertEqual(self.aborted, ["x"])
+        self.assertTrue(attempt.is_overdue)
+
     def test_an_attempt_at_a_silent_replica_is_aborted_at_the_soft_limit(self):
         attempt = self.attempt()
         self.watch.check(time.monotonic() + 1.1)
