Halve the time of a placement, and tick the rollout only while it is active

It built a choice for every engine and source, and the incarnation's text anew for each comparison.

Change: options are tuples and only the chosen one becomes a choice; incarnations are computed once; engines without failures need no decay; a request's cache salts are computed once a version.

--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import threading
 import time
 from typing import TYPE_CHECKING
 
@@ -32,7 +33,7 @@
 from crocuswick.relay.relay_server import RelayServer
 from crocuswick.relay.serving import CallerLimits, ServingConfiguration
 from crocuswick.relay.stall_watch import CHECK_INTERVAL_S, StallWatch
-from crocuswick.rollouts.driver import RolloutDriver
+from crocuswick.rollouts.driver import VERSION_CHECK_INTERVAL_S, RolloutDriver
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -174,6 +175,7 @@
     def _build_rollouts(self) -> None:
         bounds = self._settings.bounds
         self._platform.engine_orders.on_availability(self._on_availability)
+        self._rollout_active = threading.Event()
         self._driver = RolloutDriver.start(
             node_id=self._settings.node_id,
             topic=self._platform.topics.leases,
@@ -183,6 +185,7 @@
             orders=self._platform.engine_orders,
             engines=self._engines,
             rank=lambda: self._gossip.rank(ORDERS_TASK),
+            is_active=self._rollout_active,
             publish=self._gossip.publish,
             log=self._log,
         )
@@ -193,11 +196,8 @@
         tickers.add("settings", RELOAD_INTERVAL_S, reload.check)
         tickers.add("gossip", TICK_S, self._gossip.tick)
         tickers.add("segments", SEGMENTS_INTERVAL_S, self._publish_segments)
-        tickers.add(
-            "rollouts",
-            ROLLOUT_TICK_S,
-            lambda: self._driver.tell(RolloutDriver.Tick()),
-        )
+        tickers.add("rollouts", ROLLOUT_TICK_S, self._tick_active_rollout)
+        tickers.add("rollout check", VERSION_CHECK_INTERVAL_S, self._tick_rollout)
         tickers.add(
             "stalls", CHECK_INTERVAL_S, lambda: self._stalls.check(time.monotonic())
         )
@@ -210,6 +210,13 @@
             )
         )
 
+    def _tick_active_rollout(self) -> None:
+        if self._rollout_active.is_set():
+            self._tick_rollout()
+
+    def _tick_rollout(self) -> None:
+        self._driver.tell(RolloutDriver.Tick())
+
     def _publish_segments(self) -> None:
         self._dispatcher.tell(dispatcher_messages.BroadcastSmallPrompts())
 
--- a/src/crocuswick/relay/kv_sources.py
+++ b/src/crocuswick/relay/kv_sources.py
@@ -60,6 +60,7 @@
 
     tokens: int
     holders: tuple[Replica, ...]
+    holder_ids: frozenset[str]
     is_stored: bool
     computing_by_incarnation: Mapping[str, _ComputingEngine]
     """Engines that are computing the segments."""
@@ -99,6 +100,7 @@
         self._kv_map = kv_map
         self._now_s = now_s
         self._prefixes_by_salt: dict[str, list[_Prefix]] = {}
+        self._fallback = self._fallback_source()
 
     def known_tokens(self, salt: str) -> int:
         """Return the tokens of the longest prefix that is cached or being computed."""
@@ -116,9 +118,9 @@
             salt: Cache salt of the segments.
         """
         options = []
+        incarnation = replica.incarnation
         for prefix in self._prefixes(salt):
-            incarnation = replica.incarnation
-            is_held = any(holder.id == replica.id for holder in prefix.holders)
+            is_held = replica.id in prefix.holder_ids
             if is_held or incarnation in prefix.computing_by_incarnation:
                 options.append(KvSource(tokens=prefix.tokens))
                 return options
@@ -127,9 +129,9 @@
                 return options
             if not options:
                 options.append(self._earliest(prefix, replica))
-        return [*options, self._fallback()]
+        return [*options, self._fallback]
 
-    def _fallback(self) -> KvSource:
+    def _fallback_source(self) -> KvSource:
         """Return the source to use if no segments are known to be available now.
 
         The store may hold segments that this node doesn't know of, because messages
@@ -171,7 +173,9 @@
             incarnation = candidate.replica.incarnation
             if kv_map.holds(incarnation, salt, segment_id):
                 holders.append(candidate.replica)
-            request_id = request_by_incarnation.get(incarnation, "")
+            request_id = request_by_incarnation.get(incarnation)
+            if request_id is None:
+                continue
             ready_in_ms = candidate.load.remaining_ms(request_id, self._now_s)
             if ready_in_ms is not None:
                 computing_by_incarnation[incarnation] = _ComputingEngine(
@@ -180,6 +184,7 @@
         return _Prefix(
             tokens=tokens,
             holders=tuple(holders),
+            holder_ids=frozenset(holder.id for holder in holders),
             is_stored=bool(self._stores) and kv_map.is_stored(salt, segment_id),
             computing_by_incarnation=computing_by_incarnation,
         )
--- a/src/crocuswick/relay/replica.py
+++ b/src/crocuswick/relay/replica.py
@@ -49,7 +49,9 @@
     report_number: int
     """Sequence number of the report, increasing within one incarnation."""
 
-    @property
-    def incarnation(self) -> str:
-        """Identifier of one run of the replica, from its start to its end."""
+    incarnation: str = attrs.field(init=False)
+    """Identifier of one run of the replica, from its start to its end."""
+
+    @incarnation.default
+    def _incarnation(self) -> str:
         return f"{self.id}@{self.started_ms}"
--- a/src/crocuswick/relay/replica_chooser.py
+++ b/src/crocuswick/relay/replica_chooser.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import attrs
 
@@ -91,6 +91,17 @@
     """Time until the segments can be fetched; the request should be held that long."""
 
 
+class _Option(NamedTuple):
+    """An engine and a source of segments; a tuple, since a choice weighs many."""
+
+    cost_ms: float
+    candidate: Candidate
+    salt: str
+    source: KvSource
+    prefill_tokens: int
+    service_ms: float
+
+
 class ReplicaChooser:
     """Chooses the candidate with the lowest expected cost.
 
@@ -138,52 +149,57 @@
             The best choice, or None if there is no candidate.
         """
         if service.engine is None or request.caller.prompt is None:
-            choices = [self._plain_choice(each, now_s) for each in candidates]
-        else:
-            choices = self._engine_choices(
-                request, service.engine, candidates, stores, now_s, may_wait=may_wait
-            )
-        self._random.shuffle(choices)
-        best = min(choices, key=lambda pair: pair[0], default=None)
+            return self._choose_plain(candidates, now_s)
+        options = self._engine_options(
+            request, service.engine, candidates, stores, now_s, may_wait=may_wait
+        )
+        self._random.shuffle(options)
+        best = min(options, key=lambda option: option.cost_ms, default=None)
         if best is None:
             return None
-        if best[1].prefill_tokens < NEAR_BEST_PREFILL_TOKENS:
-            return best[1]
-        return self._near_best(choices, *best)
+        if best.prefill_tokens >= NEAR_BEST_PREFILL_TOKENS:
+            best = self._near_best(options, best)
+        return _engine_choice(request, best)
 
-    def _near_best(
-        self,
-        choices: Sequence[tuple[float, Choice]],
-        lowest_cost_ms: float,
-        best: Choice,
-    ) -> Choice:
-        """Return one of the choices that are about as good as the best, at random."""
+    def _near_best(self, options: Sequence[_Option], best: _Option) -> _Option:
+        """Return one of the options that are about as good as the best, at random."""
+        highest_cost_ms = best.cost_ms + self._near_best_ms
         near = [
-            choice
-            for cost_ms, choice in choices
-            if cost_ms <= lowest_cost_ms + self._near_best_ms
-            and choice.prefill_tokens <= best.prefill_tokens
-            and choice.ready_in_ms <= best.ready_in_ms
-            and choice.candidate.replica.zone == best.candidate.replica.zone
+            option
+            for option in options
+            if option.cost_ms <= highest_cost_ms
+            and option.prefill_tokens <= best.prefill_tokens
+            and option.source.ready_in_ms <= best.source.ready_in_ms
+            and option.candidate.replica.zone == best.candidate.replica.zone
         ]
         return self._random.choice(near)
 
-    def _plain_choice(self, candidate: Candidate, now_s: float) -> tuple[float, Choice]:
-        cost = float(candidate.load.requests)
-        cost += FAILURE_PENALTY_REQUESTS * candidate.health.failure_share(now_s)
-        if candidate.replica.zone != self._zone:
-            cost += OTHER_ZONE_PENALTY_REQUESTS
-        choice = Choice(
-            candidate=candidate,
+    def _choose_plain(
+        self, candidates: Sequence[Candidate], now_s: float
+    ) -> Choice | None:
+        shuffled = self._random.sample(candidates, len(candidates))
+        best = min(
+            shuffled, key=lambda each: self._plain_cost(each, now_s), default=None
+        )
+        if best is None:
+            return None
+        return Choice(
+            candidate=best,
             expected_ms=0.0,
             service_ms=0.0,
             prefill_tokens=0,
             fetch_from="",
             salt="",
         )
-        return cost, choice
 
-    def _engine_choices(
+    def _plain_cost(self, candidate: Candidate, now_s: float) -> float:
+        cost = float(candidate.load.requests)
+        cost += FAILURE_PENALTY_REQUESTS * candidate.health.failure_share(now_s)
+        if candidate.replica.zone != self._zone:
+            cost += OTHER_ZONE_PENALTY_REQUESTS
+        return cost
+
+    def _engine_options(
         self,
         request: RoutedRequest,
         engine: EngineTraits,
@@ -192,8 +208,8 @@
         now_s: float,
         *,
         may_wait: bool,
-    ) -> list[tuple[float, Choice]]:
-        """Return each choice of engine and source with its cost in milliseconds."""
+    ) -> list[_Option]:
+        """Return each combination of an engine and a source of segments."""
         sources = KvSources(
             prompt=request.caller.prompt,
             engine=engine,
@@ -202,19 +218,33 @@
             kv_map=self._kv_map,
             now_s=now_s,
         )
-        choices = []
+        prompt_tokens = request.caller.prompt.prompt_tokens
+        priority = engine_priority(request)
+        salt_by_version: dict[int | None, str] = {}
+        options = []
         for candidate in candidates:
-            salt = cache_salt(request, candidate.weights_version)
+            version = candidate.weights_version
+            if version not in salt_by_version:
+                salt_by_version[version] = cache_salt(request, version)
+            salt = salt_by_version[version]
             known_tokens = sources.known_tokens(salt)
+            rate = candidate.load.rate
+            wait_ms = candidate.load.wait_ms(priority)
             penalty_ms = self._penalty_ms(request, engine, candidate, now_s)
             for source in sources.options(candidate.replica, salt):
                 if source.ready_in_ms > 0 and not may_wait:
                     continue
-                choice = _engine_choice(request, candidate, salt, source)
-                recompute_ms = (known_tokens - source.tokens) / candidate.load.rate
-                cost_ms = choice.expected_ms + RECOMPUTE_WEIGHT * recompute_ms
-                choices.append((cost_ms + penalty_ms, choice))
-        return choices
+                prefill_tokens = max(0, prompt_tokens - source.tokens)
+                service_ms = prefill_tokens / rate + source.transfer_ms
+                expected_ms = max(wait_ms, source.ready_in_ms) + service_ms
+                recompute_ms = (known_tokens - source.tokens) / rate
+                cost_ms = expected_ms + RECOMPUTE_WEIGHT * recompute_ms + penalty_ms
+                options.append(
+                    _Option(
+                        cost_ms, candidate, salt, source, prefill_tokens, service_ms
+                    )
+                )
+        return options
 
     def _penalty_ms(
         self,
@@ -243,21 +273,17 @@
         return penalty_ms
 
 
-def _engine_choice(
-    request: RoutedRequest, candidate: Candidate, salt: str, source: KvSource
-) -> Choice:
-    load = candidate.load
-    prefill_tokens = max(0, request.caller.prompt.prompt_tokens - source.tokens)
-    service_ms = prefill_tokens / load.rate + source.transfer_ms
-    start_ms = max(load.wait_ms(engine_priority(request)), source.ready_in_ms)
+def _engine_choice(request: RoutedRequest, option: _Option) -> Choice:
+    wait_ms = option.candidate.load.wait_ms(engine_priority(request))
+    start_ms = max(wait_ms, option.source.ready_in_ms)
     return Choice(
-        candidate=candidate,
-        expected_ms=start_ms + service_ms,
-        service_ms=service_ms,
-        prefill_tokens=prefill_tokens,
-        fetch_from=source.address,
-        salt=salt,
-        ready_in_ms=source.ready_in_ms,
+        candidate=option.candidate,
+        expected_ms=start_ms + option.service_ms,
+        service_ms=option.service_ms,
+        prefill_tokens=option.prefill_tokens,
+        fetch_from=option.source.address,
+        salt=option.salt,
+        ready_in_ms=option.source.ready_in_ms,
     )
 
 
--- a/src/crocuswick/relay/replica_health.py
+++ b/src/crocuswick/relay/replica_health.py
@@ -102,6 +102,8 @@
 
     def failure_share(self, now_s: float) -> float:
         """Return the share of recent results that were failures, 0 to 1."""
+        if not self._failures:
+            return 0.0
         self._decay(now_s)
         total = self._successes + self._failures
         if total < MIN_WEIGHT:
--- a/src/crocuswick/rollouts/driver.py
+++ b/src/crocuswick/rollouts/driver.py
@@ -28,6 +28,7 @@
 from crocuswick.rollouts.weights_load import LoadResult, WeightsLoad
 
 if TYPE_CHECKING:
+    import threading
     from collections.abc import Callable, Sequence
 
     from crocuswick.decision_log import DecisionLog
@@ -38,7 +39,7 @@
     from crocuswick.relay.replica import Replica
     from crocuswick.rollouts.engine_orders import EngineOrders
 
-__all__ = ["RolloutDriver"]
+__all__ = ["VERSION_CHECK_INTERVAL_S", "RolloutDriver"]
 
 TICK_S = 0.1
 LEASE_ANNOUNCE_INTERVAL_S = 0.3
@@ -90,6 +91,8 @@
         orders: Client of the engines.
         engines: Returns the state of all engines.
         rank: Returns this node's rank among the live nodes for acquiring the lease.
+        is_active: Set while engines are outdated; without it, `Tick` is needed only
+            every `VERSION_CHECK_INTERVAL_S`.
         publish: Delivers a gossip message to this node and its peers.
         log: Decision log.
     """
@@ -159,6 +162,7 @@
         orders: EngineOrders,
         engines: Callable[[], Sequence[EngineState]],
         rank: Callable[[], int],
+        is_active: threading.Event,
         publish: Callable[[GossipMessage], None],
         log: DecisionLog,
     ):
@@ -168,6 +172,7 @@
         self._orders = orders
         self._engines = engines
         self._rank = rank
+        self._is_active = is_active
         self._publish = publish
         self._log = log
         self._lease = OrderLease(node_id=node_id, handover_s=handover_s)
@@ -305,8 +310,10 @@
         self._has_outdated = bool(outdated)
         self._next_check_s = now_s + VERSION_CHECK_INTERVAL_S
         if not self._has_outdated:
+            self._is_active.clear()
             self._takeover.engines_current()
             return
+        self._is_active.set()
         self._takeover.engines_outdated(now_s)
         self._announce_lease(now_s)
         steps = next_steps(
--- a/tests/rollouts/test_driver.py
+++ b/tests/rollouts/test_driver.py
@@ -121,6 +121,7 @@
             orders=self.engines,
             engines=self.engines.states,
             rank=lambda: 0,
+            is_active=threading.Event(),
             publish=published.append,
             log=mock.Mock(),
         )
