Keep small prompts and long greetings of large fleets within their zone

Each connection began with a list of all nodes, some 3,000 connections between zones. Small prompts went to four nodes of each other zone, a tenth of those there.

Change: a node of another zone is told of at most 32 peers, which tell theirs. Small prompts go to other zones only where all nodes are neighbours, as in small fleets.

Evidence: tests with 195, 69 and 9 nodes.

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -193,7 +193,15 @@
         if self._is_for_fleet(gossip):
             self._broadcast_to_fleet(gossip)
             return
-        self._gossip_service.tell(GossipService.Send(gossip=gossip, is_zonal=is_zonal))
+        # In a large fleet, small prompts would reach few nodes of each other zone, which
+        # seldom use the engines of this one for theirs.
+        self._gossip_service.tell(
+            GossipService.Send(
+                gossip=gossip,
+                is_zonal=is_zonal,
+                is_zonal_in_large_fleets=isinstance(gossip, SmallPromptsSent),
+            )
+        )
 
     def publish(self, gossip: GossipMessage) -> None:
         """Handle a message as if a peer had sent it, and send it to the whole fleet."""
--- a/src/crocuswick/gossip/peers.py
+++ b/src/crocuswick/gossip/peers.py
@@ -100,6 +100,11 @@
         # may call this.
         return [peer.address for peer in list(self._peers_by_id.values())]
 
+    @property
+    def peer_count(self) -> int:
+        """Number of known nodes, except this one."""
+        return len(self._peers_by_id)
+
     def is_live(self, node_id: str, now_s: float) -> bool:
         """Whether a node has sent a message within `PEER_TIMEOUT_S`."""
         if node_id == self._own.node_id:
--- a/src/crocuswick/gossip/service.py
+++ b/src/crocuswick/gossip/service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+import random
 import time
 from typing import TYPE_CHECKING
 
@@ -42,6 +44,10 @@
 """Ticks between messages within the zone if there are many neighbours, which bounds
 the receiving load; one message may be lost without the node being considered lost."""
 
+MAX_INTRODUCED_PEERS = 32
+"""Peers that a node of another zone is told of on a new connection. Nodes of one zone
+tell each other of all, so that few messages between zones are enough."""
+
 OTHER_ZONE_TICKS = 3
 """Ticks between messages to other zones, because traffic between zones costs money."""
 
@@ -77,6 +83,9 @@
         is_zonal: bool = False
         """Whether it is sent to nodes of the own zone only."""
 
+        is_zonal_in_large_fleets: bool = False
+        """Whether it is sent to other zones only if all their nodes are neighbours."""
+
     @attrs.frozen(kw_only=True)
     class SendRecords(Message):
         """Sends records that are new at this node."""
@@ -191,7 +200,8 @@
     def on_send(self, message: Send) -> None:
         """Send a message to the neighbours."""
         addresses = self._table.neighbours()
-        if message.is_zonal:
+        is_partial = len(addresses) < self._table.peer_count
+        if message.is_zonal or (message.is_zonal_in_large_fleets and is_partial):
             addresses = [
                 address for address in addresses if self._is_same_zone(address)
             ]
@@ -302,7 +312,7 @@
             self._links_by_address.pop(address).stop()
         for address in wanted - self._links_by_address.keys():
             self._links_by_address[address] = self._open_link(
-                address, self._handshake_messages
+                address, functools.partial(self._handshake_messages, address)
             )
 
     def _forget_unreachable(self) -> None:
@@ -318,11 +328,15 @@
             ):
                 self._table.forget(address.node_id)
 
-    def _handshake_messages(self) -> list[GossipMessage]:
+    def _handshake_messages(self, receiver: str) -> list[GossipMessage]:
         # Runs on the transport's thread; safe because the table returns copies.
-        peers = [
-            [peer.node_id, peer.zone, peer.address] for peer in self._table.addresses()
-        ]
+        known = self._table.addresses()
+        is_own_zone = any(
+            peer.address == receiver and self._is_same_zone(peer) for peer in known
+        )
+        if not is_own_zone and len(known) > MAX_INTRODUCED_PEERS:
+            known = random.sample(known, MAX_INTRODUCED_PEERS)
+        peers = [[peer.node_id, peer.zone, peer.address] for peer in known]
         return [
             Hello(
                 node_id=self._own.node_id,
--- a/tests/gossip/in_memory_fleet.py
+++ b/tests/gossip/in_memory_fleet.py
@@ -123,6 +123,10 @@
             )
         self.gossip.set_driver(self.driver)
 
+    @property
+    def service(self) -> GossipService:
+        return self._service
+
     def report_changes(self):
         """Let the gossip service report the nodes that it knows."""
         self._service._report_changes()
--- a/tests/gossip/test_fleet_reach.py
+++ b/tests/gossip/test_fleet_reach.py
@@ -12,6 +12,7 @@
     PromptPlaced,
     ReplicaCrashed,
     ReplicaLoading,
+    SmallPromptsSent,
     WeightsServed,
 )
 from crocuswick.gossip.peers import (
@@ -19,12 +20,17 @@
     MAX_OTHER_NEIGHBOURS,
     MAX_ZONE_NEIGHBOURS,
 )
+from crocuswick.gossip.service import MAX_INTRODUCED_PEERS
 from crocuswick.records.mirror import KeyedRecord, TopicUpdate
 from crocuswick.records.record_cache import RecordCache
 from crocuswick.relay import dispatcher_messages
 from crocuswick.rollouts.driver import RolloutDriver
 from tests.gossip.in_memory_fleet import InMemoryFleet
 
+SMALL = SmallPromptsSent(
+    incarnation="engine@1", salt="m/1/", tokens_by_part={"s": 92}, other_tokens=300
+)
+
 NODES_BY_ZONE = {"a": 20, "b": 16, "c": 18, "d": 15}
 LOADING = ReplicaLoading(incarnation="engine@1", for_ms=2_000)
 SERVED = WeightsServed(incarnation="engine@1", model="m", version=2)
@@ -123,6 +129,32 @@
         neighbours = MAX_ZONE_NEIGHBOURS + 2 * MAX_OTHER_NEIGHBOURS
         self.assertLessEqual(fleet.delivered, neighbours)
 
+    def test_small_prompts_of_a_large_fleet_stay_in_their_zone(self):
+        """Guards against traffic between zones for messages that reach only a few nodes
+        of each other zone."""
+        self.holder.gossip.broadcast(SMALL)
+        self.fleet.deliver()
+        self.assertEqual(self.fleet.delivered, NODES_BY_ZONE["a"] - 1)
+
+    def test_small_prompts_of_a_small_fleet_reach_all_zones(self):
+        fleet = InMemoryFleet({"a": 3, "b": 4, "c": 2})
+        fleet.nodes_by_id["a1"].gossip.broadcast(SMALL)
+        fleet.deliver()
+        self.assertEqual(fleet.delivered, 8)
+
+    def test_greetings_between_zones_do_not_grow_with_the_fleet(self):
+        """Guards against a list of all nodes on each of some 3,000 connections between
+        zones when a fleet of 195 nodes starts."""
+        fleet = InMemoryFleet(dict.fromkeys("abcde", 39))
+        node = fleet.nodes_by_id["a7"]
+        service = node.service
+        service._initial_messages = list
+        introduced = {
+            zone: len(service._handshake_messages(f"{zone}3:3")[0].peers)
+            for zone in "ab"
+        }
+        self.assertEqual(introduced, {"a": 194, "b": MAX_INTRODUCED_PEERS})
+
     def test_first_events_at_other_nodes_show_that_an_engine_is_active(self):
         """Guards against attempts that are aborted at a busy engine, because the node
         has no other request there."""
