Read caches at the start without overrunning them in large fleets

A rejected read was not repeated, so that a node knew little of the caches.

Change: a node reads as many caches at once as its share of what all hold allows, at least one and at most eight, in random order.

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -174,6 +174,11 @@
         """Number of live nodes, including this one."""
         return len(self._live)
 
+    @property
+    def known_nodes(self) -> int:
+        """Number of known nodes, including this one."""
+        return self._known_count
+
     def start(self) -> None:
         """Start receiving and sending."""
         self._transport.start()
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -143,6 +143,7 @@
             events=platform.kv_events,
             dispatcher=self._dispatcher,
             threads=self._calls,
+            node_count=lambda: self._gossip.known_nodes,
             log=self._log,
         )
         self._build_rollouts()
@@ -365,7 +366,7 @@
         )
         self._relay_server.set_limits(configuration.limits)
         self._configuration = configuration
-        self._warm_up.set_stores(configuration.kv_stores)
+        self._warm_up.configure(configuration)
         self._log.record_state("configuration in force", version=configuration.version)
 
     def _set_target_weights(self, target: TargetWeights) -> None:
--- a/src/crocuswick/platform/decoders.py
+++ b/src/crocuswick/platform/decoders.py
@@ -193,6 +193,7 @@
         kv_bytes_per_token=entry["KvBytes"],
         link_mbps=entry["LinkMbps"],
         models=tuple(model["Name"] for model in entry.get("Models") or ()),
+        max_event_reads=max(1, int(entry.get("MaxInFlight", 1))),
     )
 
 
--- a/src/crocuswick/relay/serving.py
+++ b/src/crocuswick/relay/serving.py
@@ -91,6 +91,8 @@
     kv_bytes_per_token: float
     link_mbps: float
     models: tuple[str, ...]
+    max_event_reads: int = 1
+    """Reads of cache events that an engine holds at once, from all nodes."""
 
 
 @attrs.frozen(kw_only=True)
