Tests: read whole requests in the store's fake, and tell a removal from luck

- LateCopyTests: the fake took a head and a body that arrive apart for two requests and answered twice.
Shown by printing what it receives.
- A replica that left in the lost seconds: six requests all went to the other replica by chance before the removal took effect (it waits 1.8 s within 3 s of the start), so that the test went on too early.
It sends 40 now; the check is the same.

--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -36,13 +36,31 @@
                 connection.settimeout(1.0)
                 last = None
                 with connection, contextlib.suppress(TimeoutError):
-                    while pending and connection.recv(65_536):
+                    while pending and _read_request(connection):
                         if last is not None:
                             connection.sendall(last)
                         last = pending.pop(0)
                         connection.sendall(last)
 
 
+def _read_request(connection):
+    """Read a whole request; its head and body may arrive apart."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        received = connection.recv(65_536)
+        if not received:
+            return b""
+        data += received
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = 0
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            length = int(line.partition(b":")[2])
+    while len(body) < length:
+        body += connection.recv(65_536)
+    return data
+
+
 def tail_answer(end, *records):
     """Return an answer to a read."""
     body = struct.pack(">QQ", end, 0)
--- a/tests/platform/test_store_return.py
+++ b/tests/platform/test_store_return.py
@@ -99,7 +99,8 @@
 
     def used_replicas(self):
         self.deployment.reset_scripts()
-        for _ in range(6):
+        # So many that both replicas get some of them if both are used.
+        for _ in range(40):
             self.status("/lookup/1")
         return {
             received.headers["x-expect-replica"]
