Name positions of records by what they are

A record's field was still called offset, although it holds era and offset since the store's returns are followed. Names and comments only; no behaviour changes.

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -75,7 +75,7 @@
 """Name of the stream of fleet messages about large prompts."""
 
 ENDS_CACHE_S = 0.1
-"""Time for which the end offsets of the record cache are reused when a peer's offsets are
+"""Time for which the end positions of the record cache are reused when a peer's offsets are
 compared with them. In the worst case, a peer is sent records that it already has."""
 
 _handlers_by_type: dict[type, Callable[[FleetGossip, Any, str], None]] = {}
@@ -404,7 +404,7 @@
         return task_rank(node_id, self.own.node_id, suppliers) < SUPPLIERS
 
     def _known_ends(self, now_s: float) -> dict[str, int]:
-        """Return this node's end offsets of the topics, at most `ENDS_CACHE_S` old."""
+        """Return this node's end positions of the topics, at most `ENDS_CACHE_S` old."""
         if now_s - self._ends_s > ENDS_CACHE_S:
             self._ends_by_topic = self._record_cache.ask(RecordCache.Ends())
             self._ends_s = now_s
@@ -421,7 +421,7 @@
 
     def _send_missing(self, topic: str, end: int, node_id: str) -> None:
         update = self._record_cache.ask(
-            RecordCache.Since(topic=topic, offset=max(0, end))
+            RecordCache.Since(topic=topic, position=max(0, end))
         )
         self._gossip_service.tell(
             GossipService.SendTo(
@@ -444,7 +444,7 @@
     def on_topic_records(self, gossip: TopicRecords, _sender: str) -> None:
         """Merge records into the record cache."""
         records = tuple(
-            KeyedRecord(key=key, offset=offset, value=value)
+            KeyedRecord(key=key, position=offset, value=value)
             for key, offset, value in gossip.records
         )
         update = TopicUpdate(
@@ -456,7 +456,7 @@
     def on_kept_records(self, gossip: KeptRecords, _sender: str) -> None:
         """Merge records that the store has lost."""
         records = tuple(
-            KeyedRecord(key=key, offset=position, value=value)
+            KeyedRecord(key=key, position=position, value=value)
             for key, position, value in gossip.records
         )
         self._record_cache.tell(
@@ -575,4 +575,4 @@
 
 
 def _record_fields(records: Iterable[KeyedRecord]) -> list[list[Any]]:
-    return [[record.key, record.offset, record.value] for record in records]
+    return [[record.key, record.position, record.value] for record in records]
--- a/src/crocuswick/gossip/messages.py
+++ b/src/crocuswick/gossip/messages.py
@@ -82,7 +82,7 @@
 @message("ends")
 @attrs.frozen(kw_only=True)
 class TopicEnds(GossipMessage):
-    """End offset of each topic at the sender; peers reply with missing records."""
+    """End position of each topic at the sender; peers reply with missing records."""
 
     ends_by_topic: dict[str, int]
     ages_ms_by_topic: dict[str, int]
@@ -218,7 +218,7 @@
     """
 
     token: int
-    """Offset of its last lease record."""
+    """Position of its last lease record."""
 
     last_order_age_ms: int | None
     """Time since its last order, None if it sent none."""
--- a/src/crocuswick/gossip/service.py
+++ b/src/crocuswick/gossip/service.py
@@ -58,7 +58,7 @@
     Args:
         own: This node.
         seeds: Addresses of a few nodes to connect to first; may be stale.
-        ends: Returns the end offset of each topic, as this node knows it.
+        ends: Returns the end position of each topic, as this node knows it.
         initial_messages: Returns further messages to send first on each connection.
         open_link: Opens a link to an address, with a function that returns the first
             messages to send on each connection.
@@ -178,7 +178,7 @@
         self._update_links()
 
     def on_tick(self, _message: Tick) -> None:
-        """Update the links and send the neighbours the end offsets of the topics."""
+        """Update the links and send the neighbours the end positions of the topics."""
         self._ticks += 1
         self._update_links()
         self._report_changes()
--- a/src/crocuswick/platform/store_client.py
+++ b/src/crocuswick/platform/store_client.py
@@ -297,7 +297,7 @@
         items = [
             KeyedRecord(
                 key=str(item["Key"]),
-                offset=to_position(answer.era, int(item["Offset"])),
+                position=to_position(answer.era, int(item["Offset"])),
                 value=base64.b64decode(item["Value"]),
             )
             for item in page["items"]
@@ -341,7 +341,7 @@
     except UnicodeDecodeError:
         return None
     value = raw[1 + raw[0] :]
-    return KeyedRecord(key=key, offset=position, value=value or None)
+    return KeyedRecord(key=key, position=position, value=value or None)
 
 
 def _decode_ack(
@@ -351,4 +351,4 @@
         offset = to_position(answer.era, int(json.loads(answer.data)[field]))
     except (KeyError, TypeError, ValueError) as error:
         return Err(_error("decode append", f"{type(error).__name__}: {error}"))
-    return Ok(AppendAck(is_appended=is_appended, offset=offset))
+    return Ok(AppendAck(is_appended=is_appended, position=offset))
--- a/src/crocuswick/records/mirror.py
+++ b/src/crocuswick/records/mirror.py
@@ -19,7 +19,7 @@
     """Record of a key."""
 
     key: str
-    offset: int
+    position: int
     """Position of the record; newer records of a key have higher ones."""
 
     value: bytes | None
@@ -125,7 +125,9 @@
             if not self._has_higher_version(topic_name, record, known):
                 continue
             if known is not None:
-                record = attrs.evolve(record, offset=max(known.offset, record.offset))
+                record = attrs.evolve(
+                    record, position=max(known.position, record.position)
+                )
             topic.records_by_key[record.key] = record
             topic.kept_keys.add(record.key)
             changed.append(record)
@@ -141,15 +143,15 @@
     ) -> KeyedRecord:
         """Store a record at a higher position, with the content of higher version."""
         known = topic.records_by_key.get(record.key)
-        is_other_era = known is not None and era_of(known.offset) != era_of(
-            record.offset
+        is_other_era = known is not None and era_of(known.position) != era_of(
+            record.position
         )
         is_kept = record.key in topic.kept_keys
         topic.kept_keys.discard(record.key)
         if (is_other_era or is_kept) and self._has_higher_version(
             topic_name, known, record
         ):
-            record = attrs.evolve(known, offset=record.offset)
+            record = attrs.evolve(known, position=record.position)
             topic.kept_keys.add(record.key)
         topic.records_by_key[record.key] = record
         return record
@@ -163,35 +165,35 @@
         other = None if than is None else self._version_of(topic, than)
         return other is None or version > other
 
-    def since(self, topic: str, offset: int) -> TopicUpdate:
+    def since(self, topic: str, position: int) -> TopicUpdate:
         """Return the newest records at or after a position.
 
         Args:
             topic: Name of the topic.
-            offset: End of the topic at the node that requests the records.
+            position: End of the topic at the node that requests the records.
         """
         known = self._topics_by_name.get(topic, _Topic())
         newer = [
             record
             for record in known.records_by_key.values()
-            if record.offset >= offset
+            if record.position >= position
         ]
         return TopicUpdate(
-            topic=topic, records=tuple(newer), end=known.end, start=max(0, offset)
+            topic=topic, records=tuple(newer), end=known.end, start=max(0, position)
         )
 
     def _is_newer(self, topic: _Topic, record: KeyedRecord) -> bool:
         known = topic.records_by_key.get(record.key)
-        return known is None or record.offset > known.offset
+        return known is None or record.position > known.position
 
 
 def _missing(topic: _Topic, update: TopicUpdate) -> Iterable[KeyedRecord]:
     """Return removals of known keys that a listing no longer contains."""
     listed = {record.key for record in update.records}
     return [
-        KeyedRecord(key=record.key, offset=update.end - 1, value=None)
+        KeyedRecord(key=record.key, position=update.end - 1, value=None)
         for record in topic.records_by_key.values()
         if record.value is not None
         and record.key not in listed
-        and record.offset < update.end
+        and record.position < update.end
     ]
--- a/src/crocuswick/records/record_cache.py
+++ b/src/crocuswick/records/record_cache.py
@@ -32,27 +32,27 @@
     class Merge(Message):
         """Merges an update from a reader or another node.
 
-        Returns the end offset of the topic after the merge.
+        Returns the end position of the topic after the merge.
         """
 
         update: TopicUpdate
 
     @attrs.frozen(kw_only=True)
     class End(Message):
-        """Requests the end offset of a topic, -1 if unknown."""
+        """Requests the end position of a topic, -1 if unknown."""
 
         topic: str
 
     @attrs.frozen(kw_only=True)
     class Ends(Message):
-        """Requests the end offsets of all topics."""
+        """Requests the end positions of all topics."""
 
     @attrs.frozen(kw_only=True)
     class Since(Message):
         """Requests the newest records from a position on, to send to another node."""
 
         topic: str
-        offset: int
+        position: int
 
     @attrs.frozen(kw_only=True)
     class MergeKept(Message):
@@ -80,10 +80,10 @@
         self._on_update = on_update
 
     def on_merge(self, message: Merge) -> int:
-        """Merge an update and return the end offset of its topic."""
+        """Merge an update and return the end position of its topic."""
         update = message.update
         changed = self._mirror.merge(update)
-        for record in sorted(changed, key=lambda record: record.offset):
+        for record in sorted(changed, key=lambda record: record.position):
             self._apply(update.topic, record)
         if changed:
             self._on_update(
@@ -113,13 +113,13 @@
         return self._mirror.kept(message.topic)
 
     def on_end(self, message: End) -> int:
-        """Return the end offset of a topic."""
+        """Return the end position of a topic."""
         return self._mirror.end(message.topic)
 
     def on_ends(self, _message: Ends) -> dict[str, int]:
-        """Return the end offsets of all topics."""
+        """Return the end positions of all topics."""
         return dict(self._mirror.ends())
 
     def on_since(self, message: Since) -> TopicUpdate:
-        """Return the newest records from an offset on."""
-        return self._mirror.since(message.topic, message.offset)
+        """Return the newest records from a position on."""
+        return self._mirror.since(message.topic, message.position)
--- a/src/crocuswick/records/store.py
+++ b/src/crocuswick/records/store.py
@@ -20,7 +20,7 @@
     """Result of an append."""
 
     is_appended: bool
-    offset: int
+    position: int
     """Position of the appended record, or the topic's end if `at` did not match it."""
 
 
--- a/src/crocuswick/rollouts/driver.py
+++ b/src/crocuswick/rollouts/driver.py
@@ -139,7 +139,7 @@
         """Time until its next order."""
 
         token: int | None = None
-        """Offset of the holder's lease record, None if unknown."""
+        """Position of the holder's lease record, None if unknown."""
 
     @attrs.frozen(kw_only=True)
     class SetHandoverTime(Message):
@@ -250,7 +250,7 @@
     def _is_superseded(self, token: int) -> bool:
         """Whether another node announced a later claim before the response arrived.
 
-        Offsets known earlier don't count: the store may have begun the topic anew.
+        Positions known earlier don't count: the store may have begun the topic anew.
         """
         return self._newest_token > max(token, self._newest_token_at_claim)
 
--- a/src/crocuswick/rollouts/lease_claims.py
+++ b/src/crocuswick/rollouts/lease_claims.py
@@ -23,8 +23,8 @@
 
 __all__ = ["EXPIRED_S", "LeaseClaim", "LeaseClaims", "boot_clock_s"]
 
-INITIAL_OFFSET = 0
-"""Offset that a node without knowledge of the topic tries first."""
+INITIAL_POSITION = 0
+"""Position that a node without knowledge of the topic tries first."""
 
 EXPIRED_S = LEASE_VALID_S + MAX_CLOCK_SKEW_S
 """Age of a record, by this node's clock, from which its lease has expired."""
@@ -48,8 +48,8 @@
     previous: LeaseRecord | None = None
     """Preceding record, None for the first one of the topic."""
 
-    last_offset: int = -1
-    """Offset of the topic's last record if the append's condition failed, else -1."""
+    last_position: int = -1
+    """Position of the topic's last record if the append's condition failed, else -1."""
 
     is_renewal: bool = False
     """Whether this node renewed its own lease: no other record lies between its two."""
@@ -79,7 +79,7 @@
         self._node_id = node_id
         self._topic = topic
         self._store = store
-        self._expected_end = INITIAL_OFFSET
+        self._expected_end = INITIAL_POSITION
 
     def claim(self, own_token: int | None, *, newest_token: int = -1) -> LeaseClaim:
         """Renew the lease, or take it over from a holder that does not renew it.
@@ -88,9 +88,9 @@
         be valid. The next one succeeds unless the lease was renewed in between.
 
         Args:
-            own_token: Offset of this node's last record, None if it does not hold the
+            own_token: Position of this node's last record, None if it does not hold the
                 lease.
-            newest_token: Offset of the newest record known from gossip messages, -1
+            newest_token: Position of the newest record known from gossip messages, -1
                 if none is.
 
         Returns:
@@ -98,7 +98,7 @@
         """
         self._expected_end = max(self._expected_end, newest_token + 1)
         claim = self._claim(own_token)
-        known = claim.last_offset if claim.token is None else claim.token
+        known = claim.last_position if claim.token is None else claim.token
         self._expected_end = max(self._expected_end, known + 1)
         return claim
 
@@ -118,12 +118,12 @@
         claim = self._append(record, self._expected_end)
         if claim.token is not None or claim.error:
             return self._with_previous(claim, self._expected_end - 1)
-        is_unknown = claim.last_offset >= self._expected_end
-        if is_unknown and not self._may_replace(self._read_record(claim.last_offset)):
+        is_unknown = claim.last_position >= self._expected_end
+        if is_unknown and not self._may_replace(self._read_record(claim.last_position)):
             return attrs.evolve(
                 claim, is_contested=True, error="another node has just claimed it"
             )
-        return self._claim_after(record, claim.last_offset)
+        return self._claim_after(record, claim.last_position)
 
     def _may_replace(self, record: LeaseRecord | None) -> bool:
         """Whether a record's lease has expired or is this node's own."""
@@ -131,8 +131,8 @@
             record.node_id == self._node_id or time.time() - record.clock_s > EXPIRED_S
         )
 
-    def _read_record(self, offset: int) -> LeaseRecord | None:
-        tail = self._store.read_tail(self._topic, start=offset)
+    def _read_record(self, position: int) -> LeaseRecord | None:
+        tail = self._store.read_tail(self._topic, start=position)
         found = tail.ok_value if tail.is_ok() else None
         return decode_lease(found.records[0]) if found and found.records else None
 
@@ -141,17 +141,17 @@
         ack = self._store.append(self._topic, encode_lease(record), at=at)
         if ack.is_err():
             return LeaseClaim(token=None, sent_s=sent_s, error=str(ack.err_value))
-        offset = ack.ok_value.offset
+        position = ack.ok_value.position
         if not ack.ok_value.is_appended:
-            return LeaseClaim(token=None, sent_s=sent_s, last_offset=offset - 1)
-        if era_of(offset) != record.era:
+            return LeaseClaim(token=None, sent_s=sent_s, last_position=position - 1)
+        if era_of(position) != record.era:
             return LeaseClaim(
                 token=None,
                 sent_s=sent_s,
-                last_offset=offset,
+                last_position=position,
                 error="the store returned from an older copy during the claim",
             )
-        return LeaseClaim(token=offset, sent_s=sent_s)
+        return LeaseClaim(token=position, sent_s=sent_s)
 
     def _claim_after(self, record: LeaseRecord, last: int) -> LeaseClaim:
         claim = self._append(record, last + 1)
--- a/src/crocuswick/rollouts/order_lease.py
+++ b/src/crocuswick/rollouts/order_lease.py
@@ -1,7 +1,7 @@
 """The order lease: which node holds it and when that node may send orders.
 
 The newest record of a log topic is the lease. A node acquires or renews it by an
-append that is conditional on the topic's end offset. The offset of its record is the
+append that is conditional on the topic's end position. The position of its record is the
 fencing token of its orders. Engines may ignore fencing tokens, so timing also
 separates two holders: a holder stops sending orders `LEASE_VALID_S` after it sent its
 last renewal, and the next holder waits until the handover time has passed since the
@@ -83,7 +83,7 @@
 
     @property
     def token(self) -> int | None:
-        """Offset of this node's last record, None if it does not hold the lease."""
+        """Position of this node's last record, None if it does not hold the lease."""
         return self._token
 
     def set_handover_time(self, handover_s: float) -> None:
@@ -109,7 +109,7 @@
         """Record a renewal: no other node's record lies between this node's records.
 
         Args:
-            token: Offset of the new record.
+            token: Position of the new record.
             sent_s: Time at which the append was sent.
         """
         self._token = token
@@ -128,7 +128,7 @@
         """Record that this node acquired the lease.
 
         Args:
-            token: Offset of the new record.
+            token: Position of the new record.
             sent_s: Time at which the append was sent.
             now_s: Time of the response.
             previous: Preceding record, None for the first one of the topic.
--- a/tests/gossip/test_fleet_gossip.py
+++ b/tests/gossip/test_fleet_gossip.py
@@ -29,7 +29,7 @@
     def ask(self, message):
         if isinstance(message, RecordCache.Ends):
             return {TOPIC: 7}
-        return TopicUpdate(topic=TOPIC, records=(), end=7, start=message.offset)
+        return TopicUpdate(topic=TOPIC, records=(), end=7, start=message.position)
 
 
 class MissingRecordsTests(unittest.TestCase):
--- a/tests/gossip/test_fleet_reach.py
+++ b/tests/gossip/test_fleet_reach.py
@@ -170,7 +170,7 @@
         self.fleet.tick()
         update = TopicUpdate(
             topic="t",
-            records=(KeyedRecord(key="config", offset=7, value=b"route" * 9_000),),
+            records=(KeyedRecord(key="config", position=7, value=b"route" * 9_000),),
             end=8,
             start=3,
         )
--- a/tests/gossip/test_registry.py
+++ b/tests/gossip/test_registry.py
@@ -53,5 +53,5 @@
 
     def test_malformed_records_are_no_nodes(self):
         for value in (b"", None, b"[]", b"{}", b"\xff", b'{"zone":1,"address":"a:1"}'):
-            record = KeyedRecord(key="k", offset=0, value=value)
+            record = KeyedRecord(key="k", position=0, value=value)
             self.assertIsNone(decode_node(record))
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -143,13 +143,13 @@
         self.store.return_from(self.store.copy())
         self.end()
         ack = self.client.append(TOPIC, b"\x01kv", at=2).ok_value
-        self.assertEqual((ack.is_appended, ack.offset), (False, to_position(1, 2)))
+        self.assertEqual((ack.is_appended, ack.position), (False, to_position(1, 2)))
 
     def test_a_condition_in_the_current_era_holds(self):
         self.store.return_from(self.store.copy())
         end = self.end()
         ack = self.client.append(TOPIC, b"\x01kv", at=end).ok_value
-        self.assertEqual((ack.is_appended, ack.offset), (True, end))
+        self.assertEqual((ack.is_appended, ack.position), (True, end))
 
     def test_an_answer_of_an_earlier_era_is_an_error(self):
         self.store.era_header = "5"
--- a/tests/records/test_mirror.py
+++ b/tests/records/test_mirror.py
@@ -14,11 +14,11 @@
 
 
 def record(offset, key="k", value=b"v"):
-    return KeyedRecord(key=key, offset=offset, value=value)
+    return KeyedRecord(key=key, position=offset, value=value)
 
 
 def update(*records, start=0, end=None, is_listing=False):
-    last = max((each.offset for each in records), default=-1) + 1
+    last = max((each.position for each in records), default=-1) + 1
     return TopicUpdate(
         topic=TOPIC,
         records=records,
@@ -44,7 +44,7 @@
         rng.shuffle(shuffled)
         mirror = RecordMirror()
         for each in shuffled:
-            mirror.merge(update(each, start=each.offset))
+            mirror.merge(update(each, start=each.position))
         self.assertEqual(dict(mirror.records(TOPIC)), newest)
 
     def test_an_older_record_changes_nothing(self):
@@ -78,7 +78,7 @@
         listed = record(to_position(1, 3), value=b"5")
         mirror.merge(update(listed, end=to_position(1, 4), is_listing=True))
         kept = mirror.records(TOPIC)["k"]
-        self.assertEqual((kept.value, kept.offset), (b"7", to_position(1, 3)))
+        self.assertEqual((kept.value, kept.position), (b"7", to_position(1, 3)))
         self.assertEqual(mirror.kept(TOPIC), (kept,))
         mirror.merge(update(record(to_position(1, 6), value=b"7")))
         self.assertEqual(mirror.kept(TOPIC), ())
--- a/tests/records/test_record_cache.py
+++ b/tests/records/test_record_cache.py
@@ -11,7 +11,7 @@
 
 
 def record(offset, value):
-    return KeyedRecord(key=f"k{offset}", offset=offset, value=value)
+    return KeyedRecord(key=f"k{offset}", position=offset, value=value)
 
 
 class RecordCacheTests(unittest.TestCase):
--- a/tests/rollouts/test_driver.py
+++ b/tests/rollouts/test_driver.py
@@ -47,9 +47,9 @@
     def append(self, _topic, record, *, at):
         with self.lock:
             if at != len(self.records):
-                return Ok(AppendAck(is_appended=False, offset=len(self.records)))
+                return Ok(AppendAck(is_appended=False, position=len(self.records)))
             self.records.append(record)
-            return Ok(AppendAck(is_appended=True, offset=at))
+            return Ok(AppendAck(is_appended=True, position=at))
 
     def read_tail(self, _topic, *, start):
         with self.lock:
