Put greetings of peers together apart from the thread that serves all connections

Cause: the first messages on a connection ask the dispatcher and the record cache, which answer late under load. Since one thread serves all peers, each such wait held up the messages of all others, so that a mass reconnect could make a node look dead.

Change: two threads put greetings together and end after a second without any.

--- a/src/crocuswick/gossip/service.py
+++ b/src/crocuswick/gossip/service.py
@@ -329,7 +329,7 @@
                 self._table.forget(address.node_id)
 
     def _handshake_messages(self, receiver: str) -> list[GossipMessage]:
-        # Runs on the transport's thread; safe because the table returns copies.
+        # Runs on a thread of the transport; safe because the table returns copies.
         known = self._table.addresses()
         is_own_zone = any(
             peer.address == receiver and self._is_same_zone(peer) for peer in known
--- a/src/crocuswick/gossip/transport.py
+++ b/src/crocuswick/gossip/transport.py
@@ -3,23 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import concurrent.futures
 import contextlib
 import itertools
 import socket
 import threading
 import time
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import logbook
 import msgpack
 
 from crocuswick.backoff import backoff_s, with_jitter_s
+from crocuswick.elastic_threads import ElasticThreads
 from crocuswick.gossip.messages import decode_gossip, encode_gossip
 from crocuswick.host_port import HostPort
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Awaitable, Callable, Coroutine
 
     from crocuswick.gossip.messages import GossipMessage
 
@@ -55,6 +57,11 @@
 FIRST_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 3.0
 STOP_TIMEOUT_S = 1.0
+GREETING_THREADS = 2
+"""Greetings that are put together at the same time."""
+
+GREETING_IDLE_S = 1.0
+"""Time without greetings after which their threads end."""
 
 
 def pack_gossip(gossip: GossipMessage) -> bytes:
@@ -89,6 +96,9 @@
         self._numbers = itertools.count(1)
         self._receivers: set[_Receiver] = set()
         self._unsent: set[PeerLink] = set()
+        self._greetings = ElasticThreads(
+            name="greetings", max_threads=GREETING_THREADS, idle_s=GREETING_IDLE_S
+        )
         self._lock = threading.Lock()
         self._thread = threading.Thread(
             target=self._run_loop, name="gossip", daemon=True
@@ -112,6 +122,7 @@
             self._run(self._close()).result(STOP_TIMEOUT_S)
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join(STOP_TIMEOUT_S)
+        self._greetings.stop()
 
     def open_link(
         self, address: str, handshake: Callable[[], list[GossipMessage]]
@@ -120,11 +131,13 @@
 
         Args:
             address: ``host:port`` of the peer.
-            handshake: Returns the first messages to send on each connection; called on
-                the thread of the transport.
+            handshake: Returns the first messages to send on each connection; may wait
+                for actors, and is called on a thread of its own.
         """
         link = PeerLink(
-            address=address, handshake=handshake, on_queued=self._flush_soon
+            address=address,
+            handshake=lambda: self._call_apart(handshake),
+            on_queued=self._flush_soon,
         )
         link.task = self._run(link.run())
         return link
@@ -183,6 +196,19 @@
                 receiver.abort()
         self._loop.call_later(SILENCE_CHECK_S, self._close_silent)
 
+    def _call_apart(self, call: Callable[[], Any]) -> asyncio.Future:
+        """Run a call that may block on another thread than that of the loop."""
+        result = concurrent.futures.Future()
+
+        def run() -> None:
+            try:
+                result.set_result(call())
+            except Exception as error:  # noqa: BLE001 - raised where it is awaited
+                result.set_exception(error)
+
+        self._greetings.submit(run)
+        return asyncio.wrap_future(result)
+
     def _run(self, coroutine: Coroutine) -> asyncio.Future:
         return asyncio.run_coroutine_threadsafe(coroutine, self._loop)
 
@@ -214,7 +240,7 @@
         self,
         *,
         address: str,
-        handshake: Callable[[], list[GossipMessage]],
+        handshake: Callable[[], Awaitable[list[GossipMessage]]],
         on_queued: Callable[[PeerLink], None],
     ):
         self.address = address
@@ -286,7 +312,7 @@
     async def _serve(self, sender: _Sender) -> None:
         try:
             self._queue.clear()
-            for gossip in self._handshake():
+            for gossip in await self._handshake():
                 sender.transport.write(pack_gossip(gossip))
             self.disconnected_since_s = None
             self._sender = sender
