--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -75,7 +75,7 @@
 """Name of the stream of fleet messages about large prompts."""
 
 ENDS_CACHE_S = 0.1
-"""Time for which the end positions of the record cache are reused when a peer's offsets are
+"""Time for which the end positions of the record cache are reused when a peer's positions are
 compared with them. In the worst case, a peer is sent records that it already has."""
 
 _handlers_by_type: dict[type, Callable[[FleetGossip, Any, str], None]] = {}
