--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -448,6 +448,26 @@
         crashes = [each for each in self.broadcasts if isinstance(each, ReplicaCrashed)]
         self.assertEqual(len(crashes), 2)
 
+    def test_a_replica_whose_entry_is_removed_has_crashed(self):
+        """Guards against crashes that are not noticed since the replica comes back
+        under another id."""
+        self.update_replicas("x")
+        poison = self.request("p", target="/digest/p")
+        placed = self.place(poison)
+        self.ask(
+            messages.AttemptEnded(
+                request=poison,
+                attempt=placed.attempt,
+                result=AttemptResult.FAILED,
+                is_lost_before_answer=True,
+            )
+        )
+        self.ask(messages.ReplicaRemoved(replica_id="x", takes_effect_s=0.0))
+        self.update_replicas("y")
+        self.place(self.request("other"))
+        crashes = [each for each in self.broadcasts if isinstance(each, ReplicaCrashed)]
+        self.assertEqual(len(crashes), 1)
+
     def record_peer_crashes(self, *incarnations):
         """Let peers report that the default request has crashed replicas."""
         for incarnation in incarnations:
--- /dev/null
+++ b/tests/relay/test_poison_guard.py
@@ -0,0 +1,77 @@
+"""Tests of the attribution of crashes in a fleet, where a node seldom sends the same
+replica another request soon."""
+
+from __future__ import annotations
+
+import unittest
+
+from crocuswick.relay.poison_guard import PoisonGuard
+from crocuswick.relay.replica_health import AttemptResult
+from tests.relay.samples import caller, routed
+
+
+def request(number: int):
+    return routed(caller=caller(request_id=f"r{number}", target=f"/digest/{number}"))
+
+
+class PoisonGuardTests(unittest.TestCase):
+    def setUp(self):
+        self.guard = PoisonGuard()
+        self.poison = request(1)
+
+    def lose(self, incarnation, now_s, *, result=AttemptResult.FAILED):
+        """Let the poison request be lost before any part of its answer arrived."""
+        self.guard.attempt_ended(
+            self.poison, incarnation, result, is_lost_before_answer=True, now_s=now_s
+        )
+
+    def end(self, incarnation, now_s):
+        return self.guard.replica_ended(incarnation, now_s)
+
+    def answer(self, incarnation, now_s):
+        self.guard.attempt_ended(
+            request(2),
+            incarnation,
+            AttemptResult.ANSWERED,
+            is_lost_before_answer=False,
+            now_s=now_s,
+        )
+
+    def test_a_replica_that_is_gone_some_seconds_later_had_crashed(self):
+        """Guards against a request that goes on crashing replicas since no node tries
+        them again soon; they are back, or gone, after some seconds."""
+        self.lose("x@1", 0.0)
+        self.assertEqual(len(self.end("x@1", 8.0)), 1)
+        self.lose("y@1", 9.0)
+        self.assertEqual(len(self.end("y@1", 14.0)), 1)
+        self.assertIsNotNone(self.guard.check(self.poison, 15.0))
+        self.assertIsNone(self.guard.check(request(2), 15.0))
+
+    def test_a_replica_that_answered_meanwhile_had_not_crashed(self):
+        self.lose("x@1", 0.0)
+        self.answer("x@1", 1.0)
+        self.assertEqual(self.end("x@1", 8.0), [])
+
+    def test_a_replica_that_answered_a_peer_meanwhile_had_not_crashed(self):
+        self.lose("x@1", 0.0)
+        self.guard.replica_answered("x@1")
+        self.assertEqual(self.end("x@1", 8.0), [])
+
+    def test_a_silent_replica_may_have_crashed(self):
+        """Guards against a request that makes machines of replicas fall silent."""
+        self.lose("x@1", 0.0, result=AttemptResult.SILENT)
+        self.assertEqual(len(self.end("x@1", 0.4)), 1)
+
+    def test_a_node_that_starts_is_told_of_earlier_crashes(self):
+        """Guards against a request that crashes replicas again by way of each node that
+        has started since."""
+        for name, lost_s in (("x@1", 0.0), ("y@1", 5.0)):
+            self.lose(name, lost_s)
+            self.end(name, lost_s + 0.1)
+        started = PoisonGuard()
+        for crashed in self.guard.crashes(20.0):
+            started.record_peer_crash(crashed, 100.0)
+        self.assertIsNotNone(started.check(self.poison, 100.0))
+        self.assertEqual(
+            sorted(each.age_ms for each in started.crashes(100.0)), [14_900, 19_900]
+        )
