Keep a fleet's retries within their bound in every window

What callers saw: 1,125 repeats in 10 s where 1,111 are allowed.

Cause: each node allowed a fifth of its own requests of the last 10 s, at the moment of each retry. The nodes reach their highest counts at different times, retries arrive after they were counted, and a node that starts again has forgotten what it sent; the sum over the fleet exceeds what any one window allows, as soon as the budget is used up.

Change: retries become available as requests arrive, up to a limit that follows the requests of the last window (0.6 of a window's retries at once, 0.3 in its course). Both parts are bounded by requests of the same windows at all nodes, so that the sum is bounded too. A node that starts again begins with none.

--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -112,6 +112,7 @@
             bounds=settings.bounds,
             broadcast=lambda gossip: self._gossip.broadcast(gossip),
             on_unknown_weights=self._query_weights,
+            is_first_start=settings.is_first_start,
         )
         self._record_cache = RecordCache.start(
             on_record=self._on_record,
--- a/src/crocuswick/fleet_settings.py
+++ b/src/crocuswick/fleet_settings.py
@@ -61,3 +61,7 @@
     """``host:port`` of the platform's metadata store."""
 
     bounds: FleetBounds
+    is_first_start: bool = False
+    """Whether the whole fleet starts for the first time, so that no earlier process of
+    this node has sent requests.
+    """
--- a/src/crocuswick/platform/settings_file.py
+++ b/src/crocuswick/platform/settings_file.py
@@ -85,6 +85,7 @@
         seeds=reader.addresses("Seeds"),
         store_address=reader.address("Platform.Address"),
         bounds=bounds,
+        is_first_start=reader.flag("FirstStart"),
     )
     return Err(reader.faults) if reader.faults else Ok(settings)
 
@@ -130,6 +131,13 @@
             return default
         return parsed
 
+    def flag(self, name: str) -> bool:
+        """Return whether a field is true; without a value it is false."""
+        value = self._values.get(name, "").lower()
+        if value not in ("", "true", "false"):
+            self.faults.append(f"{name}: must be true or false, not {value!r}")
+        return value == "true"
+
     def address(self, name: str) -> str:
         """Return a required address."""
         value = self.text(name)
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -100,6 +100,7 @@
         bounds: Limits on weights and retries from the settings.
         broadcast: Called with each message to broadcast to the peers.
         on_unknown_weights: Called with the id of a replica whose weights are unknown.
+        is_first_start: Whether no earlier process of this node has sent requests.
     """
 
     def __init__(
@@ -109,6 +110,7 @@
         bounds: FleetBounds,
         broadcast: Callable[[GossipMessage], None],
         on_unknown_weights: Callable[[str], None],
+        is_first_start: bool = False,
     ):
         super().__init__()
         self._on_unknown_weights = on_unknown_weights
@@ -124,6 +126,7 @@
             ReplicaHealth
         )
         self._loading_until_s: dict[str, float] = {}
+        self._is_first_start = is_first_start
         self._retry_budgets_by_service: dict[str, WindowedRetryBudget] = {}
         self._node_count = MIN_NODES
         self._heard_count = MIN_NODES
@@ -140,6 +143,8 @@
     def on_set_configuration(self, message: messages.SetConfiguration) -> None:
         """Apply a newer configuration."""
         self._configuration = message.configuration
+        for service in message.configuration.services_by_name:
+            self._retry_budget(service)
         stores = message.configuration.kv_stores
         self._tracker.kv_map.set_store_capacity(
             stores[0].capacity_tokens if stores else 0
@@ -305,7 +310,8 @@
         if message.earlier_attempts == 0 and not message.has_waited:
             budget.record_request(now_s)
         takes_retry = message.is_retry and not message.has_reserved_retry
-        if takes_retry and not budget.can_take(now_s):
+        is_rejected = message.is_rejected
+        if takes_retry and not budget.can_take(now_s, is_rejected=is_rejected):
             return budget_spent(budget.state(now_s))
         choice, ready_in_s = self._choose(request, service, message.tried, now_s)
         if choice is None:
@@ -318,7 +324,7 @@
         if choice.ready_in_ms > 0:
             return Wait(seconds=min(MAX_SEGMENT_WAIT_S, choice.ready_in_ms / 1000))
         if takes_retry:
-            budget.take(now_s)
+            budget.take(now_s, is_rejected=is_rejected)
         return self._place(request, choice, now_s)
 
     def on_reserve_retry(self, message: messages.ReserveRetry) -> Refusal | None:
@@ -398,7 +404,11 @@
     def _retry_budget(self, service: str) -> WindowedRetryBudget:
         budget = self._retry_budgets_by_service.get(service)
         if budget is None:
-            budget = WindowedRetryBudget(bounds=self._retry_bounds())
+            budget = WindowedRetryBudget(
+                bounds=self._retry_bounds(),
+                started_s=time.monotonic(),
+                is_full=self._is_first_start,
+            )
             self._retry_budgets_by_service[service] = budget
         return budget
 
--- a/src/crocuswick/relay/dispatcher_messages.py
+++ b/src/crocuswick/relay/dispatcher_messages.py
@@ -230,6 +230,9 @@
     """0 for the first attempt, greater for later ones even if no replica received the
     request. One attempt may count twice."""
 
+    is_rejected: bool = False
+    """Whether replicas have rejected the request, and none may have run it."""
+
     has_waited: bool = False
     """Whether an earlier reply was `Wait`."""
 
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -36,6 +36,13 @@
         self.assertEqual(settings.seeds, ("10.1.0.30:8783", "10.2.0.22:8783"))
         self.assertEqual(settings.metrics_port, 7340)
         self.assertEqual(settings.bounds.grace_ms, 8_000)
+        self.assertFalse(settings.is_first_start)
+
+    def test_a_flag_is_true_false_or_a_fault(self):
+        for value, expected in (("true", True), ("false", False), ("", False)):
+            settings = parse_fleet_settings(f"{TEXT}FirstStart={value}\n").ok_value
+            self.assertEqual(settings.is_first_start, expected)
+        self.assertTrue(parse_fleet_settings(f"{TEXT}FirstStart=maybe\n").is_err())
 
     def test_all_faults_are_reported_together(self):
         text = TEXT.replace("Zone=a\n", "").replace(":8782", "").replace("0.2", "x")
