Send a rejected request to at most three replicas, and leave half of the retries to lost ones

What callers saw: a steward-query went to six engines within 48 ms and was refused.

Cause: a request that a replica rejects as full was sent to every other one in turn while retries were left. These repeats left none for streams that a crash had cut. Change: refused after three rejections, at once and with Retry-After, unless a replica may have run it or its answer has begun; a rejected request takes retries only from the upper half of what a node may send at once.

Nodes in tests get a larger allowance, since tests of relaying send more retries than requests allow.

--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -12,6 +12,7 @@
 from crocuswick.relay import dispatcher_messages
 from crocuswick.relay.dispatcher_messages import Placed, Wait
 from crocuswick.relay.event_splitter import EventSplitter
+from crocuswick.relay.place_refusals import RETRY_AFTER_S, no_replica
 from crocuswick.relay.refusal_answer import CompleteAnswer, refusal_answer
 from crocuswick.relay.relay_request import ResponseHead
 from crocuswick.relay.replica import Availability
@@ -61,6 +62,10 @@
 """Duration of a handshake after which the dispatcher is asked whether the replica still
 takes requests; it may have turned others away or begun to leave meanwhile."""
 
+MAX_REJECTIONS = 3
+"""Replicas that may reject a request as full before it is refused. Under overload the
+others are as full, and the retries are needed for requests that were lost."""
+
 MIN_RETRY_S = 0.1
 """Minimum remaining time for a retry to be sent."""
 
@@ -81,6 +86,9 @@
     possible_runs: int = 0
     """Attempts after which the request may have run."""
 
+    rejections: int = 0
+    """Attempts that a replica rejected as full."""
+
     tried: list[str] = attrs.Factory(list)
     """Incarnations that must not be chosen again."""
 
@@ -99,6 +107,11 @@
     error: str = ""
     """Cause of the last failure."""
 
+    @property
+    def may_be_refused(self) -> bool:
+        """Whether no replica may have run the request and its answer has not begun."""
+        return self.possible_runs == 0 and self.head is None
+
 
 class RelayRun:
     """Relays one request on the thread that serves its caller.
@@ -157,6 +170,7 @@
             request=self._request,
             tried=tuple(progress.tried),
             is_retry=progress.connected_attempts > 0,
+            is_rejected=progress.may_be_refused,
             earlier_attempts=progress.connected_attempts + len(progress.tried),
             has_waited=progress.has_waited,
             has_reserved_retry=progress.has_reserved_retry,
@@ -394,13 +408,26 @@
         progress.error = f"status {head.status}, not run"
         if head.status != MISDIRECTED:
             progress.tried.append(attempt.incarnation)
-            return AttemptResult.BUSY, None
+            return AttemptResult.BUSY, self._refuse_if_rejected()
         if head.replica_id != attempt.replica_id:
             progress.tried.append(attempt.incarnation)
             return AttemptResult.MISDIRECTED, None
         # The replica may be chosen again; the dispatcher queries its weights.
         return AttemptResult.OTHER_WEIGHTS, None
 
+    def _refuse_if_rejected(self) -> str | None:
+        """Refuse the request if enough replicas have rejected it.
+
+        Returns:
+            The outcome, or None if the request is to be placed again.
+        """
+        progress = self._progress
+        progress.rejections += 1
+        if progress.rejections < MAX_REJECTIONS or not progress.may_be_refused:
+            return None
+        detail = f"{progress.rejections} replicas rejected it"
+        return self._refuse(no_replica(detail, RETRY_AFTER_S))
+
     def _after_bad_response(
         self, attempt: Attempt, detail: str
     ) -> tuple[AttemptResult, str | None]:
--- a/tests/platform/node_process.py
+++ b/tests/platform/node_process.py
@@ -41,7 +41,7 @@
             f"Listen.Front={self.front}\nListen.Ready={self.readiness}\n"
             f"Listen.Control={self.control}\nInternalPorts={ports[3]},{ports[3]}\n"
             f"Seeds={','.join(seeds)}\nPlatform.Address={store_address}\n"
-            "Bounds.GraceS=6\nFirstStart=true\n"
+            "Bounds.GraceS=6\nBounds.BudgetSlack=400\nFirstStart=true\n"
         )
         self.output = Path(self._folder.name) / "output"
         self.process: subprocess.Popen | None = None
