Refuse a request everywhere after it has crashed two replicas, however seldom they are tried

What callers saw (report): a request under which three replicas had crashed was sent to further ones.

Cause: a lost request counted as a crash only if the same node found the replica unreachable, or back under its id, within 2 s. In a fleet of 59 nodes a node sends an engine a request about every 4 s, a crashed replica is back after some seconds, mostly under another id, and a node that starts knew of no crash. A stream lost after its head but before its first event did not count at all.

Change: the node that lost a request checks at once whether the replica's port still answers; the removal of an entry that was not draining confirms a crash as well, and so does a restart up to 15 s later, unless the replica has answered this node or a peer meanwhile; nodes that start are told of the requests that are refused.

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -303,6 +303,7 @@
         """Return messages whose content a newly started node can't read from the store."""
         return [
             self._dispatcher.ask(dispatcher_messages.GetTargetVersions()),
+            *self._dispatcher.ask(dispatcher_messages.GetCrashes()),
             *self._kept_records(),
         ]
 
--- a/src/crocuswick/gossip/messages.py
+++ b/src/crocuswick/gossip/messages.py
@@ -239,6 +239,8 @@
 
     fingerprint: str
     incarnation: str
+    age_ms: int = 0
+    """Time since the crash."""
 
 
 @message("fleet")
--- a/src/crocuswick/quarantine.py
+++ b/src/crocuswick/quarantine.py
@@ -40,6 +40,9 @@
 MAX_RECENT_REPORTS = 8
 """Maximum number of reports forwarded at the same time."""
 
+MAX_REFUSED = 32
+"""Maximum number of refused requests that a node that starts is told of."""
+
 MAX_FINGERPRINTS = 1024
 """Maximum number of requests stored; those with the oldest last crash are evicted."""
 
@@ -185,6 +188,29 @@
             if now_s - crashed_s < REPORT_LIFETIME_S
         )
 
+    def refused(self, *, now_s: float) -> tuple[CrashReport, ...]:
+        """Return the reports of the requests that are refused, at most `MAX_REFUSED`.
+
+        Args:
+            now_s: Monotonic time.
+        """
+        reports_by_fingerprint: dict[str, list[CrashReport]] = {}
+        for report in self.all(now_s=now_s):
+            reports_by_fingerprint.setdefault(report.fingerprint, []).append(report)
+        refused = [
+            reports
+            for reports in reports_by_fingerprint.values()
+            if len(reports) >= CRASHES_TO_REFUSE
+        ]
+        refused.sort(key=lambda reports: min(report.age_ms for report in reports))
+        return tuple(
+            report
+            for reports in refused[:MAX_REFUSED]
+            for report in sorted(reports, key=lambda report: report.age_ms)[
+                :CRASHES_TO_REFUSE
+            ]
+        )
+
     def _add_one(self, report: CrashReport, *, now_s: float) -> bool:
         crashed_s = now_s - report.age_ms / _MS_PER_S
         if now_s - crashed_s >= REPORT_LIFETIME_S:
--- a/src/crocuswick/relay/crash_attribution.py
+++ b/src/crocuswick/relay/crash_attribution.py
@@ -1,8 +1,9 @@
 """Attribution of replica crashes to requests.
 
-A lost connection alone is not a crash. A replica has crashed if it is unreachable or
-restarts soon after a connection was lost. Only requests without any part of an answer
-are suspects: a request that crashes a replica does so when it begins to run.
+A lost connection alone is not a crash. A replica has crashed if it is then unreachable,
+restarts or leaves without notice, and has answered nobody in between. Only requests
+without any part of an answer are suspects: a request that crashes a replica does so when
+it begins to run.
 """
 
 from __future__ import annotations
@@ -15,9 +16,13 @@
 
 __all__ = ["CrashAttribution"]
 
-CONFIRM_WITHIN_S = 2.0
-"""Time after a lost connection within which a crash must be confirmed; a crashed
-replica takes some seconds to restart and is unreachable meanwhile."""
+CONFIRM_WITHIN_S = 15.0
+"""Time after a lost connection within which a crash must be confirmed. A crashed replica
+takes some seconds to restart, or until its entry expires, and in a large fleet a node may
+not try it in the meantime."""
+
+ANSWER_DELAY_S = 0.5
+"""Time for which answers of before the crash may still be reported after it."""
 
 MAX_LOSSES = 256
 """Lost connections remembered per replica."""
@@ -59,6 +64,17 @@
             if now_s - loss.lost_s <= CONFIRM_WITHIN_S
         ]
 
-    def record_answered(self, incarnation: str) -> None:
-        """Record that a replica is up, so that its lost connections were no crashes."""
-        self._losses_by_incarnation.pop(incarnation, None)
+    def record_answered(self, incarnation: str, now_s: float) -> None:
+        """Record that a replica is up, so that its lost connections were no crashes.
+
+        Args:
+            incarnation: The replica, which has answered this node or a peer.
+            now_s: Monotonic time.
+        """
+        losses = self._losses_by_incarnation.get(incarnation)
+        if losses is None:
+            return
+        while losses and losses[0].lost_s <= now_s - ANSWER_DELAY_S:
+            losses.popleft()
+        if not losses:
+            del self._losses_by_incarnation[incarnation]
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -23,6 +23,7 @@
 from crocuswick.relay.poison_guard import PoisonGuard
 from crocuswick.relay.prompt_tracker import PromptTracker
 from crocuswick.relay.relay_request import Attempt
+from crocuswick.relay.replica import ReplicaState
 from crocuswick.relay.replica_chooser import (
     ReplicaChooser,
     engine_priority,
@@ -171,6 +172,13 @@
 
     def on_replica_removed(self, message: messages.ReplicaRemoved) -> None:
         """Schedule the removal of a replica whose store entry was deleted."""
+        now_s = time.monotonic()
+        replica = self._table.find(message.replica_id, now_s)
+        is_crash = replica is not None and replica.state is ReplicaState.READY
+        if is_crash and message.takes_effect_s <= now_s:
+            self._broadcast_crashes(
+                self._poison.replica_ended(replica.incarnation, now_s)
+            )
         self._table.remove(message.replica_id, takes_effect_s=message.takes_effect_s)
 
     def on_availability_changed(self, message: messages.AvailabilityChanged) -> None:
@@ -186,6 +194,13 @@
         if is_news and not message.is_from_peer:
             self._broadcast(ReplicaLeaving(incarnation=incarnation))
 
+    def on_replica_unreachable(self, message: messages.ReplicaUnreachable) -> None:
+        """Record that a replica is down."""
+        now_s = time.monotonic()
+        health = self._health_by_incarnation[message.incarnation]
+        health.record(AttemptResult.UNREACHABLE, now_s)
+        self._broadcast_crashes(self._poison.replica_ended(message.incarnation, now_s))
+
     def on_is_usable(self, message: messages.IsUsable) -> bool:
         """Return whether a replica may still be sent a request."""
         now_s = time.monotonic()
@@ -263,6 +278,10 @@
         """Record a crash that a peer has observed."""
         self._poison.record_peer_crash(message.crashed, time.monotonic())
 
+    def on_get_crashes(self, _message: messages.GetCrashes) -> list[ReplicaCrashed]:
+        """Return the crashes by requests that are refused."""
+        return self._poison.crashes(time.monotonic())
+
     def on_peer_request_ended(self, message: messages.PeerRequestEnded) -> None:
         """Record the end of a peer's request."""
         self._tracker.record_peer_ended(message.request_id, message.incarnation)
@@ -356,6 +375,7 @@
         self._tracker.record_prompt_computed(
             message.request_id, message.incarnation, now_s
         )
+        self._poison.replica_answered(message.incarnation, now_s)
 
     def on_attempt_ended(self, message: messages.AttemptEnded) -> None:
         """Record the result of an attempt."""
--- a/src/crocuswick/relay/dispatcher_messages.py
+++ b/src/crocuswick/relay/dispatcher_messages.py
@@ -110,6 +110,18 @@
     """Time since the version became the target, as far as this node or a peer knows."""
 
 
+@attrs.frozen(kw_only=True)
+class GetCrashes(Message):
+    """Query for the crashes by requests that are refused, as messages for a peer."""
+
+
+@attrs.frozen(kw_only=True)
+class ReplicaUnreachable(Message):
+    """A replica could not be reached after it had lost a request."""
+
+    incarnation: str
+
+
 @attrs.frozen(kw_only=True)
 class GetTargetVersions(Message):
     """Query for the target versions and their ages."""
@@ -273,4 +285,5 @@
     result: AttemptResult
     weights_version: int | None = None
     is_lost_before_answer: bool = False
-    """Whether the connection was lost before the head of the answer arrived."""
+    """Whether the connection was lost before the first event of a stream, or before the
+    end of another answer."""
--- a/src/crocuswick/relay/poison_guard.py
+++ b/src/crocuswick/relay/poison_guard.py
@@ -45,8 +45,8 @@
             request: The request.
             incarnation: The replica.
             result: How the attempt ended.
-            is_lost_before_answer: Whether the connection was lost before the head of
-                the answer arrived.
+            is_lost_before_answer: Whether the connection was lost before the first
+                event of a stream or the end of another answer.
             now_s: Monotonic time.
 
         Returns:
@@ -54,14 +54,19 @@
         """
         if result is AttemptResult.UNREACHABLE:
             return self.replica_ended(incarnation, now_s)
+        # A silent replica is cut off or hung more often than crashed.
         if result is AttemptResult.FAILED and is_lost_before_answer:
             self._attribution.record_loss(_fingerprint(request), incarnation, now_s)
         elif result is AttemptResult.ANSWERED:
-            self._attribution.record_answered(incarnation)
+            self.replica_answered(incarnation, now_s)
             if not self._quarantine.is_empty:
                 self._quarantine.clear(_fingerprint(request))
         return []
 
+    def replica_answered(self, incarnation: str, now_s: float) -> None:
+        """Record that a replica has answered this node or a peer."""
+        self._attribution.record_answered(incarnation, now_s)
+
     def replica_ended(self, incarnation: str, now_s: float) -> list[ReplicaCrashed]:
         """Record that a replica is down or has restarted.
 
@@ -77,10 +82,23 @@
     def record_peer_crash(self, crashed: ReplicaCrashed, now_s: float) -> None:
         """Record a crash that a peer has observed."""
         report = CrashReport(
-            fingerprint=crashed.fingerprint, endpoint_id=crashed.incarnation
+            fingerprint=crashed.fingerprint,
+            endpoint_id=crashed.incarnation,
+            age_ms=crashed.age_ms,
         )
         self._quarantine.add([report], now_s=now_s)
 
+    def crashes(self, now_s: float) -> list[ReplicaCrashed]:
+        """Return the crashes by refused requests, for a node that has just started."""
+        return [
+            ReplicaCrashed(
+                fingerprint=report.fingerprint,
+                incarnation=report.endpoint_id,
+                age_ms=report.age_ms,
+            )
+            for report in self._quarantine.refused(now_s=now_s)
+        ]
+
 
 def _fingerprint(request: RoutedRequest) -> str:
     """Return the fingerprint that all retries of a request share, at any node."""
--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -62,6 +62,10 @@
 """Duration of a handshake after which the dispatcher is asked whether the replica still
 takes requests; it may have turned others away or begun to leave meanwhile."""
 
+CHECK_TIMEOUT_S = 0.1
+"""Handshake timeout of the check whether a replica is down. The port of a process that
+has crashed refuses connections at once."""
+
 MAX_REJECTIONS = 3
 """Replicas that may reject a request as full before it is refused. Under overload the
 others are as full, and the retries are needed for requests that were lost."""
@@ -139,6 +143,7 @@
         self._first_event_s: float | None = None
         self._last_event_s: float | None = None
         self._events = 0
+        self._is_lost = False
 
     def run(self) -> str:
         """Relay the request.
@@ -211,21 +216,32 @@
             upstream.close()
             if self._exchange.has_disconnected and result is not AttemptResult.ANSWERED:
                 result = AttemptResult.CANCELLED
-            self._report.attempt_ended(
-                placed,
-                EndedAttempt(
-                    result=result,
-                    head=head,
-                    has_connected=self._progress.connected_attempts > 0,
-                    started_s=started_s,
-                    first_event_s=self._first_event_s,
-                    events=self._events,
-                    last_event_s=self._last_event_s,
-                    error=self._progress.error,
-                    retried_after=retried_after,
-                    stalled=self._watched.stall_reason,
-                ),
+            ended = EndedAttempt(
+                result=result,
+                head=head,
+                is_lost=self._is_lost,
+                started_s=started_s,
+                first_event_s=self._first_event_s,
+                events=self._events,
+                last_event_s=self._last_event_s,
+                error=self._progress.error,
+                retried_after=retried_after,
+                stalled=self._watched.stall_reason,
             )
+            self._report.attempt_ended(placed, ended)
+            if result is AttemptResult.FAILED and ended.is_lost_before_answer:
+                self._check_replica(attempt)
+
+    def _check_replica(self, attempt: Attempt) -> None:
+        """Report a replica that is down, which shows that it has crashed.
+
+        In a large fleet, this node may not send it another request before it is back.
+        """
+        probe = Upstream(replica_id=attempt.replica_id, address=attempt.address)
+        connected = probe.connect(CHECK_TIMEOUT_S)
+        probe.close()
+        if connected.is_err():
+            self._report.replica_unreachable(attempt)
 
     def _exchange_with(
         self, upstream: Upstream, attempt: Attempt
@@ -438,6 +454,7 @@
     def _after_loss(
         self, attempt: Attempt, error: PeerError
     ) -> tuple[AttemptResult, str | None]:
+        self._is_lost = True
         self._progress.possible_runs += 1
         self._progress.error = str(error)
         watched = self._watched
@@ -531,6 +548,7 @@
         """Watch an attempt for its deadline, and for stalls if it may be retried."""
         self._first_event_s = self._last_event_s = None
         self._events = 0
+        self._is_lost = False
         route = self._request.route
         deadline_s = self._request.deadline_s - ANSWER_MARGIN_S
         if (
--- a/src/crocuswick/relay/run_report.py
+++ b/src/crocuswick/relay/run_report.py
@@ -32,8 +32,8 @@
     head: ResponseHead | None
     """Head of the replica's response, None if there was none."""
 
-    has_connected: bool
-    """Whether this or an earlier attempt connected to a replica."""
+    is_lost: bool
+    """Whether the connection was lost or fell silent."""
 
     started_s: float
     first_event_s: float | None
@@ -52,6 +52,11 @@
     stalled: str = ""
     """Why the attempt was aborted as stalled, empty if it was not."""
 
+    @property
+    def is_lost_before_answer(self) -> bool:
+        """Whether the connection was lost before an event or the end of the answer."""
+        return self.is_lost and self.events == 0
+
     @property
     def first_event_ms(self) -> int | None:
         """Time from the start of the attempt to the first event."""
@@ -105,7 +110,7 @@
                 attempt=placed.attempt,
                 result=ended.result,
                 weights_version=head.weights_version if head else None,
-                is_lost_before_answer=head is None and ended.has_connected,
+                is_lost_before_answer=ended.is_lost_before_answer,
             )
         )
         self._context.metrics.prefill_tokens.add({}, placed.attempt.prefill_tokens)
@@ -132,6 +137,18 @@
             pause_s=availability.pause_s,
         )
 
+    def replica_unreachable(self, attempt: Attempt) -> None:
+        """Report that a replica can't be reached after it lost the request."""
+        self._context.dispatcher.tell(
+            dispatcher_messages.ReplicaUnreachable(incarnation=attempt.incarnation)
+        )
+        self._context.log.record(
+            "replica crashed",
+            failed=True,
+            request=self._request.caller.request_id,
+            replica=attempt.replica_id,
+        )
+
     def retry_not_reserved(self, attempt: Attempt, refusal: Refusal) -> None:
         """Report that a stalled attempt goes on because it can't be retried."""
         self._context.log.record(
