Bound answers that never end, in heads, bodies and calls of the node

What callers would see: a replica that sends bytes without end made a node keep them all: 35 to 523 MB in 1.5 s for one answer, more than its machine has. The node's own calls (cache events, reports, store) did not end in 10 of 30 cases, and a huge announced length raised a MemoryError that nothing caught.

Such a request fails with 502 or 504, is retried where it may be, or its stream is cut.

--- /dev/null
+++ b/src/crocuswick/bounded_answer.py
@@ -0,0 +1,171 @@
+"""HTTP answers of servers that may send bytes without end."""
+
+from __future__ import annotations
+
+import io
+import time
+from collections.abc import Mapping
+from http.client import HTTPResponse
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import urllib3
+from urllib3.connection import HTTPConnection
+
+if TYPE_CHECKING:
+    import socket
+
+__all__ = [
+    "Answer",
+    "AnswerTooLargeError",
+    "BoundedHeadAnswer",
+    "bounded_pool",
+    "fetch",
+]
+
+MAX_HEAD_BYTES = 128 * 1024
+"""Bytes up to the end of an answer's head, with any interim answers before it."""
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Bytes of a whole answer to a call of this node. The store's largest answers have a few
+megabytes."""
+
+MAX_BODY_S = 3.0
+"""Time in seconds for an answer, in addition to the longest wait for its next byte."""
+
+
+READ_BYTES = 64 * 1024
+
+
+class AnswerTooLargeError(OSError):
+    """A server has sent more bytes than it may."""
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """A complete answer."""
+
+    status: int
+    headers: Mapping[str, str]
+    data: bytes
+
+
+class _BoundedReader(io.RawIOBase):
+    """Reads from a socket up to a number of bytes and a time."""
+
+    def __init__(self, raw: io.RawIOBase, *, max_bytes: float):
+        self._raw = raw
+        self.remaining_bytes = max_bytes
+        self.deadline_s = float("inf")
+        """Monotonic time."""
+
+    def readable(self) -> bool:
+        """Return True, as required of a reader."""
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read bytes.
+
+        Raises:
+            AnswerTooLargeError: The limit was exceeded.
+            TimeoutError: The time has passed.
+        """
+        if time.monotonic() > self.deadline_s:
+            raise TimeoutError("timed out: the answer goes on")
+        received = self._raw.readinto(buffer)
+        self.remaining_bytes -= received or 0
+        if self.remaining_bytes < 0:
+            raise AnswerTooLargeError("the answer exceeds the size limit")
+        return received
+
+    def close(self) -> None:
+        """Close the socket's reader."""
+        self._raw.close()
+        super().close()
+
+
+class BoundedHeadAnswer(HTTPResponse):
+    """An answer whose head is limited; its user limits the body."""
+
+    def __init__(self, sock: socket.socket, *args: Any, **kwargs: Any):
+        super().__init__(sock, *args, **kwargs)
+        self.fp.close()
+        self._reader = _BoundedReader(
+            sock.makefile("rb", buffering=0), max_bytes=MAX_HEAD_BYTES
+        )
+        self.fp = io.BufferedReader(self._reader)
+
+    def begin(self) -> None:
+        """Read the head."""
+        super().begin()
+        self._reader.remaining_bytes = float("inf")
+
+
+class _BoundedAnswer(BoundedHeadAnswer):
+    """An answer that is limited as a whole, in bytes and time."""
+
+    def __init__(self, sock: socket.socket, *args: Any, **kwargs: Any):
+        super().__init__(sock, *args, **kwargs)
+        timeout_s = sock.gettimeout() or 0.0
+        self._reader.deadline_s = time.monotonic() + timeout_s + MAX_BODY_S
+
+    def begin(self) -> None:
+        """Read the head."""
+        super().begin()
+        self._reader.remaining_bytes = MAX_ANSWER_BYTES
+
+
+class _BoundedConnection(HTTPConnection):
+    response_class = _BoundedAnswer
+
+
+class _BoundedPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _BoundedConnection
+
+
+def bounded_pool(host: str, port: int) -> urllib3.HTTPConnectionPool:
+    """Return a pool of one connection whose answers are limited in bytes and time.
+
+    Args:
+        host: IP address of the server.
+        port: Port of the server.
+    """
+    return _BoundedPool(host, port, maxsize=1, retries=False)
+
+
+def fetch(
+    pool: urllib3.HTTPConnectionPool,
+    method: str,
+    path: str,
+    *,
+    timeout: urllib3.Timeout,
+    body: bytes | None = None,
+    headers: Mapping[str, str] | None = None,
+) -> Answer:
+    """Make a call and read the whole answer.
+
+    Args:
+        pool: A pool made by `bounded_pool`.
+        method: Method of the request.
+        path: Path and query.
+        timeout: Connect timeout and longest wait for the next byte.
+        body: Request body, or None for a request without a body.
+        headers: Headers of the request.
+
+    Raises:
+        HTTPError: The call failed, or the answer is truncated or exceeds its limits.
+        OSError: The same.
+    """
+    response = pool.request(
+        method, path, body=body, headers=headers, timeout=timeout, preload_content=False
+    )
+    data = bytearray()
+    try:
+        # A read of the announced length would allocate that much at once.
+        while piece := response.read1(READ_BYTES, decode_content=False):
+            data += piece
+    except BaseException:
+        response.close()
+        raise
+    response.release_conn()
+    return Answer(status=response.status, headers=response.headers, data=bytes(data))
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -28,6 +28,7 @@
 from crocuswick.relay import dispatcher_messages
 from crocuswick.relay.caller_watch import CallerWatch
 from crocuswick.relay.dispatcher import RelayDispatcher
+from crocuswick.relay.held_bytes import HeldBytes
 from crocuswick.relay.kv_warm_up import KvWarmUp
 from crocuswick.relay.relay_context import RelayContext
 from crocuswick.relay.relay_server import RelayServer
@@ -281,6 +282,7 @@
                 dispatcher=self._dispatcher,
                 dialect=self._platform.dialect,
                 stalls=self._stalls,
+                held_bytes=HeldBytes(),
                 log=self._log,
                 metrics=self._metrics,
             ),
--- a/src/crocuswick/platform/_engine_call.py
+++ b/src/crocuswick/platform/_engine_call.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-import urllib3
 from result import Err, Ok, Result
 from urllib3.exceptions import HTTPError
 
+from crocuswick.bounded_answer import Answer, bounded_pool, fetch
 from crocuswick.errors import PeerError
 from crocuswick.host_port import HostPort
 from crocuswick.outcome import Outcome
@@ -15,6 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    import urllib3
+
 __all__ = ["call", "call_error"]
 
 
@@ -28,7 +30,7 @@
     headers: Mapping[str, str],
     timeout: urllib3.Timeout,
     body: bytes | None = None,
-) -> Result[urllib3.BaseHTTPResponse, PeerError]:
+) -> Result[Answer, PeerError]:
     """Make one call and read the whole response.
 
     Args:
@@ -42,10 +44,11 @@
         body: Request body, or None for a request without a body.
     """
     peer = HostPort.parse(address)
-    pool = urllib3.HTTPConnectionPool(peer.host, peer.port, maxsize=1, retries=False)
+    pool = bounded_pool(peer.host, peer.port)
     try:
         return Ok(
-            pool.request(
+            fetch(
+                pool,
                 method,
                 path,
                 body=body,
--- a/src/crocuswick/platform/engine_orders.py
+++ b/src/crocuswick/platform/engine_orders.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from crocuswick.bounded_answer import Answer
     from crocuswick.errors import PeerError
     from crocuswick.relay.replica import Replica
 
@@ -105,7 +106,7 @@
         method: str,
         path: str,
         body: bytes | None = None,
-    ) -> Result[urllib3.BaseHTTPResponse, PeerError]:
+    ) -> Result[Answer, PeerError]:
         headers = {names.EXPECTED_REPLICA: replica.id}
         if body is not None:
             headers["Content-Type"] = "application/json"
@@ -123,9 +124,7 @@
             self._report_availability(replica, called.ok_value)
         return called
 
-    def _report_availability(
-        self, replica: Replica, response: urllib3.BaseHTTPResponse
-    ) -> None:
+    def _report_availability(self, replica: Replica, response: Answer) -> None:
         availability = decode_availability(response.status, response.headers.items())
         is_other = response.headers.get(names.REPLICA_ID, replica.id) != replica.id
         if is_other or availability == Availability():
--- a/src/crocuswick/platform/store_client.py
+++ b/src/crocuswick/platform/store_client.py
@@ -20,6 +20,7 @@
 from result import Err, Ok, Result
 from urllib3.exceptions import HTTPError
 
+from crocuswick.bounded_answer import Answer, bounded_pool, fetch
 from crocuswick.errors import PeerError
 from crocuswick.host_port import HostPort
 from crocuswick.outcome import Outcome
@@ -72,9 +73,7 @@
         self._pool = self._new_pool()
 
     def _new_pool(self) -> urllib3.HTTPConnectionPool:
-        return urllib3.HTTPConnectionPool(
-            self._address.host, self._address.port, maxsize=1, retries=False
-        )
+        return bounded_pool(self._address.host, self._address.port)
 
     def list_newest(self, topic: str) -> Result[TopicUpdate, PeerError]:
         """Read the newest record of each key of a topic.
@@ -247,7 +246,8 @@
         # same connection. Reads check what they get.
         pool = self._pool if method == "GET" else self._new_pool()
         try:
-            response = pool.request(
+            response = fetch(
+                pool,
                 method,
                 f"{path}?{urlencode(query)}",
                 body=body,
@@ -268,7 +268,7 @@
             return Err(_error(step, "answer from an earlier era of the store"))
         return Ok(_Answer(status=response.status, data=response.data, era=era))
 
-    def _answer_era(self, response: urllib3.BaseHTTPResponse) -> int | None:
+    def _answer_era(self, response: Answer) -> int | None:
         """Return the era of an answer, or None if it is outdated."""
         text = response.headers.get(names.STORE_ERA)
         if text is None:
--- a/src/crocuswick/relay/event_splitter.py
+++ b/src/crocuswick/relay/event_splitter.py
@@ -10,7 +10,7 @@
 
 _BOUNDARY = re.compile(rb"\r?\n\r?\n")
 _ID_LINE = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
-MAX_EVENT_BYTES = 1 << 20
+MAX_EVENT_BYTES = 1 << 18
 """Limit on an unfinished event; a sender that exceeds it is faulty."""
 
 
--- a/src/crocuswick/relay/relay_context.py
+++ b/src/crocuswick/relay/relay_context.py
@@ -8,6 +8,7 @@
 from crocuswick.decision_log import DecisionLog
 from crocuswick.fleet_metrics import FleetMetrics
 from crocuswick.relay.dialect import Dialect
+from crocuswick.relay.held_bytes import HeldBytes
 from crocuswick.relay.stall_watch import StallWatch
 
 __all__ = ["RelayContext"]
@@ -20,5 +21,6 @@
     dispatcher: pykka.ActorRef
     dialect: Dialect
     stalls: StallWatch
+    held_bytes: HeldBytes
     log: DecisionLog
     metrics: FleetMetrics
--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -62,6 +62,12 @@
 """Duration of a handshake after which the dispatcher is asked whether the replica still
 takes requests; it may have turned others away or begun to leave meanwhile."""
 
+MAX_BODY_BYTES = 2 * 1024 * 1024
+"""Limit on an answer that is not a stream, which is held until it is complete."""
+
+MAX_UNNUMBERED_BYTES = 64 * 1024
+"""Bytes of a stream without a numbered event after which its replica is faulty."""
+
 CHECK_TIMEOUT_S = 0.1
 """Handshake timeout of the check whether a replica is down. The port of a process that
 has crashed refuses connections at once."""
@@ -144,6 +150,7 @@
         self._last_event_s: float | None = None
         self._events = 0
         self._is_lost = False
+        self._unnumbered_bytes = 0
 
     def run(self) -> str:
         """Relay the request.
@@ -301,19 +308,30 @@
     def _relay_complete(
         self, upstream: Upstream, attempt: Attempt, head: ResponseHead
     ) -> tuple[AttemptResult, str | None]:
-        body = bytearray()
-        while True:
-            chunk = upstream.read(self._remaining_s())
-            if chunk.is_err():
-                return self._after_loss(attempt, chunk.err_value)
-            if not chunk.ok_value:
-                break
-            body += chunk.ok_value
+        chunks = []
+        held_bytes = 0
+        try:
+            while True:
+                chunk = upstream.read(self._remaining_s())
+                if chunk.is_err():
+                    return self._after_loss(attempt, chunk.err_value)
+                if not chunk.ok_value:
+                    break
+                size_bytes = len(chunk.ok_value)
+                is_allowed = held_bytes + size_bytes <= MAX_BODY_BYTES
+                if not is_allowed or not self._context.held_bytes.reserve(size_bytes):
+                    return self._after_bad_response(
+                        attempt, "the answer exceeds the size limit"
+                    )
+                held_bytes += size_bytes
+                chunks.append(chunk.ok_value)
+        finally:
+            self._context.held_bytes.release(held_bytes)
         self._progress.possible_runs += 1
         # The replica has run the request; a retry would fail as well.
         is_failure = head.status >= SERVER_ERROR
         result = AttemptResult.FAILED if is_failure else AttemptResult.ANSWERED
-        return result, self._deliver(head, bytes(body))
+        return result, self._deliver(head, b"".join(chunks))
 
     def _deliver(self, head: ResponseHead, body: bytes) -> str:
         if self._progress.head is not None:
@@ -331,6 +349,7 @@
         self, upstream: Upstream, attempt: Attempt, head: ResponseHead
     ) -> tuple[AttemptResult, str | None]:
         splitter = EventSplitter()
+        self._unnumbered_bytes = 0
         while True:
             chunk = upstream.read(self._remaining_s())
             if chunk.is_err():
@@ -363,6 +382,10 @@
                 return self._after_bad_response(
                     attempt, f"unexpected event number {event.number}"
                 )
+            if self._is_without_numbers(event):
+                return self._after_bad_response(
+                    attempt, f"no event number in {self._unnumbered_bytes} bytes"
+                )
             self._record_event(attempt)
             try:
                 self._send_event(head, event.data)
@@ -384,6 +407,14 @@
         last = self._progress.last_event
         return number is None or last is None or number == last + 1
 
+    def _is_without_numbers(self, event: StreamEvent) -> bool:
+        """Whether too many bytes have arrived since the last numbered event."""
+        if event.number is not None:
+            self._unnumbered_bytes = 0
+            return False
+        self._unnumbered_bytes += len(event.data)
+        return self._unnumbered_bytes > MAX_UNNUMBERED_BYTES
+
     def _record_event(self, attempt: Attempt) -> None:
         """Count an event; report the first one and switch to the limits for gaps."""
         self._events += 1
--- a/src/crocuswick/relay/upstream.py
+++ b/src/crocuswick/relay/upstream.py
@@ -17,6 +17,7 @@
 from urllib3.exceptions import HTTPError
 from urllib3.util import SKIP_HEADER
 
+from crocuswick.bounded_answer import BoundedHeadAnswer
 from crocuswick.errors import PeerError
 from crocuswick.host_port import HostPort
 from crocuswick.outcome import Outcome
@@ -79,6 +80,7 @@
         self._connection = HTTPConnection(
             peer.host, peer.port, timeout=CONNECT_TIMEOUT_S
         )
+        self._connection.response_class = BoundedHeadAnswer
         self._socket: socket.socket | None = None
         self._response: HTTPResponse | None = None
         self._timeout_s = 0.0
