Keep a fifth instead of half of the retries for lost requests

Cause: with half of the budget kept, rejected requests were refused that another replica would have served.

--- a/src/crocuswick/relay/windowed_retry_budget.py
+++ b/src/crocuswick/relay/windowed_retry_budget.py
@@ -15,7 +15,7 @@
 """Share of them that becomes available in the course of a window. Together with
 `BURST_SHARE` less than 1: a retry arrives some time after it was taken."""
 
-RESERVED_SHARE = 0.5
+RESERVED_SHARE = 0.2
 """Share of the burst that only requests that may have run can use. Their callers can't
 be told to come again, unlike those of requests that a replica rejected."""
 
