Accept connections that wait for half a second before the port is closed

What callers would see: on a busy machine, connections that they had just opened are reset during a planned stop. Cause: the wait for connections not accepted yet ended after 0.2 s, as long as the thread that accepts them was late.

--- a/src/crocuswick/relay/relay_server.py
+++ b/src/crocuswick/relay/relay_server.py
@@ -38,8 +38,9 @@
 STOP_TIMEOUT_S = 0.5
 MAX_IDLE_CONNECTIONS = 2_048
 NODE_FULL_RETRY_S = 0.5
-ACCEPT_REST_S = 0.2
-"""Longest time for which connections are still accepted before the port is closed."""
+ACCEPT_REST_S = 0.5
+"""Longest time for which connections are still accepted before the port is closed. The
+thread that accepts them may be late by some tenths of a second on a busy machine."""
 
 ACCEPT_POLL_S = 0.005
 IDLE_TIMEOUT_FACTOR = 1.2
