--- a/src/crocuswick/bounded_answer.py
+++ b/src/crocuswick/bounded_answer.py
@@ -33,7 +33,6 @@
 MAX_BODY_S = 3.0
 """Time in seconds for an answer, in addition to the longest wait for its next byte."""
 
-
 READ_BYTES = 64 * 1024
 
 
