--- a/src/crocuswick/bounded_answer.py
+++ b/src/crocuswick/bounded_answer.py
@@ -30,7 +30,7 @@
 """Bytes of a whole answer to a call of this node. The store's largest answers have a few
 megabytes."""
 
-MAX_BODY_S = 3.0
+MAX_BODY_S = 2.0
 """Time in seconds for an answer, in addition to the longest wait for its next byte."""
 
 READ_BYTES = 64 * 1024
