--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 import time
 from typing import TYPE_CHECKING, Any
@@ -131,6 +132,9 @@
         era.on_step(self._on_era_step)
         self._read_s_by_topic = dict.fromkeys(topics, float("-inf"))
         self._outage_ended_s_by_topic: dict[str, float] = {}
+        self._topics_read: set[str] = set()
+        """Topics that this node reads now."""
+
         self._ends_by_topic: dict[str, int] = {}
         self._ends_s = float("-inf")
         self._lock = threading.Lock()
@@ -274,7 +278,18 @@
         not been notified of a read for `READ_TAKEOVER_S` reads the topic itself.
         """
         age_s = time.monotonic() - self._read_s_by_topic[topic]
-        return age_s > READ_TAKEOVER_S or self.rank(topic, zone=self.own.zone) == 0
+        rank = self.rank(topic, zone=self.own.zone)
+        is_reader = age_s > READ_TAKEOVER_S or rank == 0
+        if is_reader != (topic in self._topics_read):
+            self._topics_read ^= {topic}
+            self._log.record_state(
+                "topic reader changed",
+                topic=topic,
+                reads=is_reader,
+                rank=rank,
+                last_read_ms=None if math.isinf(age_s) else round(age_s * 1000),
+            )
+        return is_reader
 
     def rank(self, task: str, *, zone: str | None = None) -> int:
         """Return this node's rank among the live nodes for a task, 0 for the first.
--- a/src/crocuswick/fleet_metrics.py
+++ b/src/crocuswick/fleet_metrics.py
@@ -61,6 +61,11 @@
             "crocuswick_gossip_bytes_total",
             "Bytes of gossip messages queued for single peers, by kind.",
         )
+        self.gossip_dropped = self._counter(
+            "crocuswick_gossip_dropped_total",
+            "Gossip messages that a peer was not sent for lack of a connection or because"
+            " its queue is full, by kind.",
+        )
         self.log_lines_dropped = self._gauge(
             "crocuswick_log_lines_dropped", "Log lines dropped since the start."
         )
@@ -88,16 +93,21 @@
             with self._lock:
                 self._first_event_seconds.observe({}, first_event_s)
 
-    def observe_gossip(self, kind: str, receivers: int, message_bytes: int) -> None:
+    def observe_gossip(
+        self, kind: str, receivers: int, message_bytes: int, dropped: int
+    ) -> None:
         """Count a gossip message.
 
         Args:
             kind: Kind of message, as on the wire.
             receivers: Number of peers to which it is sent.
             message_bytes: Size for one peer.
+            dropped: Number of peers that it can't be sent to.
         """
         self.gossip_messages.add({"kind": kind}, receivers)
         self.gossip_bytes.add({"kind": kind}, receivers * message_bytes)
+        if dropped:
+            self.gossip_dropped.add({"kind": kind}, dropped)
 
     def page(self, _environment: dict, start_response: Callable) -> Iterable[bytes]:
         """Serve the metrics page as a WSGI application."""
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -113,6 +113,7 @@
             bounds=settings.bounds,
             broadcast=lambda gossip: self._gossip.broadcast(gossip),
             on_unknown_weights=self._query_weights,
+            log=self._log,
             is_first_start=settings.is_first_start,
         )
         self._record_cache = RecordCache.start(
@@ -412,7 +413,10 @@
             )
         )
         self._log.record_state(
-            "replica removed", replica=replica_id, after_outage=not is_store_stable
+            "replica removed",
+            replica=replica_id,
+            after_outage=not is_store_stable,
+            effective_in_ms=round((takes_effect_s - now_s) * 1000),
         )
 
     # Shutdown.
--- a/src/crocuswick/gossip/service.py
+++ b/src/crocuswick/gossip/service.py
@@ -67,7 +67,8 @@
         on_peers: Called with the live nodes and the number of known nodes, both
             including this one, when they change.
         on_sent: Called with the kind of each message that is sent, the number of its
-            receivers and its size in bytes.
+            receivers, its size in bytes and the number of peers that it can't be sent
+            to.
         log: Decision log; records nodes that join or are lost.
     """
 
@@ -151,7 +152,7 @@
         on_message: Callable[[GossipMessage, str], None],
         on_batch_end: Callable[[], None],
         on_peers: Callable[[frozenset[NodeAddress], int], None],
-        on_sent: Callable[[str, int, int], None],
+        on_sent: Callable[[str, int, int, int], None],
         log: DecisionLog,
     ):
         super().__init__()
@@ -298,7 +299,7 @@
         packed = pack_gossip(gossip)
         links = [self._links_by_address.get(address.address) for address in addresses]
         queued = sum(link.send(packed) for link in links if link is not None)
-        self._on_sent(message_kind(gossip), queued, len(packed))
+        self._on_sent(message_kind(gossip), queued, len(packed), len(links) - queued)
 
     def _update_links(self) -> None:
         """Open links to neighbours and seeds, and close all others."""
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -36,6 +36,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from crocuswick.decision_log import DecisionLog
     from crocuswick.errors import Refusal
     from crocuswick.fleet_settings import FleetBounds
     from crocuswick.gossip.messages import GossipMessage, ReplicaCrashed
@@ -101,6 +102,7 @@
         bounds: Limits on weights and retries from the settings.
         broadcast: Called with each message to broadcast to the peers.
         on_unknown_weights: Called with the id of a replica whose weights are unknown.
+        log: Log of decisions.
         is_first_start: Whether no earlier process of this node has sent requests.
     """
 
@@ -111,11 +113,13 @@
         bounds: FleetBounds,
         broadcast: Callable[[GossipMessage], None],
         on_unknown_weights: Callable[[str], None],
+        log: DecisionLog,
         is_first_start: bool = False,
     ):
         super().__init__()
         self._on_unknown_weights = on_unknown_weights
         self._broadcast = broadcast
+        self._log = log
         self._bounds = bounds
         self._configuration: ServingConfiguration | None = None
         self._table = ReplicaTable()
@@ -162,6 +166,7 @@
         now_s = time.monotonic()
         before = self._table.find(replica.id, now_s)
         self._table.update(replica)
+        self._log_draining(replica, before, now_s)
         if before is not None and before.incarnation != replica.incarnation:
             self._broadcast_crashes(
                 self._poison.replica_ended(before.incarnation, now_s)
@@ -170,6 +175,18 @@
         for model, version in replica.weights_by_model.items():
             self._record_weights(replica.incarnation, model, version)
 
+    def _log_draining(
+        self, replica: Replica, before: Replica | None, now_s: float
+    ) -> None:
+        after = self._table.find(replica.id, now_s)
+        if after is None or after.state is not ReplicaState.DRAINING:
+            return
+        is_known = before is not None and before.incarnation == after.incarnation
+        if not is_known or before.state is not ReplicaState.DRAINING:
+            self._log.record_state(
+                "replica draining", replica=after.incarnation, source="entry"
+            )
+
     def on_replica_removed(self, message: messages.ReplicaRemoved) -> None:
         """Schedule the removal of a replica whose store entry was deleted."""
         now_s = time.monotonic()
@@ -190,8 +207,11 @@
             )
         if not message.availability.is_leaving:
             return
-        is_news = self._table.mark_leaving(incarnation)
-        if is_news and not message.is_from_peer:
+        if not self._table.mark_leaving(incarnation):
+            return
+        source = "peer" if message.is_from_peer else "answer"
+        self._log.record_state("replica draining", replica=incarnation, source=source)
+        if not message.is_from_peer:
             self._broadcast(ReplicaLeaving(incarnation=incarnation))
 
     def on_replica_unreachable(self, message: messages.ReplicaUnreachable) -> None:
@@ -276,7 +296,9 @@
 
     def on_peer_crash(self, message: messages.PeerCrash) -> None:
         """Record a crash that a peer has observed."""
-        self._poison.record_peer_crash(message.crashed, time.monotonic())
+        crashed = message.crashed
+        if self._poison.record_peer_crash(crashed, time.monotonic()):
+            self._log_crash(crashed, source="peer")
 
     def on_get_crashes(self, _message: messages.GetCrashes) -> list[ReplicaCrashed]:
         """Return the crashes by requests that are refused."""
@@ -404,8 +426,17 @@
 
     def _broadcast_crashes(self, crashes: Sequence[ReplicaCrashed]) -> None:
         for crashed in crashes:
+            self._log_crash(crashed, source="own")
             self._broadcast(crashed)
 
+    def _log_crash(self, crashed: ReplicaCrashed, *, source: str) -> None:
+        self._log.record_state(
+            "crash attributed",
+            replica=crashed.incarnation,
+            fingerprint=crashed.fingerprint,
+            source=source,
+        )
+
     def _record_weights(self, incarnation: str, model: str, version: int) -> None:
         known = self._weights.served(incarnation, model)
         if (
--- a/src/crocuswick/relay/poison_guard.py
+++ b/src/crocuswick/relay/poison_guard.py
@@ -79,14 +79,18 @@
             for report in self._quarantine.add(reports, now_s=now_s)
         ]
 
-    def record_peer_crash(self, crashed: ReplicaCrashed, now_s: float) -> None:
-        """Record a crash that a peer has observed."""
+    def record_peer_crash(self, crashed: ReplicaCrashed, now_s: float) -> bool:
+        """Record a crash that a peer has observed.
+
+        Returns:
+            Whether it is new to this node.
+        """
         report = CrashReport(
             fingerprint=crashed.fingerprint,
             endpoint_id=crashed.incarnation,
             age_ms=crashed.age_ms,
         )
-        self._quarantine.add([report], now_s=now_s)
+        return bool(self._quarantine.add([report], now_s=now_s))
 
     def crashes(self, now_s: float) -> list[ReplicaCrashed]:
         """Return the crashes by refused requests, for a node that has just started."""
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -4,6 +4,7 @@
 
 import time
 import unittest
+from unittest import mock
 
 import attrs
 
@@ -20,7 +21,7 @@
 from crocuswick.relay import dispatcher_messages as messages
 from crocuswick.relay.dispatcher import MIN_NODES, NODES_PER_TICK, RelayDispatcher
 from crocuswick.relay.dispatcher_messages import Placed, Wait
-from crocuswick.relay.replica import ReplicaState
+from crocuswick.relay.replica import Availability, ReplicaState
 from crocuswick.relay.replica_health import AttemptResult
 from crocuswick.relay.windowed_retry_budget import BURST_SHARE, STEADY_SHARE
 from tests.relay.samples import (
@@ -42,11 +43,13 @@
     def setUp(self):
         self.broadcasts = []
         self.unknown_weights = []
+        self.log = mock.Mock()
         self.dispatcher = RelayDispatcher.start(
             zone="a",
             bounds=BOUNDS,
             broadcast=self.broadcasts.append,
             on_unknown_weights=self.unknown_weights.append,
+            log=self.log,
             is_first_start=True,
         )
         self.addCleanup(self.dispatcher.stop)
@@ -182,6 +185,31 @@
         # A request that an engine has received is not given up as early.
         self.assertIsInstance(self.place(held, sent=1), Wait)
 
+    def test_the_log_names_the_source_of_each_departure_and_crash(self):
+        """Guards against logs that don't tell when a node knew that a replica leaves."""
+        self.update_replicas("x", "y")
+        for _ in range(2):
+            self.update_replicas("x", state=ReplicaState.DRAINING)
+        self.ask(
+            messages.AvailabilityChanged(
+                incarnation=replica("y").incarnation,
+                availability=Availability(is_leaving=True),
+            )
+        )
+        crashed = ReplicaCrashed(fingerprint="f", incarnation="z@1")
+        for _ in range(2):
+            self.ask(messages.PeerCrash(crashed=crashed))
+        logged = [
+            (call.args[0], call.kwargs["replica"], call.kwargs["source"])
+            for call in self.log.record_state.call_args_list
+        ]
+        expected = [
+            ("replica draining", replica("x").incarnation, "entry"),
+            ("replica draining", replica("y").incarnation, "answer"),
+            ("crash attributed", "z@1", "peer"),
+        ]
+        self.assertEqual(logged, expected)
+
     def test_a_long_outage_is_not_expected_to_end_within_a_second(self):
         """Guards against requests that were held for two seconds each while no engine
         was ordered to load newer weights."""
@@ -201,6 +229,7 @@
             bounds=old,
             broadcast=self.broadcasts.append,
             on_unknown_weights=lambda _: None,
+            log=self.log,
         )
         self.addCleanup(dispatcher.stop)
         for message in (
