--- a/tests/gossip/test_transport.py
+++ b/tests/gossip/test_transport.py
@@ -11,7 +11,8 @@
 import msgpack
 
 from crocuswick.gossip import transport
-from crocuswick.gossip.messages import Hello, PromptEnded
+from crocuswick.gossip.messages import Hello, NodeAddress, PromptEnded, TopicEnds
+from crocuswick.gossip.service import GossipService
 from crocuswick.gossip.transport import GossipTransport, pack_gossip
 from tests.ports import stable_ports
 
@@ -172,3 +173,50 @@
             self.wait_for(lambda link=link: link.disconnected_since_s is None)
         # The threads that put greetings together end when there are no more.
         self.wait_for(lambda: threading.active_count() == before)
+
+
+class ReconnectTests(unittest.TestCase):
+    """Two nodes, of which one starts long after the other."""
+
+    def start(self, node_id, address, known=()):
+        own = NodeAddress(node_id=node_id, zone="a", address=address)
+        joined = []
+        nodes = GossipTransport(
+            address=address,
+            on_messages=lambda messages: service.tell(
+                GossipService.ReceivedBatch(messages=messages)
+            ),
+            on_closed=lambda number: service.tell(
+                GossipService.Closed(connection=number)
+            ),
+        )
+        service = GossipService.start(
+            own=own,
+            seeds=tuple(known),
+            ends=lambda: TopicEnds(ends_by_topic={}, ages_ms_by_topic={}),
+            initial_messages=list,
+            open_link=nodes.open_link,
+            on_message=mock.Mock(),
+            on_batch_end=mock.Mock(),
+            on_peers=lambda live, _known: joined.append(live),
+            on_sent=mock.Mock(),
+            log=mock.Mock(),
+        )
+        self.addCleanup(service.stop)
+        self.addCleanup(nodes.stop)
+        nodes.start()
+        service.tell(GossipService.Tick())
+        return joined
+
+    def test_a_node_that_starts_hears_its_peers_at_once(self):
+        """Guards against links that wait for their next attempt while the peer is up
+        and sends already; it is not sent records in that time."""
+        addresses = [f"127.0.0.1:{port}" for port in stable_ports(2)]
+        with mock.patch.multiple(transport, FIRST_BACKOFF_S=20.0, MAX_BACKOFF_S=20.0):
+            self.start("a1", addresses[0], known=[addresses[1]])
+            time.sleep(0.3)
+            joined = self.start("a2", addresses[1], known=[addresses[0]])
+            deadline_s = time.monotonic() + 2.0
+            while not any(len(live) == 2 for live in joined):
+                self.assertLess(time.monotonic(), deadline_s, "a1 is not heard")
+                time.sleep(0.01)
--- a/tests/platform/metadata_store.py
+++ b/tests/platform/metadata_store.py
@@ -25,6 +25,15 @@
     """Offset of the oldest record that is still kept."""
 
 
+@attrs.define(kw_only=True)
+class Door:
+    """A port of the store."""
+
+    address: str = ""
+    is_silent: bool = False
+    """Whether calls at this port get no answer."""
+
+
 class MetadataStore:
     """A metadata store that keeps topics in memory, with fault injection."""
 
@@ -39,30 +48,39 @@
         self.era_header: str | None = None
         """Value of the header ``Store-Era`` in all answers, None for no header."""
 
+        self._servers: list[ThreadingHTTPServer] = []
+        self.address = self.listen().address
+
+    def listen(self) -> Door:
+        """Listen at a further port, whose callers can be cut off alone."""
         store = self
+        door = Door()
 
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
             def do_GET(self):  # noqa: N802
-                store.answer(self, b"")
+                store.answer(self, b"", door)
 
             def do_POST(self):  # noqa: N802
                 length = int(self.headers.get("Content-Length", 0))
-                store.answer(self, self.rfile.read(length))
+                store.answer(self, self.rfile.read(length), door)
 
             def log_message(self, *_):
                 """Log nothing, to keep the output of the tests clean."""
 
-        self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-        self._server.daemon_threads = True
-        self.address = f"127.0.0.1:{self._server.server_port}"
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        server.daemon_threads = True
+        self._servers.append(server)
+        door.address = f"127.0.0.1:{server.server_port}"
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        return door
 
     def stop(self) -> None:
-        """Close the port."""
-        self._server.shutdown()
-        self._server.server_close()
+        """Close the ports."""
+        for server in self._servers:
+            server.shutdown()
+            server.server_close()
 
     def put(self, topic: str, key: str, value: object | None) -> int:
         """Append a record of a key and return its offset.
@@ -111,7 +129,7 @@
                 self._topics_by_name[name].records = list(records)
             self.era_header = str(int(self.era_header or 0) + 1)
 
-    def answer(self, handler: BaseHTTPRequestHandler, body: bytes) -> None:
+    def answer(self, handler: BaseHTTPRequestHandler, body: bytes, door: Door) -> None:
         """Respond to a call."""
         url = urlsplit(handler.path)
         query = {name: values[-1] for name, values in parse_qs(url.query).items()}
@@ -119,7 +137,7 @@
         if self.fault == "busy":
             self._send(handler, 503, b"")
             return
-        while self.fault == "silent":
+        while self.fault == "silent" or door.is_silent:
             time.sleep(POLL_INTERVAL_S)
         call = getattr(self, "call_" + url.path.strip("/").replace("-", "_"), None)
         status, content = call(query, body) if call else (404, b"")
--- a/tests/platform/node_process.py
+++ b/tests/platform/node_process.py
@@ -30,6 +30,7 @@
         zone: str = "a",
         seeds: tuple[str, ...] = (),
     ):
+        self.name = name
         self._folder = tempfile.TemporaryDirectory()
         ports = stable_ports(4)
         self.front, self.readiness, self.control, self.metrics = (
--- a/tests/records/test_record_cache.py
+++ b/tests/records/test_record_cache.py
@@ -4,6 +4,9 @@
 
 import unittest
 
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
 from crocuswick.records.mirror import KeyedRecord, TopicUpdate
 from crocuswick.records.record_cache import RecordCache
 
@@ -38,3 +41,124 @@
         end = self.cache.ask(RecordCache.Merge(update=update))
         self.assertEqual((self.applied, end), ([b"a", b"b"], 3))
         self.assertEqual(len(self.updates), 1)
+
+
+KEYS = "abcd"
+
+
+class LossyPair:
+    """Two caches that send each other what is new to them, over a link that loses it."""
+
+    def __init__(self):
+        self.log = []
+        self.sent = []
+        self.caches = [
+            RecordCache(
+                on_record=lambda _topic, _record: None,
+                on_update=self.sent.append,
+                version_of=lambda _topic, _record: None,
+            )
+            for _ in range(2)
+        ]
+
+    def newest(self, start, end):
+        """Return the newest record of each key of a part of the log."""
+        by_key = {each.key: each for each in self.log[start:end]}
+        return tuple(by_key.values())
+
+    def write(self, key, *, is_removal):
+        value = None if is_removal else b"v"
+        self.log.append(KeyedRecord(key=key, position=len(self.log), value=value))
+
+    def read(self, number):
+        """Let a cache read from the store what it lacks."""
+        start = self.end(number)
+        if start < 0:
+            listed = [each for each in self.newest(0, None) if each.value is not None]
+            update = TopicUpdate(
+                topic=TOPIC, records=tuple(listed), end=len(self.log), is_listing=True
+            )
+        else:
+            records = tuple(self.log[start:])
+            update = TopicUpdate(
+                topic=TOPIC, records=records, start=start, end=len(self.log)
+            )
+        self.merge(number, update)
+
+    def merge(self, number, update):
+        self.caches[number].on_merge(RecordCache.Merge(update=update))
+
+    def send_new(self, number, *, is_lost):
+        """Send the other cache what was new to one."""
+        sent, self.sent[:] = list(self.sent), []
+        for update in [] if is_lost else sent:
+            self.merge(1 - number, update)
+        self.sent.clear()
+
+    def end(self, number):
+        return self.caches[number].on_end(RecordCache.End(topic=TOPIC))
+
+    def missing(self, number):
+        """Return the keys whose newest record before its end a cache doesn't have."""
+        mirror = self.caches[number]._mirror
+        known = mirror.records(TOPIC)
+        return [
+            each.key
+            for each in self.newest(0, max(0, self.end(number)))
+            if (each.key in known or each.value is not None)
+            and (each.key not in known or known[each.key].position < each.position)
+        ]
+
+
+class RecordExchangeTests(unittest.TestCase):
+    @given(
+        st.lists(
+            st.one_of(
+                st.tuples(st.just("write"), st.sampled_from(KEYS), st.booleans()),
+                st.tuples(st.just("read"), st.integers(0, 1), st.booleans()),
+                st.tuples(
+                    st.just("copy"),
+                    st.integers(0, 1),
+                    st.booleans(),
+                    st.integers(0, 12),
+                    st.integers(1, 4),
+                ),
+            ),
+            max_size=30,
+        )
+    )
+    @example(
+        [
+            ("write", "a", False),
+            ("read", 0, False),
+            ("write", "b", False),
+            ("write", "c", False),
+            ("copy", 0, True, 2, 1),
+            ("read", 0, False),
+        ]
+    )
+    @settings(max_examples=500)
+    def test_a_lost_update_does_not_hide_its_records_for_good(self, steps):
+        """Guards against updates that name a range and leave out the records of it that
+        were known to their sender. A receiver that had missed these would skip them; the
+        removal of a replica is never written again."""
+        pair = LossyPair()
+        for kind, *arguments in steps:
+            if kind == "write":
+                key, is_removal = arguments
+                pair.write(key, is_removal=is_removal)
+                continue
+            number, is_lost, *part = arguments
+            if kind == "read":
+                pair.read(number)
+            else:
+                # A copy from a node of another zone.
+                start, end = part[0], min(sum(part), len(pair.log))
+                if start < end:
+                    records = pair.newest(start, end)
+                    pair.merge(
+                        number,
+                        TopicUpdate(topic=TOPIC, records=records, start=start, end=end),
+                    )
+            pair.send_new(number, is_lost=is_lost)
+            self.assertEqual((pair.missing(0), pair.missing(1)), ([], []))
