Don't take a node's start for the end of a store outage

What callers saw: after a restart a node sent requests to a replica for up to 1.8 s longer than its neighbours after the replica's entry was removed (DRAIN). Cause: removals are delayed after an outage of the store, in which entries may lapse, and the first read after a start counted as the end of one.

Change: an outage needs two reads that are too far apart. A node that starts is told by its peers of an outage that has just ended (StoreReturned). After an outage, removals take effect 2.5 s after its end, when lapsed entries are back, not 1.8 s after each removal, which delayed one of 2.9 s by another 1.8 s and applied one of 0 s before the entry was back.

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -23,6 +23,7 @@
     ReplicaLeaving,
     ReplicaLoading,
     SmallPromptsSent,
+    StoreReturned,
     TargetVersions,
     TopicEnds,
     TopicRecords,
@@ -60,6 +61,13 @@
 """Time without a read by any known reader that counts as a store outage. Readers read
 at least every 1.9 s, and replicas' entries expire after about the same time."""
 
+RECENT_OUTAGE_S = 3.0
+"""Time after a store outage for which nodes that start are told of it."""
+
+NEW_NODE_S = 3.0
+"""Time after its start in which a node believes peers that the store was out. Later it
+has read the store itself, and a peer that was cut off would mislead it."""
+
 READ_TAKEOVER_S = 2.5
 """A node reads a topic itself if the last read by any known reader is older than
 this."""
@@ -132,6 +140,7 @@
         era.on_step(self._on_era_step)
         self._read_s_by_topic = dict.fromkeys(topics, float("-inf"))
         self._outage_ended_s_by_topic: dict[str, float] = {}
+        self._started_s = time.monotonic()
         self._topics_read: set[str] = set()
         """Topics that this node reads now."""
 
@@ -320,8 +329,20 @@
             self._dispatcher.ask(dispatcher_messages.GetTargetVersions()),
             *self._dispatcher.ask(dispatcher_messages.GetCrashes()),
             *self._kept_records(),
+            *self._recent_outages(),
         ]
 
+    def _recent_outages(self) -> list[StoreReturned]:
+        now_s = time.monotonic()
+        with self._lock:
+            ended_s_by_topic = dict(self._outage_ended_s_by_topic)
+        ages_ms = {
+            topic: round((now_s - ended_s) * 1000)
+            for topic, ended_s in ended_s_by_topic.items()
+            if now_s - ended_s < RECENT_OUTAGE_S
+        }
+        return [StoreReturned(ages_ms_by_topic=ages_ms)] if ages_ms else []
+
     def _kept_records(self) -> list[KeptRecords]:
         if self._era.current == 0:
             return []
@@ -432,7 +453,9 @@
             if read_s <= before_s:
                 return
             self._read_s_by_topic[topic] = read_s
-            if read_s - before_s > OUTAGE_AFTER_S:
+            # The first read after a start tells nothing about the time before.
+            is_first = math.isinf(before_s)
+            if not is_first and read_s - before_s > OUTAGE_AFTER_S:
                 self._outage_ended_s_by_topic[topic] = read_s
 
     def _send_missing(self, topic: str, end: int, node_id: str) -> None:
@@ -479,6 +502,19 @@
             RecordCache.MergeKept(topic=gossip.topic, records=records)
         )
 
+    @handles(StoreReturned)
+    def on_store_returned(self, gossip: StoreReturned, _sender: str) -> None:
+        """Record an outage that ended before this node had read the store."""
+        now_s = time.monotonic()
+        if now_s - self._started_s > NEW_NODE_S:
+            return
+        with self._lock:
+            for topic in self._topics:
+                age_ms = gossip.ages_ms_by_topic.get(topic)
+                if age_ms is not None:
+                    ended_s = max(self.outage_ended_s(topic), now_s - age_ms / 1000)
+                    self._outage_ended_s_by_topic[topic] = ended_s
+
     @handles(PromptPlaced)
     def on_prompt_placed(self, gossip: PromptPlaced, _sender: str) -> None:
         """Count a large prompt that a peer has sent as load of its replica."""
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -73,12 +73,10 @@
 
 DRAIN_POLL_S = 0.02
 
-RETURN_GRACE_S = 1.8
-"""Delay of a removal that is read soon after a store outage. In this time, a replica
-rewrites its entry if the entry was removed during the outage."""
-
-STORE_STABLE_S = 3.0
-"""Time after a store outage from which a removal takes effect immediately."""
+RETURN_S = 2.5
+"""Time after a store outage from which a removal takes effect. A replica whose entry was
+removed during the outage writes it again within two seconds, and the entry is read up to
+half a second later."""
 
 
 class FleetNode:
@@ -405,8 +403,7 @@
     def _remove_replica(self, replica_id: str) -> None:
         now_s = time.monotonic()
         ended_s = self._gossip.outage_ended_s(self._platform.topics.replicas)
-        is_store_stable = now_s - ended_s > STORE_STABLE_S
-        takes_effect_s = now_s if is_store_stable else now_s + RETURN_GRACE_S
+        takes_effect_s = max(now_s, ended_s + RETURN_S)
         self._dispatcher.tell(
             dispatcher_messages.ReplicaRemoved(
                 replica_id=replica_id, takes_effect_s=takes_effect_s
@@ -415,7 +412,7 @@
         self._log.record_state(
             "replica removed",
             replica=replica_id,
-            after_outage=not is_store_stable,
+            after_outage=takes_effect_s > now_s,
             effective_in_ms=round((takes_effect_s - now_s) * 1000),
         )
 
--- a/src/crocuswick/gossip/messages.py
+++ b/src/crocuswick/gossip/messages.py
@@ -28,6 +28,7 @@
     "ReplicaLeaving",
     "ReplicaLoading",
     "SmallPromptsSent",
+    "StoreReturned",
     "TargetVersions",
     "TopicEnds",
     "TopicRecords",
@@ -122,6 +123,15 @@
     """Key, position and content of each record."""
 
 
+@message("returned")
+@attrs.frozen(kw_only=True)
+class StoreReturned(GossipMessage):
+    """The store answers again after an outage, sent to a node that may have just started."""
+
+    ages_ms_by_topic: dict[str, int]
+    """Time since the first read of each topic after the outage."""
+
+
 @message("placed")
 @attrs.frozen(kw_only=True)
 class PromptPlaced(GossipMessage):
--- a/tests/gossip/test_fleet_gossip.py
+++ b/tests/gossip/test_fleet_gossip.py
@@ -7,7 +7,7 @@
 from unittest import mock
 
 from crocuswick.fleet_gossip import FleetGossip
-from crocuswick.gossip.messages import NodeAddress, TopicEnds
+from crocuswick.gossip.messages import NodeAddress, StoreReturned, TopicEnds
 from crocuswick.gossip.peers import PeerTable
 from crocuswick.gossip.service import GossipService
 from crocuswick.records.mirror import TopicUpdate
@@ -82,6 +82,57 @@
         self.assertEqual(self.senders(reading, "a3"), [])
 
 
+class StoreOutageTests(unittest.TestCase):
+    """Removals are delayed after a store outage, in which entries may have lapsed."""
+
+    def start(self, now_s):
+        with mock.patch("time.monotonic", return_value=now_s):
+            gossip = FleetGossip(
+                settings=SimpleNamespace(
+                    node_id="a1", zone="a", peers_address="10.0.0.1:80", seeds=()
+                ),
+                record_cache=Cache(),
+                dispatcher=mock.Mock(),
+                log=mock.Mock(),
+                metrics=mock.Mock(),
+                on_engine_active=mock.Mock(),
+                topics=(TOPIC,),
+                zonal_topic="",
+                era=StoreEra(),
+            )
+        self.addCleanup(gossip.stop)
+        return gossip
+
+    def read(self, gossip, *times_s):
+        for now_s in times_s:
+            with mock.patch("time.monotonic", return_value=now_s):
+                gossip.record_read(TOPIC)
+
+    def test_the_first_read_after_a_start_ends_no_outage(self):
+        """Guards against nodes that send requests to removed replicas after a start."""
+        gossip = self.start(100.0)
+        self.read(gossip, 100.1, 100.6)
+        self.assertEqual(gossip.outage_ended_s(TOPIC), float("-inf"))
+        self.read(gossip, 104.0)
+        self.assertEqual(gossip.outage_ended_s(TOPIC), 104.0)
+
+    def test_a_node_that_starts_after_an_outage_is_told_of_it(self):
+        """Otherwise it drops replicas whose entries lapsed in the outage and return."""
+        peer = self.start(100.0)
+        self.read(peer, 100.1, 104.0)
+        with mock.patch("time.monotonic", return_value=105.0):
+            (told,) = peer._recent_outages()
+        self.assertEqual(told, StoreReturned(ages_ms_by_topic={TOPIC: 1_000}))
+        started, long_up = self.start(104.5), self.start(100.0)
+        for gossip in (started, long_up):
+            with mock.patch("time.monotonic", return_value=105.0):
+                gossip.on_store_returned(told, "a2")
+        self.assertEqual(started.outage_ended_s(TOPIC), 104.0)
+        self.assertEqual(long_up.outage_ended_s(TOPIC), float("-inf"))
+        with mock.patch("time.monotonic", return_value=110.0):
+            self.assertEqual(peer._recent_outages(), [])
+
+
 class OtherZoneTests(unittest.TestCase):
     def test_a_node_of_a_zone_without_the_store_is_supplied_by_another_zone(self):
         """Guards against suppliers that a peer in another zone has no connection to,
--- a/tests/platform/node_process.py
+++ b/tests/platform/node_process.py
@@ -72,6 +72,10 @@
             return False
         return answer.startswith(b"HTTP/1.1 200")
 
+    def log(self) -> str:
+        """Return what the process has written."""
+        return self.output.read_text()
+
     def terminate(self) -> None:
         """Ask the process to stop."""
         self.process.send_signal(signal.SIGTERM)
--- a/tests/platform/test_node_departures.py
+++ b/tests/platform/test_node_departures.py
@@ -55,6 +55,24 @@
         time.sleep(READ_DELAY_S)
         self.assertEqual(self.used_replicas(node), {"desk-2"})
 
+    def test_a_removal_soon_after_an_outage_waits_no_longer_than_the_entry_may(self):
+        """Guards against removals that are delayed anew though the time in which a
+        lapsed entry returns is nearly over."""
+        node, store = self.deployment.node, self.deployment.store
+        node.start()
+        store.fault = "busy"
+        time.sleep(STABLE_S)
+        store.fault = ""
+        self.deployment.wait_until(lambda: '"store regained"' in node.log())
+        self.remove("desk-1")
+        time.sleep(READ_DELAY_S)
+        self.assertEqual(self.used_replicas(node), {"desk-1", "desk-2"})
+        time.sleep(STABLE_S - 2 * READ_DELAY_S)
+        self.remove("desk-2")
+        self.deployment.register("desk-1", born=int(time.time() * 1000))
+        time.sleep(2 * READ_DELAY_S)
+        self.assertEqual(self.used_replicas(node), {"desk-1"})
+
     def test_a_removal_is_heeded_in_time_though_the_reader_of_the_zone_is_cut_off(self):
         """Guards against nodes that rely on one without the store for longer than a
         replica serves after its removal."""
