Ignore copies of removed keys that are older than a node's listing of the topic

What callers saw: a node that has just started may send requests to a replica for good after its entry was removed (DRAIN). Cause: a node that starts lists the store's topic and is also sent a peer's copy. A peer that lags by its pause between reads still has the removed entry. The mirror knew nothing of the key and took the copy as new; the removal lies before the end of the listing, so no node sends it again. Class of fault: absence is not remembered, so that older news wins over it.

Evidence: found by the property test of the exchange of records (write, remove, list, copy).

Change: a key that is unknown to the mirror and lies before its end was removed; only a listing brings it back. Test: test_a_copy_from_before_a_listing_does_not_ bring_a_removed_key_back, failed before (the copy was merged), passes now.

--- a/src/crocuswick/records/mirror.py
+++ b/src/crocuswick/records/mirror.py
@@ -96,7 +96,11 @@
             The records that are new to this mirror.
         """
         topic = self._topics_by_name.setdefault(update.topic, _Topic())
-        newer = [record for record in update.records if self._is_newer(topic, record)]
+        newer = [
+            record
+            for record in update.records
+            if _is_newer(topic, record, is_listed=update.is_listing)
+        ]
         if update.is_listing:
             newer += _missing(topic, update)
         changed = [self._replace(update.topic, topic, record) for record in newer]
@@ -182,9 +186,14 @@
             topic=topic, records=tuple(newer), end=known.end, start=max(0, position)
         )
 
-    def _is_newer(self, topic: _Topic, record: KeyedRecord) -> bool:
-        known = topic.records_by_key.get(record.key)
-        return known is None or record.position > known.position
+
+def _is_newer(topic: _Topic, record: KeyedRecord, *, is_listed: bool) -> bool:
+    known = topic.records_by_key.get(record.key)
+    if known is None:
+        # The mirror has the newest record of each key before its end. A key without one
+        # was removed, and the record is an older copy.
+        return is_listed or record.position >= topic.end
+    return record.position > known.position
 
 
 def _missing(topic: _Topic, update: TopicUpdate) -> Iterable[KeyedRecord]:
--- a/tests/records/test_mirror.py
+++ b/tests/records/test_mirror.py
@@ -52,6 +52,16 @@
         mirror.merge(update(record(5, value=b"new")))
         self.assertEqual(mirror.merge(update(record(4, value=b"old"))), ())
 
+    def test_a_copy_from_before_a_listing_does_not_bring_a_removed_key_back(self):
+        """Guards against nodes that start, list the store and then get a lagging peer's
+        copy, and send requests to a removed replica for good: its removal lies before
+        the end of the listing and is never sent again."""
+        mirror = RecordMirror()
+        mirror.merge(update(record(4, "b"), end=9, is_listing=True))
+        copy = update(record(3, "a"), record(4, "b"), start=0, end=6)
+        self.assertEqual(mirror.merge(copy), ())
+        self.assertNotIn("a", mirror.records(TOPIC))
+
     def test_a_listing_drops_keys_that_it_does_not_name(self):
         mirror = RecordMirror()
         mirror.merge(update(record(1, "a"), record(2, "b")))
