Pass records on with a range that they fill

What callers saw: a node may never learn that a replica was removed, or of a configuration, if one message to it is lost (DRAIN, CONFIG). Cause: a node passed on only those records of an update that were new to it, with the range of the whole update. A receiver that had missed the others moved its end past them. Class of fault: a claim of completeness that holds for its sender only.

Evidence: property test of two caches and a link that loses messages (explicit example: a copy from another zone, lost on its way to the neighbour, then a read of the store).

Change: the range begins where the sender's own knowledge ended, and from there on all records are included.

--- a/src/crocuswick/records/record_cache.py
+++ b/src/crocuswick/records/record_cache.py
@@ -11,7 +11,7 @@
 from crocuswick.records.mirror import KeyedRecord, RecordMirror, TopicUpdate
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
 __all__ = ["RecordCache"]
 
@@ -23,7 +23,8 @@
 
     Args:
         on_record: Called with the topic and each record that is new at this node.
-        on_update: Called with the new records of each update that contains any.
+        on_update: Called with the new records of each update that contains any, to be
+            passed on to other nodes.
         version_of: Returns the version that a record's content names, None if it names
             none.
     """
@@ -82,20 +83,36 @@
     def on_merge(self, message: Merge) -> int:
         """Merge an update and return the end position of its topic."""
         update = message.update
+        end_before = self._mirror.end(update.topic)
         changed = self._mirror.merge(update)
         for record in sorted(changed, key=lambda record: record.position):
             self._apply(update.topic, record)
         if changed:
-            self._on_update(
-                TopicUpdate(
-                    topic=update.topic,
-                    records=changed,
-                    end=update.end,
-                    start=update.start,
-                )
-            )
+            self._on_update(self._to_pass_on(update, changed, end_before))
         return self._mirror.end(update.topic)
 
+    def _to_pass_on(
+        self, update: TopicUpdate, changed: Iterable[KeyedRecord], end_before: int
+    ) -> TopicUpdate:
+        """Return the new records of an update, as an update for other nodes.
+
+        A receiver takes an update as complete from its start to its end. Before
+        `end_before` only new records are included, so it must not start there. From
+        there on, records that this node knew already are included, because a receiver
+        may lack them.
+        """
+        start = max(update.start, end_before)
+        records_by_key = {record.key: record for record in changed}
+        for record in self._mirror.since(update.topic, start).records:
+            if record.position < update.end:
+                records_by_key[record.key] = record
+        return TopicUpdate(
+            topic=update.topic,
+            records=tuple(records_by_key.values()),
+            end=update.end,
+            start=start,
+        )
+
     def on_merge_kept(self, message: MergeKept) -> None:
         """Merge records that another node has kept."""
         for record in self._mirror.merge_kept(message.topic, message.records):
