Connect to a peer as soon as its greeting arrives

What callers saw: a node that restarts is not sent records and fleet messages by its peers for up to 3 s, though it sends to them already; part of the delay after which it heeds a removed replica (DRAIN). Cause: links to a node that is down pause up to 3 s between attempts, and nothing ends the pause.

--- a/src/crocuswick/gossip/service.py
+++ b/src/crocuswick/gossip/service.py
@@ -286,6 +286,9 @@
                 )
         self._table.record_message(hello.node_id, time.monotonic())
         self._update_links()
+        link = self._links_by_address.get(hello.address)
+        if link is not None and link.disconnected_since_s is not None:
+            link.reconnect()
         self._report_changes()
 
     def _is_connected(self, address: NodeAddress) -> bool:
--- a/src/crocuswick/gossip/transport.py
+++ b/src/crocuswick/gossip/transport.py
@@ -138,6 +138,7 @@
             address=address,
             handshake=lambda: self._call_apart(handshake),
             on_queued=self._flush_soon,
+            call_soon=self._loop.call_soon_threadsafe,
         )
         link.task = self._run(link.run())
         return link
@@ -234,6 +235,7 @@
         address: ``host:port`` of the peer.
         handshake: Returns the first messages to send on each connection.
         on_queued: Called if messages wait to be sent.
+        call_soon: Calls a function on the transport's thread.
     """
 
     def __init__(
@@ -242,11 +244,14 @@
         address: str,
         handshake: Callable[[], Awaitable[list[GossipMessage]]],
         on_queued: Callable[[PeerLink], None],
+        call_soon: Callable[[Callable[[], None]], object],
     ):
         self.address = address
         self.task: asyncio.Future | None = None
         self._handshake = handshake
         self._on_queued = on_queued
+        self._call_soon = call_soon
+        self._is_peer_up = asyncio.Event()
         self._queue: deque[bytes] = deque()
         self._sender: _Sender | None = None
         # Monotonic time since which there is no connection, None while connected.
@@ -269,6 +274,10 @@
         self._on_queued(self)
         return True
 
+    def reconnect(self) -> None:
+        """Connect at once, because the peer is up, instead of after the current pause."""
+        self._call_soon(self._is_peer_up.set)
+
     def stop(self) -> None:
         """Close the connection for good."""
         self.task.cancel()
@@ -289,7 +298,14 @@
             pause_s = backoff_s(
                 failures, initial_s=FIRST_BACKOFF_S, max_s=MAX_BACKOFF_S
             )
-            await asyncio.sleep(with_jitter_s(pause_s))
+            if await self._is_told_that_peer_is_up(with_jitter_s(pause_s)):
+                failures = 0
+
+    async def _is_told_that_peer_is_up(self, timeout_s: float) -> bool:
+        self._is_peer_up.clear()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._is_peer_up.wait(), timeout_s)
+        return self._is_peer_up.is_set()
 
     def flush(self) -> None:
         """Pass the queued messages to the connection; runs on the transport's thread."""
