Read the replicas' entries before a departure must be known

Cause: it reads the store itself only when the last read that it knows of is 2.5 s old; 2 s are allowed. Such a gap then counts as an outage of the store as well, which delays the removal further. No other zone broadcasts these records. Class of fault: a time limit for a takeover that exceeds the limit which the takeover is to keep.

A read of the entries waits 0.6 s at most, not 1.5 s, so that a sound reader reads once a second.

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -72,6 +72,14 @@
 """A node reads a topic itself if the last read by any known reader is older than
 this."""
 
+ZONAL_TAKEOVER_S = 1.5
+"""The same for the topic that other zones send no records of. Its reader reads at least
+once a second, and peers hear of it up to 0.3 s later."""
+
+ZONAL_TAKEOVER_SHARE = 0.75
+"""Share of the time within which a leaving replica must be known, after which a node
+reads that topic itself. It notices that up to 0.25 s later."""
+
 SUPPLIERS = 2
 """Nodes of each zone that send a peer the records that it lacks."""
 
@@ -136,6 +144,7 @@
         self._driver: pykka.ActorRef | None = None
         self._topics = topics
         self._zonal_topic = zonal_topic
+        self._departure_s = settings.bounds.departure_ms / 1000
         self._era = era
         era.on_step(self._on_era_step)
         self._read_s_by_topic = dict.fromkeys(topics, float("-inf"))
@@ -244,9 +253,10 @@
                 )
             )
 
-    def set_seeds(self, seeds: tuple[str, ...]) -> None:
-        """Replace the seeds."""
-        self._gossip_service.tell(GossipService.SetSeeds(seeds=seeds))
+    def apply_settings(self, settings: FleetSettings) -> None:
+        """Apply changed seeds and bounds."""
+        self._departure_s = settings.bounds.departure_ms / 1000
+        self._gossip_service.tell(GossipService.SetSeeds(seeds=settings.seeds))
 
     def set_driver(self, driver: pykka.ActorRef) -> None:
         """Set the rollout driver, which is notified of other nodes' use of the order lease."""
@@ -284,11 +294,11 @@
         """Return whether this node should read a topic now.
 
         One node in each zone reads it and broadcasts the records. A node that has
-        not been notified of a read for `READ_TAKEOVER_S` reads the topic itself.
+        not been notified of a read for too long reads the topic itself.
         """
         age_s = time.monotonic() - self._read_s_by_topic[topic]
         rank = self.rank(topic, zone=self.own.zone)
-        is_reader = age_s > READ_TAKEOVER_S or rank == 0
+        is_reader = age_s > self._takeover_s(topic) or rank == 0
         if is_reader != (topic in self._topics_read):
             self._topics_read ^= {topic}
             self._log.record_state(
@@ -300,6 +310,11 @@
             )
         return is_reader
 
+    def _takeover_s(self, topic: str) -> float:
+        if topic != self._zonal_topic:
+            return READ_TAKEOVER_S
+        return min(ZONAL_TAKEOVER_S, ZONAL_TAKEOVER_SHARE * self._departure_s)
+
     def rank(self, task: str, *, zone: str | None = None) -> int:
         """Return this node's rank among the live nodes for a task, 0 for the first.
 
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -66,7 +66,10 @@
 READINESS_THREADS = 2
 METRICS_THREADS = 1
 OPERATIONS_WAIT_MS = 1_500
-REPLICAS_WAIT_MS = 1_500
+REPLICAS_WAIT_MS = 600
+"""Longest time for which a read of the replicas' entries waits; its node is expected to
+read at least once a second."""
+
 REPLICAS_READ_PAUSE_S = 0.4
 """Pause between reads of the replicas' entries; a fifth of the time after which a
 removed replica must no longer be used."""
@@ -337,7 +340,7 @@
         self._driver.tell(
             RolloutDriver.SetHandoverTime(handover_s=bounds.lease_ms / 1000)
         )
-        self._gossip.set_seeds(settings.seeds)
+        self._gossip.apply_settings(settings)
 
     # Records from the store and from peers.
 
--- a/src/crocuswick/fleet_settings.py
+++ b/src/crocuswick/fleet_settings.py
@@ -30,6 +30,11 @@
     first order of the next holder.
     """
 
+    departure_ms: int
+    """Time after a replica has announced that it leaves, or its entry was removed, from
+    which it is sent no request.
+    """
+
     weights_ms: int
     """Time after a new target version is set from which no request starts on older
     weights.
--- a/tests/gossip/test_fleet_gossip.py
+++ b/tests/gossip/test_fleet_gossip.py
@@ -6,6 +6,8 @@
 from types import SimpleNamespace
 from unittest import mock
 
+import attrs
+
 from crocuswick.fleet_gossip import FleetGossip
 from crocuswick.gossip.messages import NodeAddress, StoreReturned, TopicEnds
 from crocuswick.gossip.peers import PeerTable
@@ -13,9 +15,10 @@
 from crocuswick.records.mirror import TopicUpdate
 from crocuswick.records.record_cache import RecordCache
 from crocuswick.records.store_era import StoreEra
-from tests.gossip.in_memory_fleet import InMemoryFleet
+from tests.gossip.in_memory_fleet import BOUNDS, InMemoryFleet
 
 TOPIC = "configuration"
+ZONAL_TOPIC = "replicas"
 ZONE_NODES = 17
 
 
@@ -45,6 +48,7 @@
                     zone="a",
                     peers_address=node(number).address,
                     seeds=(),
+                    bounds=BOUNDS,
                 ),
                 record_cache=Cache(),
                 dispatcher=mock.Mock(),
@@ -89,7 +93,11 @@
         with mock.patch("time.monotonic", return_value=now_s):
             gossip = FleetGossip(
                 settings=SimpleNamespace(
-                    node_id="a1", zone="a", peers_address="10.0.0.1:80", seeds=()
+                    node_id="a1",
+                    zone="a",
+                    peers_address="10.0.0.1:80",
+                    seeds=(),
+                    bounds=BOUNDS,
                 ),
                 record_cache=Cache(),
                 dispatcher=mock.Mock(),
@@ -133,6 +141,51 @@
             self.assertEqual(peer._recent_outages(), [])
 
 
+class TakeoverTests(unittest.TestCase):
+    """A node whose zone's reader is silent reads the store itself."""
+
+    def is_reader(self, topic, age_s, *, departure_ms=2_000):
+        """Return whether a node reads a topic that another one has read last."""
+        with mock.patch("time.monotonic", return_value=100.0):
+            gossip = FleetGossip(
+                settings=SimpleNamespace(
+                    node_id="a1",
+                    zone="a",
+                    peers_address="10.0.0.1:80",
+                    seeds=(),
+                    bounds=attrs.evolve(BOUNDS, departure_ms=departure_ms),
+                ),
+                record_cache=Cache(),
+                dispatcher=mock.Mock(),
+                log=mock.Mock(),
+                metrics=mock.Mock(),
+                on_engine_active=mock.Mock(),
+                topics=(TOPIC, ZONAL_TOPIC),
+                zonal_topic=ZONAL_TOPIC,
+                era=StoreEra(),
+            )
+            self.addCleanup(gossip.stop)
+            gossip.record_read(topic)
+        with (
+            mock.patch("time.monotonic", return_value=100.0 + age_s),
+            mock.patch.object(gossip, "rank", return_value=1),
+        ):
+            return gossip.is_reader(topic)
+
+    def test_replicas_are_read_before_a_departure_must_be_known(self):
+        """Guards against nodes that rely on a silent reader until a removed replica has
+        to be known: no other zone sends them its entry."""
+        self.assertFalse(self.is_reader(ZONAL_TOPIC, 1.4))
+        self.assertTrue(self.is_reader(ZONAL_TOPIC, 1.6))
+        self.assertTrue(self.is_reader(ZONAL_TOPIC, 0.8, departure_ms=1_000))
+        self.assertFalse(self.is_reader(ZONAL_TOPIC, 1.4, departure_ms=9_000))
+        self.assertTrue(self.is_reader(ZONAL_TOPIC, 1.6, departure_ms=9_000))
+
+    def test_a_topic_that_other_zones_send_is_read_later(self):
+        self.assertFalse(self.is_reader(TOPIC, 2.4))
+        self.assertTrue(self.is_reader(TOPIC, 2.6))
+
+
 class OtherZoneTests(unittest.TestCase):
     def test_a_node_of_a_zone_without_the_store_is_supplied_by_another_zone(self):
         """Guards against suppliers that a peer in another zone has no connection to,
