End an answer of a replica at its last chunk

What callers saw: a complete answer that is followed by trailers without end was passed on only at its deadline, and sometimes ended as 504. Cause: the trailers were read before the end of the body was reported. A connection to a replica is used once, so that they need not be read.

Test: test_an_answer_ends_at_its_last_chunk failed before (no end within 0.5 s), passes now.

--- a/src/crocuswick/bounded_answer.py
+++ b/src/crocuswick/bounded_answer.py
@@ -84,7 +84,11 @@
 
 
 class BoundedHeadAnswer(HTTPResponse):
-    """An answer whose head is limited; its user limits the body."""
+    """An answer whose head is limited; its user limits the body.
+
+    It ends at the last chunk of its body. Trailers stay unread, so that its connection
+    can't be used again.
+    """
 
     def __init__(self, sock: socket.socket, *args: Any, **kwargs: Any):
         super().__init__(sock, *args, **kwargs)
@@ -99,6 +103,9 @@
         super().begin()
         self._reader.remaining_bytes = float("inf")
 
+    def _read_and_discard_trailer(self) -> None:
+        """Read no trailers, which may come without end after a complete body."""
+
 
 class _BoundedAnswer(BoundedHeadAnswer):
     """An answer that is limited as a whole, in bytes and time."""
@@ -113,6 +120,10 @@
         super().begin()
         self._reader.remaining_bytes = MAX_ANSWER_BYTES
 
+    def _read_and_discard_trailer(self) -> None:
+        """Read the trailers, because the connection is used again."""
+        HTTPResponse._read_and_discard_trailer(self)
+
 
 class _BoundedConnection(HTTPConnection):
     response_class = _BoundedAnswer
--- a/tests/relay/test_upstream.py
+++ b/tests/relay/test_upstream.py
@@ -27,6 +27,21 @@
         self.assertEqual(self.upstream.read(1.0).ok_value, b"ok")
         self.assertEqual(self.upstream.read(1.0).ok_value, b"")
 
+    def test_an_answer_ends_at_its_last_chunk(self):
+        """Guards against complete answers that are late, or fail, because trailers follow
+        that have no end."""
+
+        def script(received):
+            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            received.send(head + b"2\r\nok\r\n0\r\nX-Trailer: 1\r\n")
+            received.is_closed_within(3.0)
+
+        self.replica.script = script
+        self.assertTrue(self.upstream.connect(1.0).is_ok())
+        self.assertTrue(self.upstream.send(REQUEST, 1.0).is_ok())
+        self.assertEqual(self.upstream.read(0.5).ok_value, b"ok")
+        self.assertEqual(self.upstream.read(0.5).ok(), b"")
+
     def test_an_abort_before_the_handshake_prevents_the_request(self):
         """Guards against an abort that is lost: the caller disconnected before there
         was a socket, and the request was sent nevertheless."""
