Read the configuration, too, before it must be in force

Callers could be refused, or served by a removed route, for longer than allowed after a configuration was accepted (CONFIG): the same cause as for the replicas' entries, a takeover of the reading after 2.5 s. Copies from other zones hide it, unless a zone is alone or cut off.

Change: 1.5 s for both topics, or three quarters of the smaller of the two bounds (Bounds.DrainMs, Bounds.ConfigApplyMs); a read of the operators' records waits 1 s at most, not 1.5 s. Test: test_a_configuration_is_applied_in_time_though_the_reader_is_cut_off failed before (not in force after 2 s), passes now.

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -48,7 +48,7 @@
     from crocuswick.actor import Message
     from crocuswick.decision_log import DecisionLog
     from crocuswick.fleet_metrics import FleetMetrics
-    from crocuswick.fleet_settings import FleetSettings
+    from crocuswick.fleet_settings import FleetBounds, FleetSettings
     from crocuswick.records.store_era import StoreEra
 
 __all__ = ["FleetGossip"]
@@ -68,17 +68,13 @@
 """Time after its start in which a node believes peers that the store was out. Later it
 has read the store itself, and a peer that was cut off would mislead it."""
 
-READ_TAKEOVER_S = 2.5
-"""A node reads a topic itself if the last read by any known reader is older than
-this."""
+READ_TAKEOVER_S = 1.5
+"""A node reads a topic itself if the last read by any known reader is older than this. A
+reader reads at least once a second, and its peers hear of it up to 0.3 s later."""
 
-ZONAL_TAKEOVER_S = 1.5
-"""The same for the topic that other zones send no records of. Its reader reads at least
-once a second, and peers hear of it up to 0.3 s later."""
-
-ZONAL_TAKEOVER_SHARE = 0.75
-"""Share of the time within which a leaving replica must be known, after which a node
-reads that topic itself. It notices that up to 0.25 s later."""
+READ_TAKEOVER_SHARE = 0.75
+"""The same as a share of the time within which records must be known, where that is less.
+The node notices the age of the last read up to 0.25 s later."""
 
 SUPPLIERS = 2
 """Nodes of each zone that send a peer the records that it lacks."""
@@ -144,7 +140,7 @@
         self._driver: pykka.ActorRef | None = None
         self._topics = topics
         self._zonal_topic = zonal_topic
-        self._departure_s = settings.bounds.departure_ms / 1000
+        self._takeover_s = _takeover_s(settings.bounds)
         self._era = era
         era.on_step(self._on_era_step)
         self._read_s_by_topic = dict.fromkeys(topics, float("-inf"))
@@ -255,7 +251,7 @@
 
     def apply_settings(self, settings: FleetSettings) -> None:
         """Apply changed seeds and bounds."""
-        self._departure_s = settings.bounds.departure_ms / 1000
+        self._takeover_s = _takeover_s(settings.bounds)
         self._gossip_service.tell(GossipService.SetSeeds(seeds=settings.seeds))
 
     def set_driver(self, driver: pykka.ActorRef) -> None:
@@ -298,7 +294,7 @@
         """
         age_s = time.monotonic() - self._read_s_by_topic[topic]
         rank = self.rank(topic, zone=self.own.zone)
-        is_reader = age_s > self._takeover_s(topic) or rank == 0
+        is_reader = age_s > self._takeover_s or rank == 0
         if is_reader != (topic in self._topics_read):
             self._topics_read ^= {topic}
             self._log.record_state(
@@ -310,11 +306,6 @@
             )
         return is_reader
 
-    def _takeover_s(self, topic: str) -> float:
-        if topic != self._zonal_topic:
-            return READ_TAKEOVER_S
-        return min(ZONAL_TAKEOVER_S, ZONAL_TAKEOVER_SHARE * self._departure_s)
-
     def rank(self, task: str, *, zone: str | None = None) -> int:
         """Return this node's rank among the live nodes for a task, 0 for the first.
 
@@ -632,6 +623,12 @@
             self._driver.tell(message)
 
 
+def _takeover_s(bounds: FleetBounds) -> float:
+    """Return the age of the last known read at which a node reads a topic itself."""
+    known_within_ms = min(bounds.departure_ms, bounds.configuration_ms)
+    return min(READ_TAKEOVER_S, READ_TAKEOVER_SHARE * known_within_ms / 1000)
+
+
 def _topic_records(update: TopicUpdate) -> TopicRecords:
     return TopicRecords(
         topic=update.topic,
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -65,10 +65,10 @@
 
 READINESS_THREADS = 2
 METRICS_THREADS = 1
-OPERATIONS_WAIT_MS = 1_500
+OPERATIONS_WAIT_MS = 1_000
 REPLICAS_WAIT_MS = 600
-"""Longest time for which a read of the replicas' entries waits; its node is expected to
-read at least once a second."""
+"""Longest time for which a read waits; its node is expected to read each topic at least
+once a second."""
 
 REPLICAS_READ_PAUSE_S = 0.4
 """Pause between reads of the replicas' entries; a fifth of the time after which a
--- a/src/crocuswick/fleet_settings.py
+++ b/src/crocuswick/fleet_settings.py
@@ -30,6 +30,9 @@
     first order of the next holder.
     """
 
+    configuration_ms: int
+    """Time after the store has accepted a configuration from which it is in force."""
+
     departure_ms: int
     """Time after a replica has announced that it leaves, or its entry was removed, from
     which it is sent no request.
--- a/src/crocuswick/platform/settings_file.py
+++ b/src/crocuswick/platform/settings_file.py
@@ -72,6 +72,7 @@
         # All nodes of the fleet share these retries.
         retry_slack=reader.non_negative_int("Bounds.BudgetSlack", default=50),
         lease_ms=reader.non_negative_int("Bounds.LeaseMs", default=3_000),
+        configuration_ms=reader.non_negative_int("Bounds.ConfigApplyMs", default=2_000),
         departure_ms=reader.non_negative_int("Bounds.DrainMs", default=2_000),
         weights_ms=reader.non_negative_int("Bounds.VersionMs", default=10_000),
     )
--- a/tests/gossip/test_fleet_gossip.py
+++ b/tests/gossip/test_fleet_gossip.py
@@ -18,7 +18,6 @@
 from tests.gossip.in_memory_fleet import BOUNDS, InMemoryFleet
 
 TOPIC = "configuration"
-ZONAL_TOPIC = "replicas"
 ZONE_NODES = 17
 
 
@@ -144,7 +143,7 @@
 class TakeoverTests(unittest.TestCase):
     """A node whose zone's reader is silent reads the store itself."""
 
-    def is_reader(self, topic, age_s, *, departure_ms=2_000):
+    def is_reader(self, age_s, **bounds):
         """Return whether a node reads a topic that another one has read last."""
         with mock.patch("time.monotonic", return_value=100.0):
             gossip = FleetGossip(
@@ -153,37 +152,34 @@
                     zone="a",
                     peers_address="10.0.0.1:80",
                     seeds=(),
-                    bounds=attrs.evolve(BOUNDS, departure_ms=departure_ms),
+                    bounds=attrs.evolve(BOUNDS, **bounds),
                 ),
                 record_cache=Cache(),
                 dispatcher=mock.Mock(),
                 log=mock.Mock(),
                 metrics=mock.Mock(),
                 on_engine_active=mock.Mock(),
-                topics=(TOPIC, ZONAL_TOPIC),
-                zonal_topic=ZONAL_TOPIC,
+                topics=(TOPIC,),
+                zonal_topic="",
                 era=StoreEra(),
             )
             self.addCleanup(gossip.stop)
-            gossip.record_read(topic)
+            gossip.record_read(TOPIC)
         with (
             mock.patch("time.monotonic", return_value=100.0 + age_s),
             mock.patch.object(gossip, "rank", return_value=1),
         ):
-            return gossip.is_reader(topic)
-
-    def test_replicas_are_read_before_a_departure_must_be_known(self):
-        """Guards against nodes that rely on a silent reader until a removed replica has
-        to be known: no other zone sends them its entry."""
-        self.assertFalse(self.is_reader(ZONAL_TOPIC, 1.4))
-        self.assertTrue(self.is_reader(ZONAL_TOPIC, 1.6))
-        self.assertTrue(self.is_reader(ZONAL_TOPIC, 0.8, departure_ms=1_000))
-        self.assertFalse(self.is_reader(ZONAL_TOPIC, 1.4, departure_ms=9_000))
-        self.assertTrue(self.is_reader(ZONAL_TOPIC, 1.6, departure_ms=9_000))
-
-    def test_a_topic_that_other_zones_send_is_read_later(self):
-        self.assertFalse(self.is_reader(TOPIC, 2.4))
-        self.assertTrue(self.is_reader(TOPIC, 2.6))
+            return gossip.is_reader(TOPIC)
+
+    def test_a_topic_is_read_before_its_records_must_be_known(self):
+        """Guards against nodes that rely on a silent reader until a removed replica or a
+        configuration has to be known."""
+        self.assertFalse(self.is_reader(1.4))
+        self.assertTrue(self.is_reader(1.6))
+        for name in ("departure_ms", "configuration_ms"):
+            with self.subTest(bound=name):
+                self.assertTrue(self.is_reader(0.8, **{name: 1_000}))
+                self.assertFalse(self.is_reader(1.4, **{name: 9_000}))
 
 
 class OtherZoneTests(unittest.TestCase):
--- a/tests/platform/test_node_departures.py
+++ b/tests/platform/test_node_departures.py
@@ -1,4 +1,4 @@
-"""Tests of how soon a node stops using a replica whose entry is removed from the store.
+"""Tests of how soon a node heeds what the store says.
 
 Some replicas leave without reporting that they drain: their entries are removed, and they
 serve on for a while.
@@ -15,6 +15,9 @@
 DRAIN_S = 2.0
 """Time after a removal from which no node may send the replica a request."""
 
+CONFIGURATION_S = 2.0
+"""Time after which a new configuration is in force at every node."""
+
 READ_DELAY_S = 0.8
 """Longer than a node with a store in sound condition takes to read a removal."""
 
@@ -73,9 +76,12 @@
         time.sleep(2 * READ_DELAY_S)
         self.assertEqual(self.used_replicas(node), {"desk-1"})
 
-    def test_a_removal_is_heeded_in_time_though_the_reader_of_the_zone_is_cut_off(self):
-        """Guards against nodes that rely on one without the store for longer than a
-        replica serves after its removal."""
+    def start_pair(self):
+        """Start two nodes of a zone that reach the store at ports of their own.
+
+        Returns:
+            The nodes and the ports.
+        """
         store = self.deployment.store
         doors = [store.listen(), store.listen()]
         nodes = [
@@ -86,6 +92,30 @@
             self.addCleanup(node.stop)
             node.start()
         time.sleep(STABLE_S)
+        return nodes, doors
+
+    def test_a_configuration_is_applied_in_time_though_the_reader_is_cut_off(self):
+        """Guards against nodes that rely on one without the store for longer than a
+        configuration may take, where no other zone sends it."""
+        nodes, doors = self.start_pair()
+        for cut, other in ((0, 1), (1, 0)):
+            with self.subTest(cut_off=cut):
+                doors[cut].is_silent = True
+                # Answers the read under way, after which the node is cut off.
+                self.deployment.configure()
+                time.sleep(BROADCAST_S)
+                self.deployment.configure()
+                version = self.deployment.configuration["Version"]
+                time.sleep(CONFIGURATION_S)
+                in_force = f'"configuration in force", "version": {version}'
+                self.assertIn(in_force, nodes[other].log())
+                doors[cut].is_silent = False
+                time.sleep(STABLE_S)
+
+    def test_a_removal_is_heeded_in_time_though_the_reader_of_the_zone_is_cut_off(self):
+        """Guards against nodes that rely on one without the store for longer than a
+        replica serves after its removal."""
+        nodes, doors = self.start_pair()
         for cut, other in ((0, 1), (1, 0)):
             with self.subTest(cut_off=cut):
                 self.deployment.register("desk-1", born=int(time.time() * 1000))
--- a/tests/relay/samples.py
+++ b/tests/relay/samples.py
@@ -54,6 +54,7 @@
     retry_ratio=0.2,
     retry_window_ms=10_000,
     retry_slack=40,
+    configuration_ms=2_000,
     departure_ms=2_000,
     lease_ms=3_000,
     weights_ms=10_000,
