--- a/src/crocuswick/dispatcher.py
+++ b/src/crocuswick/dispatcher.py
@@ -407,6 +407,7 @@
     def on_set_fleet_share(self, message: SetFleetShare) -> None:
         """Update this node's share of the limits."""
         self._admission.set_fleet_share(message.share)
+        self._retries.set_fleet_nodes(message.share.fleet_nodes)
 
     def on_get_demand(self, message: GetDemand) -> tuple[OrganisationDemand, ...]:
         """Return the demand at this node, to be sent to the other nodes."""
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -6,6 +6,7 @@
 
 from crocuswick.byte_budget import ByteBudget
 from crocuswick.dispatcher import MAX_ATTEMPTS, Dispatcher, FailureKind
+from crocuswick.fleet_share import FleetShare
 from crocuswick.limits import Admission
 from crocuswick.load import LoadReport
 from crocuswick.placement import EndpointDescription, PlacementRequest, Placer
@@ -151,6 +152,16 @@
         self.handle(Dispatcher.Release(ticket=ticket))
         self.assertEqual(self.handle(Dispatcher.CountInFlight()), 0)
 
+    def test_a_node_of_a_large_fleet_has_its_share_of_the_reserve_of_retries(self):
+        """Guards against a reserve for each node, whatever the size of the fleet."""
+        share = FleetShare(reachable_nodes=360, fleet_nodes=360)
+        self.handle(Dispatcher.SetFleetShare(share=share))
+        failed = Dispatcher.AttemptFailed(
+            endpoint_id="a", kind=FailureKind.LOST, fingerprint="f", attempts=1
+        )
+        retries = [self.handle(failed).retry for _ in range(10)]
+        self.assertEqual(retries.count(True), 1)
+
     def test_no_retry_after_the_maximum_of_attempts(self):
         verdict = self.handle(
             Dispatcher.AttemptFailed(
