Derive how long a read of the store waits from the takeover

By computation, not by a run: in fleets with more than 12 neighbours, nodes report reads every 0.6 s, so that a sound reader of the configuration, which waits 1 s, would look silent (1.72 s) and all nodes of its zone would read beside it, at a price in calls. The wait now follows from the takeover, the interval of the reports and the pause: 0.98 and 0.6 s in small fleets, 0.68 and 0.3 s in large ones. Test: test_a_sound_reader_reads_often_enough_in_fleets_of_any_size (a new function; with the waits of before the sum for 59 nodes is 1.72 s, more than 1.5 s).

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -31,7 +31,12 @@
 )
 from crocuswick.gossip.peers import FORWARDERS, PROMPT_FORWARDERS, task_rank
 from crocuswick.gossip.record_compression import compress_records, decompress_records
-from crocuswick.gossip.service import GossipService
+from crocuswick.gossip.service import (
+    MANY_NEIGHBOURS,
+    MANY_NEIGHBOURS_TICKS,
+    TICK_S,
+    GossipService,
+)
 from crocuswick.gossip.transport import GossipTransport
 from crocuswick.records.mirror import KeyedRecord, TopicUpdate
 from crocuswick.records.position import era_of
@@ -58,8 +63,8 @@
 lacks. A peer that reads the topic itself does so more often."""
 
 OUTAGE_AFTER_S = 2.2
-"""Time without a read by any known reader that counts as a store outage. Readers read
-at least every 1.9 s, and replicas' entries expire after about the same time."""
+"""Time without a read by any known reader that counts as a store outage. In a sound fleet
+some node reads earlier (`READ_TAKEOVER_S`), and entries of replicas lapse later."""
 
 RECENT_OUTAGE_S = 3.0
 """Time after a store outage for which nodes that start are told of it."""
@@ -69,13 +74,17 @@
 has read the store itself, and a peer that was cut off would mislead it."""
 
 READ_TAKEOVER_S = 1.5
-"""A node reads a topic itself if the last read by any known reader is older than this. A
-reader reads at least once a second, and its peers hear of it up to 0.3 s later."""
+"""A node reads a topic itself if the last read by any known reader is older than this."""
 
 READ_TAKEOVER_SHARE = 0.75
 """The same as a share of the time within which records must be known, where that is less.
 The node notices the age of the last read up to 0.25 s later."""
 
+READ_MARGIN_S = 0.1
+"""Time for a read of the store and for the message about it to arrive."""
+
+MIN_READ_WAIT_S = 0.1
+
 SUPPLIERS = 2
 """Nodes of each zone that send a peer the records that it lacks."""
 
@@ -306,6 +315,17 @@
             )
         return is_reader
 
+    def read_wait_s(self, pause_s: float) -> float:
+        """Return how long a read of the store may wait so that no other node takes over.
+
+        Args:
+            pause_s: Pause between reads.
+        """
+        has_many_neighbours = self._known_count - 1 > MANY_NEIGHBOURS
+        ticks = MANY_NEIGHBOURS_TICKS if has_many_neighbours else 1
+        told_after_s = TICK_S * ticks + ENDS_CACHE_S + READ_MARGIN_S
+        return max(MIN_READ_WAIT_S, self._takeover_s - told_after_s - pause_s)
+
     def rank(self, task: str, *, zone: str | None = None) -> int:
         """Return this node's rank among the live nodes for a task, 0 for the first.
 
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -65,11 +65,7 @@
 
 READINESS_THREADS = 2
 METRICS_THREADS = 1
-OPERATIONS_WAIT_MS = 1_000
-REPLICAS_WAIT_MS = 600
-"""Longest time for which a read waits; its node is expected to read each topic at least
-once a second."""
-
+OPERATIONS_READ_PAUSE_S = 0.02
 REPLICAS_READ_PAUSE_S = 0.4
 """Pause between reads of the replicas' entries; a fifth of the time after which a
 removed replica must no longer be used."""
@@ -251,25 +247,15 @@
 
     def _build_readers(self) -> None:
         topics = self._platform.topics
-        self.application.add(
-            self._reader(
-                topics.operations, wait_ms=OPERATIONS_WAIT_MS, read_pause_s=0.02
-            )
-        )
-        self.application.add(
-            self._reader(
-                topics.replicas,
-                wait_ms=REPLICAS_WAIT_MS,
-                read_pause_s=REPLICAS_READ_PAUSE_S,
-            )
-        )
+        self.application.add(self._reader(topics.operations, OPERATIONS_READ_PAUSE_S))
+        self.application.add(self._reader(topics.replicas, REPLICAS_READ_PAUSE_S))
 
-    def _reader(self, topic: str, *, wait_ms: int, read_pause_s: float) -> TopicReader:
+    def _reader(self, topic: str, read_pause_s: float) -> TopicReader:
         return TopicReader(
             topic=topic,
             store=self._platform.open_store(),
             record_cache=self._record_cache,
-            wait_ms=wait_ms,
+            wait_s=lambda: self._gossip.read_wait_s(read_pause_s),
             read_pause_s=read_pause_s,
             should_read=lambda: self._gossip.is_reader(topic),
             on_read=self._gossip.record_read,
--- a/src/crocuswick/records/reader.py
+++ b/src/crocuswick/records/reader.py
@@ -43,7 +43,8 @@
         topic: Name of the topic.
         store: Client of the store, used by this thread only.
         record_cache: Actor that merges the records.
-        wait_ms: Longest time for which a read waits at the store for a new record.
+        wait_s: Returns the longest time for which a read waits at the store for a new
+            record.
         read_pause_s: Pause after each read, which limits the rate of reads.
         should_read: Returns whether this node is responsible for reading the topic.
         on_read: Called after each successful read, before its records are merged.
@@ -56,7 +57,7 @@
         topic: str,
         store: RecordStore,
         record_cache: pykka.ActorRef,
-        wait_ms: int,
+        wait_s: Callable[[], float],
         read_pause_s: float,
         should_read: Callable[[], bool],
         on_read: Callable[[str], None],
@@ -65,7 +66,7 @@
         self._topic = topic
         self._store = store
         self._record_cache = record_cache
-        self._wait_ms = wait_ms
+        self._wait_s = wait_s
         self._read_pause_s = read_pause_s
         self._should_read = should_read
         self._on_read = on_read
@@ -105,7 +106,8 @@
         end = self._record_cache.ask(RecordCache.End(topic=self._topic))
         read = None
         if end >= 0:
-            read = self._store.read_keyed(self._topic, start=end, wait_ms=self._wait_ms)
+            wait_ms = round(self._wait_s() * 1000)
+            read = self._store.read_keyed(self._topic, start=end, wait_ms=wait_ms)
         if read is None or (read.is_ok() and read.ok_value is None):
             read = self._store.list_newest(self._topic)
         if read.is_ok():
--- a/tests/gossip/test_fleet_gossip.py
+++ b/tests/gossip/test_fleet_gossip.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from crocuswick.fleet_gossip import FleetGossip
+from crocuswick.fleet_gossip import ENDS_CACHE_S, READ_TAKEOVER_S, FleetGossip
 from crocuswick.gossip.messages import NodeAddress, StoreReturned, TopicEnds
 from crocuswick.gossip.peers import PeerTable
 from crocuswick.gossip.service import GossipService
@@ -143,8 +143,7 @@
 class TakeoverTests(unittest.TestCase):
     """A node whose zone's reader is silent reads the store itself."""
 
-    def is_reader(self, age_s, **bounds):
-        """Return whether a node reads a topic that another one has read last."""
+    def start(self, **bounds):
         with mock.patch("time.monotonic", return_value=100.0):
             gossip = FleetGossip(
                 settings=SimpleNamespace(
@@ -165,12 +164,29 @@
             )
             self.addCleanup(gossip.stop)
             gossip.record_read(TOPIC)
+        return gossip
+
+    def is_reader(self, age_s, **bounds):
+        """Return whether a node reads a topic that another one has read last."""
+        gossip = self.start(**bounds)
         with (
             mock.patch("time.monotonic", return_value=100.0 + age_s),
             mock.patch.object(gossip, "rank", return_value=1),
         ):
             return gossip.is_reader(TOPIC)
 
+    def test_a_sound_reader_reads_often_enough_in_fleets_of_any_size(self):
+        """Guards against all nodes of a zone that read the store beside its reader: in
+        large fleets they hear of its reads less often."""
+        for nodes, tick_s in ((2, 0.3), (7, 0.3), (59, 0.6), (195, 0.6)):
+            for pause_s in (0.02, 0.4):
+                with self.subTest(nodes=nodes, pause_s=pause_s):
+                    gossip = self.start()
+                    gossip._on_peers(frozenset(), nodes)
+                    age_s = gossip.read_wait_s(pause_s) + pause_s + tick_s
+                    self.assertLess(age_s + ENDS_CACHE_S, READ_TAKEOVER_S)
+                    self.assertGreater(gossip.read_wait_s(pause_s), 0.2)
+
     def test_a_topic_is_read_before_its_records_must_be_known(self):
         """Guards against nodes that rely on a silent reader until a removed replica or a
         configuration has to be known."""
--- a/tests/records/test_reader.py
+++ b/tests/records/test_reader.py
@@ -34,7 +34,7 @@
             topic=TOPIC,
             store=store,
             record_cache=Cache(),
-            wait_ms=10,
+            wait_s=lambda: 0.01,
             read_pause_s=0.05,
             should_read=lambda: True,
             on_read=lambda _topic: was_read.set(),
