Don't take a peer's lack of a read of the store for a read long ago

Nodes that start together delayed removals by up to 1.8 s, as after an outage: a peer that had not read a topic yet counted as one that read it 11 days ago, and the node's own first read as the end of an outage. The same class as the start itself (a value that is not known is taken for an extreme one).

Test: test_a_peer_that_knows_of_no_read_makes_the_first_one_no_outage failed before (an outage ended at 100.2 s), passes now.

--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -443,11 +443,11 @@
         known = self._known_ends(now_s)
         for topic in self._topics:
             end = gossip.ends_by_topic.get(topic, -1)
-            age_s = gossip.ages_ms_by_topic.get(topic, 1e9) / 1000
+            age_s = gossip.ages_ms_by_topic.get(topic, math.inf) / 1000
             own_end = known.get(topic, -1)
             # While this node lacks records that the peer has, the peer's read doesn't
             # count, so that this node reads the topic itself if they don't arrive.
-            if own_end >= end:
+            if own_end >= end and topic in gossip.ages_ms_by_topic:
                 self._update_last_read(topic, now_s - age_s)
             lacks_records = own_end > end and (age_s > STALE_READ_S or end < 0)
             if lacks_records and self._supplies(sender):
--- a/tests/gossip/test_fleet_gossip.py
+++ b/tests/gossip/test_fleet_gossip.py
@@ -123,6 +123,16 @@
         self.read(gossip, 104.0)
         self.assertEqual(gossip.outage_ended_s(TOPIC), 104.0)
 
+    def test_a_peer_that_knows_of_no_read_makes_the_first_one_no_outage(self):
+        """Guards against nodes that start together: each took the other's lack of a read
+        for a read long ago, and its own first one for the end of an outage."""
+        gossip = self.start(100.0)
+        started = TopicEnds(ends_by_topic={TOPIC: -1}, ages_ms_by_topic={})
+        with mock.patch("time.monotonic", return_value=100.1):
+            gossip.on_topic_ends(started, "a2")
+        self.read(gossip, 100.2)
+        self.assertEqual(gossip.outage_ended_s(TOPIC), float("-inf"))
+
     def test_a_node_that_starts_after_an_outage_is_told_of_it(self):
         """Otherwise it drops replicas whose entries lapsed in the outage and return."""
         peer = self.start(100.0)
