--- a/tests/gossip/test_fleet_gossip.py
+++ b/tests/gossip/test_fleet_gossip.py
@@ -34,6 +34,27 @@
         return TopicUpdate(topic=TOPIC, records=(), end=7, start=message.position)
 
 
+def start_gossip(own: NodeAddress, **bounds) -> FleetGossip:
+    """Start the gossip of a node whose bounds differ from the usual ones."""
+    return FleetGossip(
+        settings=SimpleNamespace(
+            node_id=own.node_id,
+            zone=own.zone,
+            peers_address=own.address,
+            seeds=(),
+            bounds=attrs.evolve(BOUNDS, **bounds),
+        ),
+        record_cache=Cache(),
+        dispatcher=mock.Mock(),
+        log=mock.Mock(),
+        metrics=mock.Mock(),
+        on_engine_active=mock.Mock(),
+        topics=(TOPIC,),
+        zonal_topic="",
+        era=StoreEra(),
+    )
+
+
 class MissingRecordsTests(unittest.TestCase):
     def senders(self, ends: TopicEnds, peer: str) -> list[str]:
         """Return the nodes of a zone that send a peer the records it lacks."""
@@ -41,23 +62,7 @@
         for number in range(ZONE_NODES):
             if node(number).node_id == peer:
                 continue
-            gossip = FleetGossip(
-                settings=SimpleNamespace(
-                    node_id=f"a{number}",
-                    zone="a",
-                    peers_address=node(number).address,
-                    seeds=(),
-                    bounds=BOUNDS,
-                ),
-                record_cache=Cache(),
-                dispatcher=mock.Mock(),
-                log=mock.Mock(),
-                metrics=mock.Mock(),
-                on_engine_active=mock.Mock(),
-                topics=(TOPIC,),
-                zonal_topic="",
-                era=StoreEra(),
-            )
+            gossip = start_gossip(node(number))
             gossip._on_peers(
                 frozenset(node(each) for each in range(ZONE_NODES)), ZONE_NODES
             )
@@ -90,23 +95,7 @@
 
     def start(self, now_s):
         with mock.patch("time.monotonic", return_value=now_s):
-            gossip = FleetGossip(
-                settings=SimpleNamespace(
-                    node_id="a1",
-                    zone="a",
-                    peers_address="10.0.0.1:80",
-                    seeds=(),
-                    bounds=BOUNDS,
-                ),
-                record_cache=Cache(),
-                dispatcher=mock.Mock(),
-                log=mock.Mock(),
-                metrics=mock.Mock(),
-                on_engine_active=mock.Mock(),
-                topics=(TOPIC,),
-                zonal_topic="",
-                era=StoreEra(),
-            )
+            gossip = start_gossip(node(1))
         self.addCleanup(gossip.stop)
         return gossip
 
@@ -155,23 +144,7 @@
 
     def start(self, **bounds):
         with mock.patch("time.monotonic", return_value=100.0):
-            gossip = FleetGossip(
-                settings=SimpleNamespace(
-                    node_id="a1",
-                    zone="a",
-                    peers_address="10.0.0.1:80",
-                    seeds=(),
-                    bounds=attrs.evolve(BOUNDS, **bounds),
-                ),
-                record_cache=Cache(),
-                dispatcher=mock.Mock(),
-                log=mock.Mock(),
-                metrics=mock.Mock(),
-                on_engine_active=mock.Mock(),
-                topics=(TOPIC,),
-                zonal_topic="",
-                era=StoreEra(),
-            )
+            gossip = start_gossip(node(1), **bounds)
             self.addCleanup(gossip.stop)
             gossip.record_read(TOPIC)
         return gossip
