Take lapsed entries for removed 2 s after the store's return is known

Cause: our own change to 2.5 s after the first read that follows the outage; a node notices the return up to 1 s late (pause between failed reads), so that removals took effect up to 3.5 s after it. The users ask for about two seconds. Now 2 s after that read, so at most 3 s after the return.

--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -72,10 +72,10 @@
 
 DRAIN_POLL_S = 0.02
 
-RETURN_S = 2.5
-"""Time after a store outage from which a removal takes effect. A replica whose entry was
-removed during the outage writes it again within two seconds, and the entry is read up to
-half a second later."""
+RETURN_S = 2.0
+"""Time after the first read that follows a store outage, from which a removal takes effect.
+A replica whose entry was removed during the outage writes it again within two seconds of
+the store's return, and the first read is some tenths of a second later than that."""
 
 
 class FleetNode:
