--- a/src/crocuswick/gossip/transport.py
+++ b/src/crocuswick/gossip/transport.py
@@ -298,10 +298,15 @@
             pause_s = backoff_s(
                 failures, initial_s=FIRST_BACKOFF_S, max_s=MAX_BACKOFF_S
             )
-            if await self._is_told_that_peer_is_up(with_jitter_s(pause_s)):
+            if await self._wait_for_peer(with_jitter_s(pause_s)):
                 failures = 0
 
-    async def _is_told_that_peer_is_up(self, timeout_s: float) -> bool:
+    async def _wait_for_peer(self, timeout_s: float) -> bool:
+        """Wait until the peer is known to be up.
+
+        Returns:
+            False if that was not known within the time limit.
+        """
         self._is_peer_up.clear()
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._is_peer_up.wait(), timeout_s)
--- a/tests/platform/metadata_store.py
+++ b/tests/platform/metadata_store.py
@@ -26,7 +26,7 @@
 
 
 @attrs.define(kw_only=True)
-class Door:
+class StorePort:
     """A port of the store."""
 
     address: str = ""
@@ -51,20 +51,20 @@
         self._servers: list[ThreadingHTTPServer] = []
         self.address = self.listen().address
 
-    def listen(self) -> Door:
+    def listen(self) -> StorePort:
         """Listen at a further port, whose callers can be cut off alone."""
         store = self
-        door = Door()
+        port = StorePort()
 
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
             def do_GET(self):  # noqa: N802
-                store.answer(self, b"", door)
+                store.answer(self, b"", port)
 
             def do_POST(self):  # noqa: N802
                 length = int(self.headers.get("Content-Length", 0))
-                store.answer(self, self.rfile.read(length), door)
+                store.answer(self, self.rfile.read(length), port)
 
             def log_message(self, *_):
                 """Log nothing, to keep the output of the tests clean."""
@@ -72,9 +72,9 @@
         server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
         server.daemon_threads = True
         self._servers.append(server)
-        door.address = f"127.0.0.1:{server.server_port}"
+        port.address = f"127.0.0.1:{server.server_port}"
         threading.Thread(target=server.serve_forever, daemon=True).start()
-        return door
+        return port
 
     def stop(self) -> None:
         """Close the ports."""
@@ -129,7 +129,9 @@
                 self._topics_by_name[name].records = list(records)
             self.era_header = str(int(self.era_header or 0) + 1)
 
-    def answer(self, handler: BaseHTTPRequestHandler, body: bytes, door: Door) -> None:
+    def answer(
+        self, handler: BaseHTTPRequestHandler, body: bytes, port: StorePort
+    ) -> None:
         """Respond to a call."""
         url = urlsplit(handler.path)
         query = {name: values[-1] for name, values in parse_qs(url.query).items()}
@@ -137,7 +139,7 @@
         if self.fault == "busy":
             self._send(handler, 503, b"")
             return
-        while self.fault == "silent" or door.is_silent:
+        while self.fault == "silent" or port.is_silent:
             time.sleep(POLL_INTERVAL_S)
         call = getattr(self, "call_" + url.path.strip("/").replace("-", "_"), None)
         status, content = call(query, body) if call else (404, b"")
--- a/tests/platform/test_node_departures.py
+++ b/tests/platform/test_node_departures.py
@@ -83,24 +83,24 @@
             The nodes and the ports.
         """
         store = self.deployment.store
-        doors = [store.listen(), store.listen()]
+        ports = [store.listen(), store.listen()]
         nodes = [
-            NodeProcess(store_address=door.address, name=f"edge-a-{number}")
-            for number, door in enumerate(doors, 1)
+            NodeProcess(store_address=port.address, name=f"edge-a-{number}")
+            for number, port in enumerate(ports, 1)
         ]
         for node in nodes:
             self.addCleanup(node.stop)
             node.start()
         time.sleep(STABLE_S)
-        return nodes, doors
+        return nodes, ports
 
     def test_a_configuration_is_applied_in_time_though_the_reader_is_cut_off(self):
         """Guards against nodes that rely on one without the store for longer than a
         configuration may take, where no other zone sends it."""
-        nodes, doors = self.start_pair()
+        nodes, ports = self.start_pair()
         for cut, other in ((0, 1), (1, 0)):
             with self.subTest(cut_off=cut):
-                doors[cut].is_silent = True
+                ports[cut].is_silent = True
                 # Answers the read under way, after which the node is cut off.
                 self.deployment.configure()
                 time.sleep(BROADCAST_S)
@@ -109,23 +109,23 @@
                 time.sleep(CONFIGURATION_S)
                 in_force = f'"configuration in force", "version": {version}'
                 self.assertIn(in_force, nodes[other].log())
-                doors[cut].is_silent = False
+                ports[cut].is_silent = False
                 time.sleep(STABLE_S)
 
     def test_a_removal_is_heeded_in_time_though_the_reader_of_the_zone_is_cut_off(self):
         """Guards against nodes that rely on one without the store for longer than a
         replica serves after its removal."""
-        nodes, doors = self.start_pair()
+        nodes, ports = self.start_pair()
         for cut, other in ((0, 1), (1, 0)):
             with self.subTest(cut_off=cut):
                 self.deployment.register("desk-1", born=int(time.time() * 1000))
                 time.sleep(READ_DELAY_S)
-                doors[cut].is_silent = True
+                ports[cut].is_silent = True
                 # Answers the read under way, after which the node is cut off.
                 self.deployment.register("desk-2", Sequence=5 + cut)
                 time.sleep(BROADCAST_S)
                 self.remove("desk-1")
                 time.sleep(DRAIN_S)
                 self.assertEqual(self.used_replicas(nodes[other]), {"desk-2"})
-                doors[cut].is_silent = False
+                ports[cut].is_silent = False
                 time.sleep(STABLE_S)
