--- a/src/crocuswick/gossip/messages.py
+++ b/src/crocuswick/gossip/messages.py
@@ -250,7 +250,10 @@
     fingerprint: str
     incarnation: str
     age_ms: int = 0
-    """Time since the crash."""
+    """Time since the crash was confirmed."""
+
+    segments: list[str] = attrs.Factory(list)
+    """Keys of the prompt segments that the request may share with others, in order."""
 
 
 @message("fleet")
--- a/src/crocuswick/relay/crash_attribution.py
+++ b/src/crocuswick/relay/crash_attribution.py
@@ -12,9 +12,7 @@
 
 import attrs
 
-from crocuswick.quarantine import CrashReport
-
-__all__ = ["CrashAttribution"]
+__all__ = ["CrashAttribution", "LostRequest"]
 
 CONFIRM_WITHIN_S = 15.0
 """Time after a lost connection within which a crash must be confirmed. A crashed replica
@@ -29,25 +27,33 @@
 
 
 @attrs.frozen(kw_only=True)
-class _Loss:
+class LostRequest:
+    """A request whose connection to a replica was lost."""
+
     fingerprint: str
+    """Fingerprint that all retries of the request share."""
+
+    segments: tuple[str, ...]
+    """Keys of the prompt segments that it may share with others, in order."""
+
     lost_s: float
+    """Monotonic time of the loss."""
 
 
 class CrashAttribution:
     """Remembers lost connections until they are confirmed as crashes or expire."""
 
     def __init__(self):
-        self._losses_by_incarnation: dict[str, deque[_Loss]] = {}
+        self._losses_by_incarnation: dict[str, deque[LostRequest]] = {}
 
-    def record_loss(self, fingerprint: str, incarnation: str, now_s: float) -> None:
+    def record_loss(self, lost: LostRequest, incarnation: str) -> None:
         """Record a connection that was lost before any part of the answer arrived."""
         losses = self._losses_by_incarnation.setdefault(
             incarnation, deque(maxlen=MAX_LOSSES)
         )
-        losses.append(_Loss(fingerprint=fingerprint, lost_s=now_s))
+        losses.append(lost)
 
-    def confirm(self, incarnation: str, now_s: float) -> list[CrashReport]:
+    def confirm(self, incarnation: str, now_s: float) -> list[LostRequest]:
         """Record that a replica is down or has restarted.
 
         Args:
@@ -55,14 +61,10 @@
             now_s: Monotonic time.
 
         Returns:
-            A report for each request that may have crashed it.
+            The requests that may have crashed it.
         """
         losses = self._losses_by_incarnation.pop(incarnation, ())
-        return [
-            CrashReport(fingerprint=loss.fingerprint, endpoint_id=incarnation)
-            for loss in losses
-            if now_s - loss.lost_s <= CONFIRM_WITHIN_S
-        ]
+        return [lost for lost in losses if now_s - lost.lost_s <= CONFIRM_WITHIN_S]
 
     def record_answered(self, incarnation: str, now_s: float) -> None:
         """Record that a replica is up, so that its lost connections were no crashes.
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -434,6 +434,7 @@
             "crash attributed",
             replica=crashed.incarnation,
             fingerprint=crashed.fingerprint,
+            segments=crashed.segments,
             source=source,
         )
 
--- a/src/crocuswick/relay/poison_guard.py
+++ b/src/crocuswick/relay/poison_guard.py
@@ -6,7 +6,7 @@
 
 from crocuswick.gossip.messages import ReplicaCrashed
 from crocuswick.quarantine import CrashReport, Quarantine, request_fingerprint
-from crocuswick.relay.crash_attribution import CrashAttribution
+from crocuswick.relay.crash_attribution import CrashAttribution, LostRequest
 from crocuswick.relay.replica_health import AttemptResult
 
 if TYPE_CHECKING:
@@ -56,7 +56,13 @@
             return self.replica_ended(incarnation, now_s)
         # A silent replica is cut off or hung more often than crashed.
         if result is AttemptResult.FAILED and is_lost_before_answer:
-            self._attribution.record_loss(_fingerprint(request), incarnation, now_s)
+            prompt = request.caller.prompt
+            lost = LostRequest(
+                fingerprint=_fingerprint(request),
+                segments=prompt.shared_keys if prompt else (),
+                lost_s=now_s,
+            )
+            self._attribution.record_loss(lost, incarnation)
         elif result is AttemptResult.ANSWERED:
             self.replica_answered(incarnation, now_s)
             if not self._quarantine.is_empty:
@@ -73,9 +79,20 @@
         Returns:
             The crashes to broadcast to the peers.
         """
-        reports = self._attribution.confirm(incarnation, now_s)
+        lost_by_fingerprint = {
+            lost.fingerprint: lost
+            for lost in self._attribution.confirm(incarnation, now_s)
+        }
+        reports = [
+            CrashReport(fingerprint=fingerprint, endpoint_id=incarnation)
+            for fingerprint in lost_by_fingerprint
+        ]
         return [
-            ReplicaCrashed(fingerprint=report.fingerprint, incarnation=incarnation)
+            ReplicaCrashed(
+                fingerprint=report.fingerprint,
+                incarnation=incarnation,
+                segments=list(lost_by_fingerprint[report.fingerprint].segments),
+            )
             for report in self._quarantine.add(reports, now_s=now_s)
         ]
 
--- a/src/crocuswick/relay/relay_request.py
+++ b/src/crocuswick/relay/relay_request.py
@@ -40,6 +40,11 @@
         """Segments that other requests may share."""
         return self.segments[:-1]
 
+    @property
+    def shared_keys(self) -> tuple[str, ...]:
+        """Keys of the shared segments, each for this model."""
+        return tuple(f"{self.model}/{segment.id}" for segment in self.shared_segments)
+
     @property
     def shared_segment_id(self) -> str:
         """Id of the last shared segment, empty for none."""
