--- a/src/crocuswick/platform/relay_dialect.py
+++ b/src/crocuswick/platform/relay_dialect.py
@@ -143,6 +143,7 @@
             replica_id=values_by_name.get(names.REPLICA_ID.lower()),
             weights_version=_number(values_by_name, names.WEIGHTS_VERSION),
             is_encoded=encoding.strip().lower() not in ("", "identity"),
+            is_framed=response.is_framed,
             availability=decode_availability(response.status, response.headers),
         )
 
--- a/src/crocuswick/relay/relay_request.py
+++ b/src/crocuswick/relay/relay_request.py
@@ -167,4 +167,8 @@
     is_encoded: bool
     """Whether the body has a content encoding, which no request asks for."""
 
+    is_framed: bool = True
+    """Whether the body has a length or chunks. Otherwise it ends with its connection, and
+    one that is broken off may look complete."""
+
     availability: Availability = Availability()
--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -236,7 +236,7 @@
                 stalled=self._watched.stall_reason,
             )
             self._report.attempt_ended(placed, ended)
-            if result is AttemptResult.FAILED and ended.is_lost_before_answer:
+            if result is AttemptResult.FAILED and ended.is_lost:
                 self._check_replica(attempt)
 
     def _check_replica(self, attempt: Attempt) -> None:
@@ -363,7 +363,9 @@
             if splitter.is_oversized:
                 return self._after_bad_response(attempt, "event exceeds the size limit")
         if splitter.has_partial_event:
-            return self._after_bad_response(attempt, "stream ended within an event")
+            return self._after_early_end(attempt, "stream ended within an event")
+        if self._events == 0 and not head.is_framed:
+            return self._after_early_end(attempt, "stream ended before its first event")
         self._progress.possible_runs += 1
         if self._progress.head is None:
             return AttemptResult.ANSWERED, self._deliver(head, b"")
@@ -482,6 +484,13 @@
         self._progress.error = detail
         return AttemptResult.FAILED, self._retry_or_fail(attempt, timed_out=False)
 
+    def _after_early_end(
+        self, attempt: Attempt, detail: str
+    ) -> tuple[AttemptResult, str | None]:
+        """Handle a stream that was broken off without an error of its connection."""
+        self._is_lost = True
+        return self._after_bad_response(attempt, detail)
+
     def _after_loss(
         self, attempt: Attempt, error: PeerError
     ) -> tuple[AttemptResult, str | None]:
--- a/src/crocuswick/relay/upstream.py
+++ b/src/crocuswick/relay/upstream.py
@@ -61,6 +61,8 @@
     status: int
     reason: str
     headers: tuple[tuple[str, str], ...]
+    is_framed: bool
+    """Whether the body has a length or chunks. Otherwise it ends with its connection."""
 
 
 class Upstream:
@@ -135,6 +137,7 @@
                 status=self._response.status,
                 reason=self._response.reason or "",
                 headers=tuple(self._response.headers.items()),
+                is_framed=self._response.chunked or self._response.length is not None,
             )
         )
 
