--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -22,6 +22,8 @@
     ReplicaCrashed,
     ReplicaLeaving,
     ReplicaLoading,
+    RequestLost,
+    SegmentsAnswered,
     SmallPromptsSent,
     StoreReturned,
     TargetVersions,
@@ -243,7 +245,7 @@
     def _is_for_fleet(self, gossip: GossipMessage) -> bool:
         if isinstance(gossip, PROMPT_MESSAGES):
             return self._known_count <= MAX_PROMPT_NODES
-        return isinstance(gossip, ReplicaCrashed | ReplicaLeaving)
+        return isinstance(gossip, ReplicaCrashed | ReplicaLeaving | SegmentsAnswered)
 
     def _broadcast_to_fleet(self, gossip: GossipMessage) -> None:
         is_prompt = isinstance(gossip, PROMPT_MESSAGES)
@@ -353,7 +355,7 @@
         """Return messages whose content a newly started node can't read from the store."""
         return [
             self._dispatcher.ask(dispatcher_messages.GetTargetVersions()),
-            *self._dispatcher.ask(dispatcher_messages.GetCrashes()),
+            *self._dispatcher.ask(dispatcher_messages.GetCrashEvidence()),
             *self._kept_records(),
             *self._recent_outages(),
         ]
@@ -575,6 +577,16 @@
         """Record a request that may have crashed a replica."""
         self._deliver(dispatcher_messages.PeerCrash(crashed=gossip))
 
+    @handles(RequestLost)
+    def on_request_lost(self, gossip: RequestLost, _sender: str) -> None:
+        """Record a request that a peer has lost at a replica that may have crashed."""
+        self._deliver(dispatcher_messages.PeerLoss(lost=gossip))
+
+    @handles(SegmentsAnswered)
+    def on_segments_answered(self, gossip: SegmentsAnswered, _sender: str) -> None:
+        """Record that requests with some prompt segments are answered."""
+        self._deliver(dispatcher_messages.PeerAnswers(answered=gossip))
+
     @handles(ReplicaLeaving)
     def on_replica_leaving(self, gossip: ReplicaLeaving, _sender: str) -> None:
         """Send no new requests to a replica that leaves."""
--- a/src/crocuswick/gossip/messages.py
+++ b/src/crocuswick/gossip/messages.py
@@ -27,6 +27,8 @@
     "ReplicaCrashed",
     "ReplicaLeaving",
     "ReplicaLoading",
+    "RequestLost",
+    "SegmentsAnswered",
     "SmallPromptsSent",
     "StoreReturned",
     "TargetVersions",
@@ -255,6 +257,44 @@
     segments: list[str] = attrs.Factory(list)
     """Keys of the prompt segments that the request may share with others, in order."""
 
+    has_begun: bool = False
+    """Whether an event of the answer had arrived."""
+
+    lost_before_ms: int = 0
+    """Time from the loss of the request to the confirmation of the crash."""
+
+    run_ms: int = 0
+    """Time from sending the request to its loss."""
+
+
+@message("lost")
+@attrs.frozen(kw_only=True)
+class RequestLost(GossipMessage):
+    """The sender has lost a request at a replica that may have crashed."""
+
+    fingerprint: str
+    incarnation: str
+    age_ms: int
+    """Time since the loss."""
+
+    segments: list[str]
+    """Keys of the prompt segments that the request may share with others, in order."""
+
+    has_begun: bool
+    """Whether an event of the answer had arrived."""
+
+    run_ms: int
+    """Time from sending the request to its loss."""
+
+
+@message("answered")
+@attrs.frozen(kw_only=True)
+class SegmentsAnswered(GossipMessage):
+    """Requests with prompt segments that were lost at crashes have been answered."""
+
+    ages_ms_by_segment: dict[str, int]
+    """Time since the last answer by segment."""
+
 
 @message("fleet")
 @attrs.frozen(kw_only=True)
--- a/src/crocuswick/quarantine.py
+++ b/src/crocuswick/quarantine.py
@@ -16,7 +16,7 @@
 from crocuswick.errors import Refusal
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from result import Result
 
@@ -88,13 +88,21 @@
 class Quarantine:
     """Crash reports by request; not thread-safe, has a single owner."""
 
-    def __init__(self, *, max_fingerprints: int = MAX_FINGERPRINTS):
+    def __init__(
+        self,
+        *,
+        max_fingerprints: int = MAX_FINGERPRINTS,
+        crashes_to_refuse: int = CRASHES_TO_REFUSE,
+    ):
         """Create an empty quarantine.
 
         Args:
             max_fingerprints: Maximum number of requests stored.
+            crashes_to_refuse: Number of different endpoints that must have crashed
+                while they ran a request before it is refused.
         """
         self._max_fingerprints = max_fingerprints
+        self._crashes_to_refuse = crashes_to_refuse
         self._crash_times_by_fingerprint: dict[str, dict[str, float]] = {}
 
     @property
@@ -119,12 +127,20 @@
         self._evict_oldest()
         return new_reports
 
-    def check(self, fingerprint: str, *, now_s: float) -> Result[None, Refusal]:
+    def check(
+        self,
+        fingerprint: str,
+        *,
+        now_s: float,
+        is_explained: Callable[[str], bool] | None = None,
+    ) -> Result[None, Refusal]:
         """Return a refusal if several endpoints crashed while they ran this request.
 
         Args:
             fingerprint: Fingerprint of the request.
             now_s: Monotonic time.
+            is_explained: Returns whether another request is known to have crashed an
+                endpoint, None if that is never known.
         """
         crash_times = self._crash_times_by_fingerprint.get(fingerprint)
         if crash_times is None:
@@ -133,7 +149,12 @@
         if now_s >= expires_s:
             del self._crash_times_by_fingerprint[fingerprint]
             return Ok(None)
-        if len(crash_times) < CRASHES_TO_REFUSE:
+        unexplained = [
+            endpoint_id
+            for endpoint_id in crash_times
+            if is_explained is None or not is_explained(endpoint_id)
+        ]
+        if len(unexplained) < self._crashes_to_refuse:
             return Ok(None)
         return Err(_refusal(crash_times, retry_after_s=expires_s - now_s))
 
@@ -200,14 +221,14 @@
         refused = [
             reports
             for reports in reports_by_fingerprint.values()
-            if len(reports) >= CRASHES_TO_REFUSE
+            if len(reports) >= self._crashes_to_refuse
         ]
         refused.sort(key=lambda reports: min(report.age_ms for report in reports))
         return tuple(
             report
             for reports in refused[:MAX_REFUSED]
             for report in sorted(reports, key=lambda report: report.age_ms)[
-                :CRASHES_TO_REFUSE
+                : self._crashes_to_refuse
             ]
         )
 
--- a/src/crocuswick/relay/crash_attribution.py
+++ b/src/crocuswick/relay/crash_attribution.py
@@ -1,9 +1,7 @@
 """Attribution of replica crashes to requests.
 
 A lost connection alone is not a crash. A replica has crashed if it is then unreachable,
-restarts or leaves without notice, and has answered nobody in between. Only requests
-without any part of an answer are suspects: a request that crashes a replica does so when
-it begins to run.
+restarts or leaves without notice, and has answered nobody in between.
 """
 
 from __future__ import annotations
@@ -36,9 +34,18 @@
     segments: tuple[str, ...]
     """Keys of the prompt segments that it may share with others, in order."""
 
+    sent_s: float
+    """Monotonic time at which the attempt began."""
+
     lost_s: float
     """Monotonic time of the loss."""
 
+    has_begun: bool = False
+    """Whether an event of the answer had arrived."""
+
+    is_from_peer: bool = False
+    """Whether a peer has lost it."""
+
 
 class CrashAttribution:
     """Remembers lost connections until they are confirmed as crashes or expire."""
@@ -47,7 +54,7 @@
         self._losses_by_incarnation: dict[str, deque[LostRequest]] = {}
 
     def record_loss(self, lost: LostRequest, incarnation: str) -> None:
-        """Record a connection that was lost before any part of the answer arrived."""
+        """Record a connection that was lost before the end of the answer."""
         losses = self._losses_by_incarnation.setdefault(
             incarnation, deque(maxlen=MAX_LOSSES)
         )
@@ -66,6 +73,15 @@
         losses = self._losses_by_incarnation.pop(incarnation, ())
         return [lost for lost in losses if now_s - lost.lost_s <= CONFIRM_WITHIN_S]
 
+    def unconfirmed(self, now_s: float) -> list[tuple[str, LostRequest]]:
+        """Return the losses that may still be confirmed, each with its replica."""
+        return [
+            (incarnation, lost)
+            for incarnation, losses in self._losses_by_incarnation.items()
+            for lost in losses
+            if now_s - lost.lost_s <= CONFIRM_WITHIN_S
+        ]
+
     def record_answered(self, incarnation: str, now_s: float) -> None:
         """Record that a replica is up, so that its lost connections were no crashes.
 
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -9,7 +9,7 @@
 import logbook
 
 from crocuswick.actor import Actor
-from crocuswick.gossip.messages import ReplicaLeaving, TargetVersions
+from crocuswick.gossip.messages import ReplicaCrashed, ReplicaLeaving, TargetVersions
 from crocuswick.relay.admission_bound import longest_wait_ms
 from crocuswick.relay.candidate import Candidate
 from crocuswick.relay.dispatcher_messages import Placed, Wait
@@ -39,7 +39,7 @@
     from crocuswick.decision_log import DecisionLog
     from crocuswick.errors import Refusal
     from crocuswick.fleet_settings import FleetBounds
-    from crocuswick.gossip.messages import GossipMessage, ReplicaCrashed
+    from crocuswick.gossip.messages import GossipMessage
     from crocuswick.relay import dispatcher_messages as messages
     from crocuswick.relay.relay_request import RoutedRequest
     from crocuswick.relay.replica import Replica
@@ -168,7 +168,7 @@
         self._table.update(replica)
         self._log_draining(replica, before, now_s)
         if before is not None and before.incarnation != replica.incarnation:
-            self._broadcast_crashes(
+            self._broadcast_evidence(
                 self._poison.replica_ended(before.incarnation, now_s)
             )
             self._discard_incarnation(before.incarnation)
@@ -193,7 +193,7 @@
         replica = self._table.find(message.replica_id, now_s)
         is_crash = replica is not None and replica.state is ReplicaState.READY
         if is_crash and message.takes_effect_s <= now_s:
-            self._broadcast_crashes(
+            self._broadcast_evidence(
                 self._poison.replica_ended(replica.incarnation, now_s)
             )
         self._table.remove(message.replica_id, takes_effect_s=message.takes_effect_s)
@@ -219,7 +219,7 @@
         now_s = time.monotonic()
         health = self._health_by_incarnation[message.incarnation]
         health.record(AttemptResult.UNREACHABLE, now_s)
-        self._broadcast_crashes(self._poison.replica_ended(message.incarnation, now_s))
+        self._broadcast_evidence(self._poison.replica_ended(message.incarnation, now_s))
 
     def on_is_usable(self, message: messages.IsUsable) -> bool:
         """Return whether a replica may still be sent a request."""
@@ -297,12 +297,25 @@
     def on_peer_crash(self, message: messages.PeerCrash) -> None:
         """Record a crash that a peer has observed."""
         crashed = message.crashed
-        if self._poison.record_peer_crash(crashed, time.monotonic()):
+        now_s = time.monotonic()
+        if self._poison.record_peer_crash(crashed, now_s):
             self._log_crash(crashed, source="peer")
+            self._broadcast_evidence(self._poison.answers_to_share(crashed, now_s))
+
+    def on_peer_loss(self, message: messages.PeerLoss) -> None:
+        """Record a request that a peer has lost."""
+        self._poison.record_peer_loss(message.lost, time.monotonic())
 
-    def on_get_crashes(self, _message: messages.GetCrashes) -> list[ReplicaCrashed]:
-        """Return the crashes by requests that are refused."""
-        return self._poison.crashes(time.monotonic())
+    def on_peer_answers(self, message: messages.PeerAnswers) -> None:
+        """Record that requests with some prompt segments are answered."""
+        self._poison.record_peer_answers(message.answered, time.monotonic())
+
+    def on_get_crash_evidence(
+        self, _message: messages.GetCrashEvidence
+    ) -> list[GossipMessage]:
+        """Return the known crashes and lost requests."""
+        now_s = time.monotonic()
+        return list(self._poison.crashes(now_s))
 
     def on_peer_request_ended(self, message: messages.PeerRequestEnded) -> None:
         """Record the end of a peer's request."""
@@ -314,6 +327,7 @@
         self._node_count = max(self._node_count, message.count)
         self._heard_count = max(self._heard_count, message.heard_count)
         self._chooser.set_node_count(message.count)
+        self._poison.set_node_count(message.count, time.monotonic())
         self._update_retry_budgets()
 
     def on_get_engine_states(
@@ -408,14 +422,18 @@
         self._tracker.record_ended(request_id, incarnation)
         health = self._health_by_incarnation[incarnation]
         health.record(message.result, now_s)
-        crashes = self._poison.attempt_ended(
+        evidence = self._poison.attempt_ended(
             message.request,
             incarnation,
             message.result,
             is_lost_before_answer=message.is_lost_before_answer,
+            has_begun=message.has_begun,
+            sent_s=message.sent_s,
+            is_success=message.is_success,
+            is_framed=message.is_framed,
             now_s=now_s,
         )
-        self._broadcast_crashes(crashes)
+        self._broadcast_evidence(evidence)
         prompt = message.request.caller.prompt
         if prompt is None:
             return
@@ -424,10 +442,11 @@
         elif message.weights_version is not None:
             self._record_weights(incarnation, prompt.model, message.weights_version)
 
-    def _broadcast_crashes(self, crashes: Sequence[ReplicaCrashed]) -> None:
-        for crashed in crashes:
-            self._log_crash(crashed, source="own")
-            self._broadcast(crashed)
+    def _broadcast_evidence(self, evidence: Sequence[GossipMessage]) -> None:
+        for gossip in evidence:
+            if isinstance(gossip, ReplicaCrashed):
+                self._log_crash(gossip, source="own")
+            self._broadcast(gossip)
 
     def _log_crash(self, crashed: ReplicaCrashed, *, source: str) -> None:
         self._log.record_state(
--- a/src/crocuswick/relay/dispatcher_messages.py
+++ b/src/crocuswick/relay/dispatcher_messages.py
@@ -6,7 +6,13 @@
 
 from crocuswick.actor import Message
 from crocuswick.fleet_settings import FleetBounds
-from crocuswick.gossip.messages import PromptPlaced, ReplicaCrashed, SmallPromptsSent
+from crocuswick.gossip.messages import (
+    PromptPlaced,
+    ReplicaCrashed,
+    RequestLost,
+    SegmentsAnswered,
+    SmallPromptsSent,
+)
 from crocuswick.relay.kv_events import KvEvent
 from crocuswick.relay.relay_request import Attempt, RoutedRequest
 from crocuswick.relay.replica import Availability, Replica
@@ -19,10 +25,13 @@
     "Batch",
     "BroadcastSmallPrompts",
     "CacheRead",
+    "GetCrashEvidence",
     "GetEngineStates",
     "GetTargetVersions",
     "IsUsable",
+    "PeerAnswers",
     "PeerCrash",
+    "PeerLoss",
     "PeerPromptSent",
     "PeerRequestEnded",
     "PeerSmallPrompts",
@@ -111,8 +120,8 @@
 
 
 @attrs.frozen(kw_only=True)
-class GetCrashes(Message):
-    """Query for the crashes by requests that are refused, as messages for a peer."""
+class GetCrashEvidence(Message):
+    """Query for the known crashes and lost requests, as messages for a node that starts."""
 
 
 @attrs.frozen(kw_only=True)
@@ -205,6 +214,20 @@
     crashed: ReplicaCrashed
 
 
+@attrs.frozen(kw_only=True)
+class PeerLoss(Message):
+    """A peer has lost a request at a replica that may have crashed."""
+
+    lost: RequestLost
+
+
+@attrs.frozen(kw_only=True)
+class PeerAnswers(Message):
+    """A peer has received answers to requests with some prompt segments."""
+
+    answered: SegmentsAnswered
+
+
 @attrs.frozen(kw_only=True)
 class BroadcastSmallPrompts(Message):
     """Request to broadcast the small prompts sent since the last broadcast."""
@@ -287,3 +310,15 @@
     is_lost_before_answer: bool = False
     """Whether the connection was lost before the first event of a stream, or before the
     end of another answer."""
+
+    has_begun: bool = False
+    """Whether the connection was lost after the first event of a stream."""
+
+    sent_s: float | None = None
+    """Monotonic time at which the attempt began."""
+
+    is_success: bool = True
+    """Whether the answer has the status of a success."""
+
+    is_framed: bool = True
+    """Whether the answer has a length or chunks."""
--- a/src/crocuswick/relay/poison_guard.py
+++ b/src/crocuswick/relay/poison_guard.py
@@ -2,33 +2,140 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict, deque
 from typing import TYPE_CHECKING
 
-from crocuswick.gossip.messages import ReplicaCrashed
-from crocuswick.quarantine import CrashReport, Quarantine, request_fingerprint
+import attrs
+
+from crocuswick.gossip.messages import ReplicaCrashed, RequestLost, SegmentsAnswered
+from crocuswick.quarantine import (
+    REPORT_LIFETIME_S,
+    CrashReport,
+    Quarantine,
+    request_fingerprint,
+)
 from crocuswick.relay.crash_attribution import CrashAttribution, LostRequest
+from crocuswick.relay.relay_request import RoutedRequest
 from crocuswick.relay.replica_health import AttemptResult
+from crocuswick.relay.segment_quarantine import SegmentQuarantine
+from crocuswick.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from crocuswick.errors import Refusal
-    from crocuswick.relay.relay_request import RoutedRequest
+    from crocuswick.gossip.messages import GossipMessage
 
 __all__ = ["PoisonGuard"]
 
+CRASHES_TO_REFUSE = 2
+"""Different replicas that must have crashed under identical requests."""
+
+CRASHES_TO_REFUSE_BEGUN = 3
+"""The same if some of the answers had begun. Requests whose answers go on for long run at
+many crashes that they don't cause."""
+
+RECENT_S = 60.0
+"""Age up to which nodes that start are told of crashes because of which nothing is
+refused yet."""
+
+MAX_RECENT = 64
+"""Maximum number of such reports."""
+
+MAX_REPORTS = 1_024
+"""Maximum number of reports stored."""
+
+LOSSES_PER_S = 10.0
+"""Lost requests per second of which peers are told before a crash is confirmed. A faulty
+replica may lose far more."""
+
+FLEET_ANSWERS_PER_S = 14.0
+"""Messages about sound segments per second, of all nodes together."""
+
+UNFRAMED_DELAY_S = 1.0
+"""Time after the end of an answer without length or chunks in which a crash of its replica
+shows that it was broken off."""
+
+_MS_PER_S = 1000
+
+
+@attrs.frozen(kw_only=True)
+class _Report:
+    """A request that was lost at a confirmed crash."""
+
+    lost: LostRequest
+    incarnation: str
+    confirmed_s: float
+
+    def message(self, now_s: float) -> ReplicaCrashed:
+        """Return the report as a message to peers."""
+        lost = self.lost
+        return ReplicaCrashed(
+            fingerprint=lost.fingerprint,
+            incarnation=self.incarnation,
+            age_ms=_ms(now_s - self.confirmed_s),
+            segments=list(lost.segments),
+            has_begun=lost.has_begun,
+            lost_before_ms=_ms(self.confirmed_s - lost.lost_s),
+            run_ms=_ms(lost.lost_s - lost.sent_s),
+        )
+
+
+@attrs.frozen(kw_only=True)
+class _UnframedAnswer:
+    """An answer that ended with its connection."""
+
+    request: RoutedRequest
+    incarnation: str
+    sent_s: float
+    ended_s: float
+    is_success: bool
+
 
 class PoisonGuard:
-    """Attributes crashes to requests and refuses those that crashed replicas."""
+    """Attributes crashes to requests and refuses those that crash replicas.
+
+    Requests are refused if identical ones crashed replicas, or others with which they share
+    a segment of their prompts.
+    """
 
     def __init__(self):
-        self._quarantine = Quarantine()
+        self._quarantine = Quarantine(crashes_to_refuse=CRASHES_TO_REFUSE)
+        self._quarantine_of_begun = Quarantine(
+            crashes_to_refuse=CRASHES_TO_REFUSE_BEGUN
+        )
+        """Counts crashes under answers that had begun, too."""
+
+        self._segments = SegmentQuarantine()
         self._attribution = CrashAttribution()
+        self._reports: OrderedDict[tuple[str, str], _Report] = OrderedDict()
+        """By fingerprint and replica."""
+
+        self._unframed: deque[_UnframedAnswer] = deque()
+        self._losses = TokenBucket(rate_per_s=LOSSES_PER_S, now_s=0.0)
+        self._answers = TokenBucket(rate_per_s=FLEET_ANSWERS_PER_S, now_s=0.0)
+
+    def set_node_count(self, count: int, now_s: float) -> None:
+        """Divide the messages about sound segments among the nodes of the fleet."""
+        self._answers.set_rate(FLEET_ANSWERS_PER_S / count, now_s=now_s)
 
     def check(self, request: RoutedRequest, now_s: float) -> Refusal | None:
-        """Return the refusal of a request that crashed replicas, None for others."""
-        if self._quarantine.is_empty:
+        """Return the refusal of a request that crashes replicas, None for others."""
+        if not self._reports:
             return None
-        checked = self._quarantine.check(_fingerprint(request), now_s=now_s)
-        return checked.err_value if checked.is_err() else None
+        prompt = request.caller.prompt
+        if prompt is not None:
+            refusal = self._segments.check(prompt.shared_keys, now_s=now_s)
+            if refusal is not None:
+                return refusal
+        fingerprint = _fingerprint(request)
+        for quarantine in (self._quarantine, self._quarantine_of_begun):
+            checked = quarantine.check(
+                fingerprint, now_s=now_s, is_explained=self._segments.explains
+            )
+            if checked.is_err():
+                return checked.err_value
+        return None
 
     def attempt_ended(
         self,
@@ -38,7 +145,11 @@
         *,
         is_lost_before_answer: bool,
         now_s: float,
-    ) -> list[ReplicaCrashed]:
+        has_begun: bool = False,
+        sent_s: float | None = None,
+        is_success: bool = True,
+        is_framed: bool = True,
+    ) -> list[GossipMessage]:
         """Record the result of an attempt.
 
         Args:
@@ -48,53 +159,72 @@
             is_lost_before_answer: Whether the connection was lost before the first
                 event of a stream or the end of another answer.
             now_s: Monotonic time.
+            has_begun: Whether the connection was lost after the first event of a stream.
+            sent_s: Monotonic time at which the attempt began.
+            is_success: Whether the answer has the status of a success.
+            is_framed: Whether the answer tells its end. Otherwise an answer that is
+                broken off may look complete.
 
         Returns:
-            The crashes to broadcast to the peers.
+            The messages to broadcast to the peers.
         """
         if result is AttemptResult.UNREACHABLE:
             return self.replica_ended(incarnation, now_s)
+        sent_s = now_s if sent_s is None else sent_s
+        is_lost = is_lost_before_answer or has_begun
         # A silent replica is cut off or hung more often than crashed.
-        if result is AttemptResult.FAILED and is_lost_before_answer:
-            prompt = request.caller.prompt
-            lost = LostRequest(
-                fingerprint=_fingerprint(request),
-                segments=prompt.shared_keys if prompt else (),
-                lost_s=now_s,
-            )
+        if result is AttemptResult.FAILED and is_lost:
+            lost = _lost_request(request, sent_s, now_s, has_begun=has_begun)
             self._attribution.record_loss(lost, incarnation)
-        elif result is AttemptResult.ANSWERED:
+            return []
+        if result is AttemptResult.ANSWERED:
+            if not is_framed:
+                self._unframed.append(
+                    _UnframedAnswer(
+                        request=request,
+                        incarnation=incarnation,
+                        sent_s=sent_s,
+                        ended_s=now_s,
+                        is_success=is_success,
+                    )
+                )
+                return self._accept_unframed(now_s)
             self.replica_answered(incarnation, now_s)
-            if not self._quarantine.is_empty:
-                self._quarantine.clear(_fingerprint(request))
+            return self._record_answered(request, now_s, is_success=is_success)
         return []
 
     def replica_answered(self, incarnation: str, now_s: float) -> None:
         """Record that a replica has answered this node or a peer."""
         self._attribution.record_answered(incarnation, now_s)
 
-    def replica_ended(self, incarnation: str, now_s: float) -> list[ReplicaCrashed]:
+    def replica_ended(self, incarnation: str, now_s: float) -> list[GossipMessage]:
         """Record that a replica is down or has restarted.
 
         Returns:
-            The crashes to broadcast to the peers.
+            The messages to broadcast to the peers.
         """
-        lost_by_fingerprint = {
-            lost.fingerprint: lost
-            for lost in self._attribution.confirm(incarnation, now_s)
-        }
-        reports = [
-            CrashReport(fingerprint=fingerprint, endpoint_id=incarnation)
-            for fingerprint in lost_by_fingerprint
-        ]
-        return [
-            ReplicaCrashed(
-                fingerprint=report.fingerprint,
-                incarnation=incarnation,
-                segments=list(lost_by_fingerprint[report.fingerprint].segments),
-            )
-            for report in self._quarantine.add(reports, now_s=now_s)
-        ]
+        messages = self._accept_unframed(now_s)
+        self._doubt_unframed(incarnation)
+        for lost in self._attribution.confirm(incarnation, now_s):
+            report = _Report(lost=lost, incarnation=incarnation, confirmed_s=now_s)
+            # Peers that know of the loss confirm the crash themselves.
+            if self._add(report, now_s) and not lost.is_from_peer:
+                messages.append(report.message(now_s))
+            messages += self._share_answers(lost.segments, now_s)
+        return messages
+
+    def record_peer_loss(self, peer_loss: RequestLost, now_s: float) -> None:
+        """Record a request that a peer has lost at a replica that may have crashed."""
+        lost_s = now_s - peer_loss.age_ms / _MS_PER_S
+        lost = LostRequest(
+            fingerprint=peer_loss.fingerprint,
+            segments=tuple(peer_loss.segments),
+            sent_s=lost_s - peer_loss.run_ms / _MS_PER_S,
+            lost_s=lost_s,
+            has_begun=peer_loss.has_begun,
+            is_from_peer=True,
+        )
+        self._attribution.record_loss(lost, peer_loss.incarnation)
 
     def record_peer_crash(self, crashed: ReplicaCrashed, now_s: float) -> bool:
         """Record a crash that a peer has observed.
@@ -102,24 +232,178 @@
         Returns:
             Whether it is new to this node.
         """
-        report = CrashReport(
+        confirmed_s = now_s - crashed.age_ms / _MS_PER_S
+        lost_s = confirmed_s - crashed.lost_before_ms / _MS_PER_S
+        lost = LostRequest(
             fingerprint=crashed.fingerprint,
-            endpoint_id=crashed.incarnation,
-            age_ms=crashed.age_ms,
+            segments=tuple(crashed.segments),
+            sent_s=lost_s - crashed.run_ms / _MS_PER_S,
+            lost_s=lost_s,
+            has_begun=crashed.has_begun,
+            is_from_peer=True,
         )
-        return bool(self._quarantine.add([report], now_s=now_s))
+        report = _Report(
+            lost=lost, incarnation=crashed.incarnation, confirmed_s=confirmed_s
+        )
+        return self._add(report, now_s)
+
+    def record_peer_answers(self, answered: SegmentsAnswered, now_s: float) -> None:
+        """Record that a peer has received answers to requests with some segments."""
+        for segment, age_ms in answered.ages_ms_by_segment.items():
+            self._segments.record_answered(
+                [segment], now_s - age_ms / _MS_PER_S, is_from_peer=True
+            )
+
+    def answers_to_share(
+        self, crashed: ReplicaCrashed, now_s: float
+    ) -> list[GossipMessage]:
+        """Return what this node knows of the segments that a peer has reported."""
+        return self._share_answers(crashed.segments, now_s)
 
     def crashes(self, now_s: float) -> list[ReplicaCrashed]:
-        """Return the crashes by refused requests, for a node that has just started."""
+        """Return crashes for a node that has just started.
+
+        These are the crashes because of which requests are refused, and recent ones.
+        """
+        backing = {
+            (report.fingerprint, report.endpoint_id)
+            for quarantine in (self._quarantine, self._quarantine_of_begun)
+            for report in quarantine.refused(now_s=now_s)
+        } | self._segments.backing()
+        recent = [
+            key
+            for key, report in self._reports.items()
+            if now_s - report.confirmed_s < RECENT_S
+        ]
+        told = backing | set(recent[-MAX_RECENT:])
         return [
-            ReplicaCrashed(
-                fingerprint=report.fingerprint,
-                incarnation=report.endpoint_id,
-                age_ms=report.age_ms,
-            )
-            for report in self._quarantine.refused(now_s=now_s)
+            report.message(now_s)
+            for key, report in self._reports.items()
+            if key in told
         ]
 
+    def losses(self, now_s: float) -> list[RequestLost]:
+        """Return the losses that are not confirmed yet, for a node that has just started."""
+        return [
+            _loss_message(lost, incarnation, now_s)
+            for incarnation, lost in self._attribution.unconfirmed(now_s)
+        ][-MAX_RECENT:]
+
+    def _add(self, report: _Report, now_s: float) -> bool:
+        """Add a report.
+
+        Returns:
+            Whether it is new.
+        """
+        lost = report.lost
+        key = (lost.fingerprint, report.incarnation)
+        is_new = key not in self._reports
+        crash_report = CrashReport(
+            fingerprint=lost.fingerprint,
+            endpoint_id=report.incarnation,
+            age_ms=_ms(now_s - report.confirmed_s),
+        )
+        if not lost.has_begun:
+            self._quarantine.add([crash_report], now_s=now_s)
+        self._quarantine_of_begun.add([crash_report], now_s=now_s)
+        if is_new:
+            self._reports[key] = report
+            self._segments.add(report.incarnation, lost, now_s=now_s)
+            self._evict_reports(now_s)
+        return is_new
+
+    def _evict_reports(self, now_s: float) -> None:
+        while self._reports:
+            oldest = next(iter(self._reports.values()))
+            is_expired = now_s - oldest.confirmed_s >= REPORT_LIFETIME_S
+            if not is_expired and len(self._reports) <= MAX_REPORTS:
+                return
+            self._reports.popitem(last=False)
+
+    def _record_answered(
+        self, request: RoutedRequest, answered_s: float, *, is_success: bool
+    ) -> list[GossipMessage]:
+        if self._reports:
+            fingerprint = _fingerprint(request)
+            self._quarantine.clear(fingerprint)
+            self._quarantine_of_begun.clear(fingerprint)
+        prompt = request.caller.prompt
+        if prompt is None or not is_success:
+            return []
+        self._segments.record_answered(prompt.shared_keys, answered_s)
+        return self._share_answers(prompt.shared_keys, answered_s)
+
+    def _share_answers(
+        self, segments: Iterable[str], now_s: float
+    ) -> list[GossipMessage]:
+        if self._answers.wait_s(now_s=now_s) > 0:
+            return []
+        answered_s_by_segment = self._segments.take_answered(segments)
+        if not answered_s_by_segment:
+            return []
+        self._answers.take(1)
+        ages_ms = {
+            segment: _ms(now_s - answered_s)
+            for segment, answered_s in answered_s_by_segment.items()
+        }
+        return [SegmentsAnswered(ages_ms_by_segment=ages_ms)]
+
+    def _share_loss(
+        self, lost: LostRequest, incarnation: str, now_s: float
+    ) -> list[GossipMessage]:
+        """Tell the peers of a loss, which a restart of this node would erase."""
+        if self._losses.wait_s(now_s=now_s) > 0:
+            return []
+        self._losses.take(1)
+        return [_loss_message(lost, incarnation, now_s)]
+
+    def _accept_unframed(self, now_s: float) -> list[GossipMessage]:
+        """Count answers without length or chunks whose replicas haven't crashed since."""
+        messages: list[GossipMessage] = []
+        while self._unframed and now_s - self._unframed[0].ended_s > UNFRAMED_DELAY_S:
+            answer = self._unframed.popleft()
+            self.replica_answered(answer.incarnation, answer.ended_s)
+            messages += self._record_answered(
+                answer.request, answer.ended_s, is_success=answer.is_success
+            )
+        return messages
+
+    def _doubt_unframed(self, incarnation: str) -> None:
+        """Take answers that ended just before their replica for lost ones."""
+        for answer in self._unframed:
+            if answer.incarnation == incarnation:
+                lost = _lost_request(
+                    answer.request, answer.sent_s, answer.ended_s, has_begun=True
+                )
+                self._attribution.record_loss(lost, incarnation)
+        self._unframed = deque(
+            answer for answer in self._unframed if answer.incarnation != incarnation
+        )
+
+
+def _lost_request(
+    request: RoutedRequest, sent_s: float, lost_s: float, *, has_begun: bool
+) -> LostRequest:
+    prompt = request.caller.prompt
+    return LostRequest(
+        fingerprint=_fingerprint(request),
+        segments=prompt.shared_keys if prompt else (),
+        sent_s=sent_s,
+        lost_s=lost_s,
+        has_begun=has_begun,
+    )
+
+
+def _loss_message(lost: LostRequest, incarnation: str, now_s: float) -> RequestLost:
+    return RequestLost(
+        fingerprint=lost.fingerprint,
+        incarnation=incarnation,
+        age_ms=_ms(now_s - lost.lost_s),
+        segments=list(lost.segments),
+        has_begun=lost.has_begun,
+        run_ms=_ms(lost.lost_s - lost.sent_s),
+    )
+
 
 def _fingerprint(request: RoutedRequest) -> str:
     """Return the fingerprint that all retries of a request share, at any node."""
@@ -129,3 +413,7 @@
         model=f"{caller.method} {caller.host}{caller.target}",
         body=caller.body,
     )
+
+
+def _ms(duration_s: float) -> int:
+    return max(0, round(duration_s * _MS_PER_S))
--- a/src/crocuswick/relay/relay_request.py
+++ b/src/crocuswick/relay/relay_request.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import hashlib
+
 import attrs
 
 from crocuswick.relay.replica import Availability
@@ -16,6 +18,12 @@
     "RoutedRequest",
 ]
 
+MAX_KEY_LENGTH = 64
+"""Length of a segment's key. Keys are sent to peers, and callers choose the ids."""
+
+KEY_DIGEST_BYTES = 16
+"""Bytes in a digest that replaces a longer key."""
+
 
 @attrs.frozen(kw_only=True)
 class PromptSegment:
@@ -42,8 +50,11 @@
 
     @property
     def shared_keys(self) -> tuple[str, ...]:
-        """Keys of the shared segments, each for this model."""
-        return tuple(f"{self.model}/{segment.id}" for segment in self.shared_segments)
+        """Keys of the shared segments, each for this model.
+
+        A key has at most `MAX_KEY_LENGTH` characters.
+        """
+        return tuple(_key(self.model, segment.id) for segment in self.shared_segments)
 
     @property
     def shared_segment_id(self) -> str:
@@ -56,6 +67,13 @@
         return sum(segment.tokens for segment in self.shared_segments)
 
 
+def _key(model: str, segment_id: str) -> str:
+    key = f"{model}/{segment_id}"
+    if len(key) <= MAX_KEY_LENGTH:
+        return key
+    return hashlib.blake2b(key.encode(), digest_size=KEY_DIGEST_BYTES).hexdigest()
+
+
 @attrs.frozen(kw_only=True)
 class CallerRequest:
     """A completely received request of a caller."""
--- a/src/crocuswick/relay/run_report.py
+++ b/src/crocuswick/relay/run_report.py
@@ -111,6 +111,10 @@
                 result=ended.result,
                 weights_version=head.weights_version if head else None,
                 is_lost_before_answer=ended.is_lost_before_answer,
+                has_begun=ended.is_lost and ended.events > 0,
+                sent_s=ended.started_s,
+                is_success=head is not None and 200 <= head.status < 300,
+                is_framed=head is None or head.is_framed,
             )
         )
         self._context.metrics.prefill_tokens.add({}, placed.attempt.prefill_tokens)
--- a/tests/relay/test_fleet_crashes.py
+++ b/tests/relay/test_fleet_crashes.py
@@ -34,7 +34,7 @@
 been up for as long."""
 
 SEEDS = 40
-HARMFUL = routed(caller=caller(body=b"harmful"))
+HARMFUL = routed(caller=caller(body=b"harmful", prompt=None))
 
 
 @attrs.define(kw_only=True)
@@ -113,7 +113,8 @@
         self.up_from_s_by_replica[f"{name}@{int(boot) + 1}"] = now_s + DOWN_S
         self.lose(HARMFUL, replica, node, now_s)
         for number in range(OTHERS_IN_FLIGHT):
-            other = routed(caller=caller(body=b"%f %d" % (now_s, number)))
+            body = b"%f %d" % (now_s, number)
+            other = routed(caller=caller(body=body, prompt=None))
             self.lose(other, replica, self.random.randrange(NODES), now_s)
         for guard in self.guards:
             self.at(now_s + LAPSE_S, self.ending(guard, replica))
