--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -315,7 +315,7 @@
     ) -> list[GossipMessage]:
         """Return the known crashes and lost requests."""
         now_s = time.monotonic()
-        return list(self._poison.crashes(now_s))
+        return [*self._poison.crashes(now_s), *self._poison.losses(now_s)]
 
     def on_peer_request_ended(self, message: messages.PeerRequestEnded) -> None:
         """Record the end of a peer's request."""
--- a/src/crocuswick/relay/poison_guard.py
+++ b/src/crocuswick/relay/poison_guard.py
@@ -176,7 +176,7 @@
         if result is AttemptResult.FAILED and is_lost:
             lost = _lost_request(request, sent_s, now_s, has_begun=has_begun)
             self._attribution.record_loss(lost, incarnation)
-            return []
+            return self._share_loss(lost, incarnation, now_s)
         if result is AttemptResult.ANSWERED:
             if not is_framed:
                 self._unframed.append(
--- a/tests/relay/test_fleet_crashes.py
+++ b/tests/relay/test_fleet_crashes.py
@@ -87,6 +87,8 @@
         told_by = self.guards[(number + 1) % NODES]
         for crashed in told_by.crashes(now_s):
             started.record_peer_crash(crashed, now_s)
+        for lost in told_by.losses(now_s):
+            started.record_peer_loss(lost, now_s)
         self.guards[number] = started
         self.started_s[number] = now_s
 
@@ -122,13 +124,24 @@
             self.ending(self.guards[node], replica)(now_s)
 
     def lose(self, request, replica, node, now_s) -> None:
-        self.guards[node].attempt_ended(
+        losses = self.guards[node].attempt_ended(
             request,
             replica,
             AttemptResult.FAILED,
             is_lost_before_answer=True,
             now_s=now_s,
         )
+        self.tell_peers(losses, PoisonGuard.record_peer_loss, now_s)
+
+    def tell_peers(self, messages, record, now_s) -> None:
+        for peer in self.guards[self.pattern.silent_nodes :]:
+            for message in messages:
+                self.at(
+                    now_s + BROADCAST_S,
+                    lambda then_s, peer=peer, message=message: record(
+                        peer, message, then_s
+                    ),
+                )
 
     def ending(self, guard, replica):
         """Return the event in which a node finds that a replica has ended."""
@@ -137,14 +150,7 @@
             if guard not in self.guards:
                 return
             reports = guard.replica_ended(replica, now_s)
-            for peer in self.guards[self.pattern.silent_nodes :]:
-                for crashed in reports:
-                    self.at(
-                        now_s + BROADCAST_S,
-                        lambda then_s, peer=peer, crashed=crashed: (
-                            peer.record_peer_crash(crashed, then_s)
-                        ),
-                    )
+            self.tell_peers(reports, PoisonGuard.record_peer_crash, now_s)
 
         return end
 
