--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -11,6 +11,7 @@
 
 from crocuswick.actor import Tickers
 from crocuswick.application import Application
+from crocuswick.crash_records import CrashRecords
 from crocuswick.decision_log import DecisionLog
 from crocuswick.drain_progress import DrainProgress, DrainStep
 from crocuswick.elastic_threads import ElasticThreads
@@ -110,6 +111,7 @@
             bounds=settings.bounds,
             broadcast=lambda gossip: self._gossip.broadcast(gossip),
             on_unknown_weights=self._query_weights,
+            store_crashes=lambda key, crashes: self._crash_records.write(key, crashes),
             log=self._log,
             is_first_start=settings.is_first_start,
         )
@@ -139,6 +141,16 @@
         )
         platform.store_era.on_step(lambda _era: registry.write_again())
         self.application.add(registry)
+        self._crash_records = CrashRecords(
+            topic=topics.crashes,
+            store=platform.open_store(),
+            dispatcher=self._dispatcher,
+            hears_peers=lambda: (
+                self._gossip.live_nodes > 1 or self._gossip.known_nodes == 1
+            ),
+            log=self._log,
+        )
+        self.application.add(self._crash_records)
         self._warm_up = KvWarmUp(
             events=platform.kv_events,
             dispatcher=self._dispatcher,
--- a/src/crocuswick/fleet_platform.py
+++ b/src/crocuswick/fleet_platform.py
@@ -36,6 +36,9 @@
     leases: str
     """Records of the order lease."""
 
+    crashes: str
+    """Crashes of replicas under requests that crash them, written by the nodes."""
+
 
 @attrs.frozen(kw_only=True)
 class TargetWeights:
--- a/src/crocuswick/platform/adapter.py
+++ b/src/crocuswick/platform/adapter.py
@@ -39,6 +39,7 @@
             replicas=names.REPLICAS_TOPIC,
             nodes=names.NODES_TOPIC,
             leases=names.LEASES_TOPIC,
+            crashes=names.CRASHES_TOPIC,
         ),
         open_store=lambda: StoreClient(address=settings.store_address, era=era),
         store_era=era,
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -102,6 +102,7 @@
         bounds: Limits on weights and retries from the settings.
         broadcast: Called with each message to broadcast to the peers.
         on_unknown_weights: Called with the id of a replica whose weights are unknown.
+        store_crashes: Called with crashes to be stored, and their key.
         log: Log of decisions.
         is_first_start: Whether no earlier process of this node has sent requests.
     """
@@ -113,11 +114,13 @@
         bounds: FleetBounds,
         broadcast: Callable[[GossipMessage], None],
         on_unknown_weights: Callable[[str], None],
+        store_crashes: Callable[[str, Sequence[ReplicaCrashed]], None],
         log: DecisionLog,
         is_first_start: bool = False,
     ):
         super().__init__()
         self._on_unknown_weights = on_unknown_weights
+        self._store_crashes = store_crashes
         self._broadcast = broadcast
         self._log = log
         self._bounds = bounds
@@ -447,6 +450,10 @@
             if isinstance(gossip, ReplicaCrashed):
                 self._log_crash(gossip, source="own")
             self._broadcast(gossip)
+        if evidence:
+            unstored = self._poison.take_unstored(time.monotonic())
+            for key, crashes in unstored.items():
+                self._store_crashes(key, crashes)
 
     def _log_crash(self, crashed: ReplicaCrashed, *, source: str) -> None:
         self._log.record_state(
--- a/src/crocuswick/relay/poison_guard.py
+++ b/src/crocuswick/relay/poison_guard.py
@@ -42,6 +42,9 @@
 MAX_RECENT = 64
 """Maximum number of such reports."""
 
+MAX_STORED = 5
+"""Maximum number of crashes stored for a request or a segment."""
+
 MAX_REPORTS = 1_024
 """Maximum number of reports stored."""
 
@@ -111,6 +114,9 @@
         self._reports: OrderedDict[tuple[str, str], _Report] = OrderedDict()
         """By fingerprint and replica."""
 
+        self._unstored: set[str] = set()
+        """Fingerprints and segments of which more crashes are known than stored."""
+
         self._unframed: deque[_UnframedAnswer] = deque()
         self._losses = TokenBucket(rate_per_s=LOSSES_PER_S, now_s=0.0)
         self._answers = TokenBucket(rate_per_s=FLEET_ANSWERS_PER_S, now_s=0.0)
@@ -289,6 +295,35 @@
             for incarnation, lost in self._attribution.unconfirmed(now_s)
         ][-MAX_RECENT:]
 
+    def take_unstored(self, now_s: float) -> dict[str, list[ReplicaCrashed]]:
+        """Return what is to be stored for nodes that no peer can tell of it.
+
+        These are the crashes under requests that have crashed several replicas, of which
+        this node has seen the last one. They are returned once.
+
+        Returns:
+            The last crashes by fingerprint or key of a segment.
+        """
+        crashes_by_key = {
+            key: [
+                report.message(now_s)
+                for report in self._reports.values()
+                if key == report.lost.fingerprint or key in report.lost.segments
+            ][-MAX_STORED:]
+            for key in self._unstored
+        }
+        self._unstored.clear()
+        return crashes_by_key
+
+    def _note_unstored(self, lost: LostRequest) -> None:
+        fingerprint = lost.fingerprint
+        crashes = sum(
+            report.lost.fingerprint == fingerprint for report in self._reports.values()
+        )
+        if crashes >= CRASHES_TO_REFUSE:
+            self._unstored.add(fingerprint)
+        self._unstored.update(self._segments.suspects(lost.segments))
+
     def _add(self, report: _Report, now_s: float) -> bool:
         """Add a report.
 
@@ -310,6 +345,8 @@
             self._reports[key] = report
             self._segments.add(report.incarnation, lost, now_s=now_s)
             self._evict_reports(now_s)
+            if not lost.is_from_peer:
+                self._note_unstored(lost)
         return is_new
 
     def _evict_reports(self, now_s: float) -> None:
--- a/src/crocuswick/relay/segment_quarantine.py
+++ b/src/crocuswick/relay/segment_quarantine.py
@@ -164,6 +164,15 @@
             for segment in self._refused_until_s_by_segment
         )
 
+    def suspects(self, segments: Iterable[str]) -> list[str]:
+        """Return those segments that are refused, or would be after another crash."""
+        return [
+            segment
+            for segment in segments
+            if segment in self._refused_until_s_by_segment
+            or self._count(segment) >= self._needed(segment) - 1
+        ]
+
     def backing(self) -> set[tuple[str, str]]:
         """Return fingerprint and replica of the last losses because of which segments are
         refused."""
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -43,12 +43,16 @@
     def setUp(self):
         self.broadcasts = []
         self.unknown_weights = []
+        self.stored_by_key = {}
         self.log = mock.Mock()
         self.dispatcher = RelayDispatcher.start(
             zone="a",
             bounds=BOUNDS,
             broadcast=self.broadcasts.append,
             on_unknown_weights=self.unknown_weights.append,
+            store_crashes=lambda key, crashes: self.stored_by_key.update(
+                {key: crashes}
+            ),
             log=self.log,
             is_first_start=True,
         )
@@ -229,6 +233,7 @@
             bounds=old,
             broadcast=self.broadcasts.append,
             on_unknown_weights=lambda _: None,
+            store_crashes=lambda _key, _crashes: None,
             log=self.log,
         )
         self.addCleanup(dispatcher.stop)
@@ -482,6 +487,16 @@
         crashes = [each for each in self.broadcasts if isinstance(each, ReplicaCrashed)]
         self.assertEqual(len(crashes), 2)
 
+    def test_crashes_by_identical_requests_are_stored(self):
+        """Guards against evidence that only a peer that hears this node can get."""
+        for name in ("x", "y"):
+            self.assertEqual(self.stored_by_key, {})
+            self.update_replicas(name)
+            self.crash(self.request(f"poison-{name}", target="/digest/p"), name)
+            self.update_replicas(name, started_ms=2, state=ReplicaState.DRAINING)
+        (crashes,) = self.stored_by_key.values()
+        self.assertEqual([each.incarnation for each in crashes], ["x@1", "y@1"])
+
     def test_a_replica_whose_entry_is_removed_has_crashed(self):
         """Guards against crashes that are not noticed since the replica comes back
         under another id."""
--- a/tests/relay/test_fleet_crashes.py
+++ b/tests/relay/test_fleet_crashes.py
@@ -28,6 +28,10 @@
 """Time after a crash at which the replica's entry is gone from the store."""
 
 BROADCAST_S = 0.01
+STORED_S = 0.05
+READ_INTERVAL_S = 1.0
+"""Interval at which nodes that hear no peer read the crashes in the store."""
+
 EVIDENCE_S = 3.0
 MAX_LATE_CRASHES = 3
 """Crashes that are allowed later than `EVIDENCE_S` after the third one, at nodes that have
@@ -61,6 +65,7 @@
         self.up_from_s_by_replica = {f"r{n}@0": 0.0 for n in range(REPLICAS)}
         self.started_s = [float("-inf")] * NODES
         self.events = []
+        self.stored_by_key = {}
         self.crash_times_s = []
         self.late_crashes = 0
 
@@ -73,6 +78,11 @@
         while restart_s < SECONDS:
             self.at(restart_s, self.restart_node)
             restart_s += self.pattern.restarts_every_s
+        for number in range(self.pattern.silent_nodes):
+            read_s = self.random.uniform(0.0, READ_INTERVAL_S)
+            while read_s < SECONDS:
+                self.at(read_s, self.reading(number))
+                read_s += READ_INTERVAL_S
         while self.events:
             self.events.sort(key=lambda event: event[0])
             now_s, action = self.events.pop(0)
@@ -92,6 +102,29 @@
         self.guards[number] = started
         self.started_s[number] = now_s
 
+    def reading(self, number):
+        """Return the event in which a node reads the crashes in the store."""
+
+        def read(now_s):
+            for written_s, crashes in self.stored_by_key.values():
+                for crashed in crashes:
+                    age_ms = crashed.age_ms + round((now_s - written_s) * 1000)
+                    self.guards[number].record_peer_crash(
+                        attrs.evolve(crashed, age_ms=age_ms), now_s
+                    )
+
+        return read
+
+    def store(self, guard, now_s) -> None:
+        """Store what a node has to store."""
+        for key, crashes in guard.take_unstored(now_s).items():
+            self.at(
+                now_s + STORED_S,
+                lambda _then_s, key=key, crashes=crashes: self.stored_by_key.update(
+                    {key: (now_s, crashes)}
+                ),
+            )
+
     def send_copy(self, now_s) -> None:
         node = self.random.randrange(NODES)
         for attempt in range(ATTEMPTS):
@@ -151,6 +184,7 @@
                 return
             reports = guard.replica_ended(replica, now_s)
             self.tell_peers(reports, PoisonGuard.record_peer_crash, now_s)
+            self.store(guard, now_s)
 
         return end
 
