--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -95,6 +95,9 @@
 that they cause grows with the fleet. In a larger one, the neighbours are sent them."""
 
 PROMPT_MESSAGES = (PromptPlaced, PromptComputed, PromptEnded)
+UNORDERED_MESSAGES = (ReplicaCrashed, ReplicaLeaving, SegmentsAnswered)
+"""Messages that no other undoes, so that each is handled whatever arrives before it."""
+
 PROMPT_STREAM = "p"
 """Name of the stream of fleet messages about large prompts."""
 
@@ -245,9 +248,14 @@
     def _is_for_fleet(self, gossip: GossipMessage) -> bool:
         if isinstance(gossip, PROMPT_MESSAGES):
             return self._known_count <= MAX_PROMPT_NODES
-        return isinstance(gossip, ReplicaCrashed | ReplicaLeaving | SegmentsAnswered)
+        return isinstance(gossip, UNORDERED_MESSAGES)
 
     def _broadcast_to_fleet(self, gossip: GossipMessage) -> None:
+        if isinstance(gossip, UNORDERED_MESSAGES):
+            with self._publish_lock:
+                wrapped = self._fleet_messages.wrap_unordered(gossip)
+            self._gossip_service.tell(GossipService.SendToFleet(gossip=wrapped))
+            return
         is_prompt = isinstance(gossip, PROMPT_MESSAGES)
         # Receivers discard a message that is sent after one with a higher number.
         with self._publish_lock:
--- a/src/crocuswick/gossip/fleet_messages.py
+++ b/src/crocuswick/gossip/fleet_messages.py
@@ -20,6 +20,10 @@
 """Limit on remembered streams of other nodes, several for each node that has run."""
 
 
+UNORDERED_PREFIX = "u"
+"""Prefix of the streams of unordered messages, each of which has one of its own."""
+
+
 class FleetMessages:
     """Wraps and unwraps the messages that nodes of other zones forward.
 
@@ -31,8 +35,14 @@
         self._own = own
         self._run = uuid.uuid4().hex[:8]
         self._numbers_by_stream: Counter[str] = Counter()
+        self._unordered = 0
         self._newest_by_stream: OrderedDict[tuple[str, str], int] = OrderedDict()
 
+    def wrap_unordered(self, gossip: GossipMessage) -> FleetMessage:
+        """Return a message that is handled also if a later one arrives before it."""
+        self._unordered += 1
+        return self._message(gossip, f"{UNORDERED_PREFIX}{self._unordered}", 1)
+
     def wrap(self, gossip: GossipMessage, *, stream: str = "") -> FleetMessage:
         """Return a message with the next number of a stream of this node.
 
@@ -43,11 +53,14 @@
                 stream is discarded.
         """
         self._numbers_by_stream[stream] += 1
+        return self._message(gossip, stream, self._numbers_by_stream[stream])
+
+    def _message(self, gossip: GossipMessage, stream: str, number: int) -> FleetMessage:
         return FleetMessage(
             origin=self._own.node_id,
             zone=self._own.zone,
             run=self._run + stream,
-            number=self._numbers_by_stream[stream],
+            number=number,
             message=encode_gossip(gossip),
         )
 
--- a/tests/gossip/test_fleet_messages.py
+++ b/tests/gossip/test_fleet_messages.py
@@ -46,6 +46,16 @@
         self.assertIsNone(self.receiver.unwrap(second))
         self.assertIsNone(self.receiver.unwrap(first))
 
+    def test_unordered_messages_that_overtake_each_other_are_all_handled_once(self):
+        """Guards against a report of a crash that is discarded because a later one took
+        a faster path."""
+        first = self.origin.wrap_unordered(LOADING)
+        second = self.origin.wrap_unordered(SERVED)
+        self.assertEqual(self.receiver.unwrap(second), SERVED)
+        self.assertEqual(self.receiver.unwrap(first), LOADING)
+        self.assertIsNone(self.receiver.unwrap(second))
+        self.assertIsNone(self.receiver.unwrap(first))
+
     def test_the_messages_of_a_restarted_node_are_handled(self):
         """Its numbers begin again; its peers must not discard them."""
         for _ in range(5):
