--- a/src/crocuswick/relay/relay_server.py
+++ b/src/crocuswick/relay/relay_server.py
@@ -260,6 +260,10 @@
 
     def end_stream(self) -> None:
         """Send the end of the stream."""
+        if self._server.is_draining:
+            # The head, sent before the shutdown began, left the connection open. A
+            # request that arrives on it late may outlast the grace period.
+            self.req.close_connection = True
         if self._is_chunked:
             self._write(b"0\r\n\r\n")
 
--- a/tests/platform/test_node_relay.py
+++ b/tests/platform/test_node_relay.py
@@ -613,6 +613,32 @@
         with self.assertRaises(ConnectionRefusedError):
             RawCaller(deployment.node.front)
 
+    def test_a_stop_reads_no_request_after_a_stream_that_began_before_it(self):
+        """Guards against a request that is read late in a stop, on the connection of a
+        stream whose head announced no end of it, and is cut by the end of the process."""
+        deployment = Deployment()
+        self.addCleanup(deployment.stop)
+        deployment.node.start()
+        may_end = threading.Event()
+
+        def script(received: ReceivedRequest) -> None:
+            received.send(stream_head(received) + event(1))
+            may_end.wait(8)
+            received.send(event(2) + b"0\r\n\r\n")
+
+        deployment.script("engine", script)
+        caller = RawCaller(deployment.node.front)
+        caller.send(request("/ask/1", host="ai.example", budget_ms=6_000, closes=False))
+        caller.receive_until(b"piece 1")
+        deployment.node.terminate()
+        deployment.wait_until(lambda: not deployment.node.is_ready())
+        may_end.set()
+        answer = caller.receive_until(b"0\r\n\r\n")
+        self.assertTrue(answer.endswith(b"0\r\n\r\n"), answer)
+        started_s = time.monotonic()
+        self.assertEqual(caller.receive_all(), b"")
+        self.assertLess(time.monotonic() - started_s, 0.5)
+
     def test_a_stop_under_load_answers_every_request_that_a_caller_could_send(self):
         """Connections that the kernel has accepted wait in the port's backlog; closing
         the port resets them."""
