--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -363,9 +363,11 @@
             if splitter.is_oversized:
                 return self._after_bad_response(attempt, "event exceeds the size limit")
         if splitter.has_partial_event:
-            return self._after_early_end(attempt, "stream ended within an event")
+            return self._after_early_end(attempt, head, "stream ended within an event")
         if self._events == 0 and not head.is_framed:
-            return self._after_early_end(attempt, "stream ended before its first event")
+            return self._after_early_end(
+                attempt, head, "stream ended before its first event"
+            )
         self._progress.possible_runs += 1
         if self._progress.head is None:
             return AttemptResult.ANSWERED, self._deliver(head, b"")
@@ -485,10 +487,11 @@
         return AttemptResult.FAILED, self._retry_or_fail(attempt, timed_out=False)
 
     def _after_early_end(
-        self, attempt: Attempt, detail: str
+        self, attempt: Attempt, head: ResponseHead, detail: str
     ) -> tuple[AttemptResult, str | None]:
         """Handle a stream that was broken off without an error of its connection."""
-        self._is_lost = True
+        # The end of a framed stream is its replica's, however it looks.
+        self._is_lost = not head.is_framed
         return self._after_bad_response(attempt, detail)
 
     def _after_loss(
