--- a/src/crocuswick/relay/crash_attribution.py
+++ b/src/crocuswick/relay/crash_attribution.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import TYPE_CHECKING
 
-import attrs
+if TYPE_CHECKING:
+    from crocuswick.segment_quarantine import LostRequest
 
-__all__ = ["CrashAttribution", "LostRequest"]
+__all__ = ["CrashAttribution"]
 
 CONFIRM_WITHIN_S = 15.0
 """Time after a lost connection within which a crash must be confirmed. A crashed replica
@@ -24,29 +26,6 @@
 """Lost connections remembered per replica."""
 
 
-@attrs.frozen(kw_only=True)
-class LostRequest:
-    """A request whose connection to a replica was lost."""
-
-    fingerprint: str
-    """Fingerprint that all retries of the request share."""
-
-    segments: tuple[str, ...]
-    """Keys of the prompt segments that it may share with others, in order."""
-
-    sent_s: float
-    """Monotonic time at which the attempt began."""
-
-    lost_s: float
-    """Monotonic time of the loss."""
-
-    has_begun: bool = False
-    """Whether an event of the answer had arrived."""
-
-    is_from_peer: bool = False
-    """Whether a peer has lost it."""
-
-
 class CrashAttribution:
     """Remembers lost connections until they are confirmed as crashes or expire."""
 
--- a/src/crocuswick/relay/poison_guard.py
+++ b/src/crocuswick/relay/poison_guard.py
@@ -14,10 +14,10 @@
     Quarantine,
     request_fingerprint,
 )
-from crocuswick.relay.crash_attribution import CrashAttribution, LostRequest
+from crocuswick.relay.crash_attribution import CrashAttribution
 from crocuswick.relay.relay_request import RoutedRequest
 from crocuswick.relay.replica_health import AttemptResult
-from crocuswick.relay.segment_quarantine import SegmentQuarantine
+from crocuswick.segment_quarantine import LostRequest, SegmentQuarantine
 from crocuswick.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
--- a/src/crocuswick/relay/segment_quarantine.py
+++ b/src/crocuswick/segment_quarantine.py
@@ -19,9 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Sequence
 
-    from crocuswick.relay.crash_attribution import LostRequest
-
-__all__ = ["SegmentQuarantine"]
+__all__ = ["LostRequest", "SegmentQuarantine"]
 
 CRASHES_TO_REFUSE = 3
 """Crashes, one after the other, after which a segment is refused."""
@@ -45,6 +43,29 @@
 """Maximum number of segments whose last answer is stored."""
 
 
+@attrs.frozen(kw_only=True)
+class LostRequest:
+    """A request whose connection to a replica was lost."""
+
+    fingerprint: str
+    """Fingerprint that all retries of the request share."""
+
+    segments: tuple[str, ...]
+    """Keys of the prompt segments that it may share with others, in order."""
+
+    sent_s: float
+    """Monotonic time at which the attempt began."""
+
+    lost_s: float
+    """Monotonic time of the loss."""
+
+    has_begun: bool = False
+    """Whether an event of the answer had arrived."""
+
+    is_from_peer: bool = False
+    """Whether a peer has lost it."""
+
+
 @attrs.frozen(kw_only=True)
 class _Loss:
     """The request with a segment that was lost at a crash."""
