--- a/src/crocuswick/callers/_attempt.py
+++ b/src/crocuswick/callers/_attempt.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import attrs
 
 from crocuswick.dispatcher import FailureKind
@@ -50,6 +52,9 @@
     prior_tokens: int
     """Tokens delivered by earlier attempts."""
 
+    started_s: float = attrs.field(factory=time.monotonic)
+    """Monotonic time at which the attempt began."""
+
     stream: EngineStream | None = None
     """Open event stream of the endpoint, or None."""
 
--- a/src/crocuswick/callers/completion.py
+++ b/src/crocuswick/callers/completion.py
@@ -86,6 +86,9 @@
         self._attempt: Attempt | None = None
         self._outcome_so_far = Outcome.NOT_RUN
         self._prompt_tokens = 0
+        self._block_keys: tuple[int, ...] = ()
+        """Keys of the prompt's blocks, without tokens of the answer."""
+
         self._cached_tokens = 0
         self._salt = _request_salt(request)
 
@@ -208,6 +211,8 @@
         keys = block_keys(prompt, salt=self._salt)
         prompt_tokens = count_tokens(prompt)
         self._prompt_tokens = self._prompt_tokens or prompt_tokens
+        if not self._text:
+            self._block_keys = tuple(keys)
         return PlacementRequest(
             request_id=self._engine_request_id(),
             model=self._request.engine_model,
@@ -448,6 +453,8 @@
                 fingerprint=self._fingerprint,
                 attempts=self._attempts,
                 progressed=self._attempt.guard.next_index > 0,
+                block_keys=self._block_keys,
+                run_s=time.monotonic() - self._attempt.started_s,
             )
         )
         if verdict.refusal is not None:
@@ -474,6 +481,7 @@
                 endpoint_id=attempt.endpoint_id,
                 request_id=attempt.request_id,
                 completed_fingerprint=self._fingerprint if completed else None,
+                completed_block_keys=self._block_keys if completed else (),
             )
         )
         if cancel:
--- a/src/crocuswick/dispatcher.py
+++ b/src/crocuswick/dispatcher.py
@@ -30,10 +30,11 @@
 )
 from crocuswick.quarantine import CrashReport, Quarantine
 from crocuswick.retry_budget import RetryBudget
+from crocuswick.segment_quarantine import LostRequest, SegmentQuarantine
 from crocuswick.suspects import AttemptId, Suspects
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from crocuswick.byte_budget import ByteBudget
     from crocuswick.demand_meter import OrganisationDemand
@@ -42,6 +43,10 @@
 __all__ = ["Dispatcher", "FailureKind", "FailureVerdict"]
 
 MAX_ATTEMPTS = 5
+MAX_REPORTED_BLOCKS = 16
+"""Blocks of a prompt that reports of crashes name, from its begin. Reports travel in
+datagrams, and long prompts share their begin."""
+
 NO_ENDPOINT_STATUS = 503
 
 
@@ -169,6 +174,9 @@
         completed_fingerprint: str | None = None
         """Fingerprint of the request if it ran to completion."""
 
+        completed_block_keys: tuple[int, ...] = ()
+        """Keys of its prompt's blocks if it ran to completion."""
+
     @attrs.frozen(kw_only=True)
     class AttemptFailed(Message):
         """An attempt failed; replies `FailureVerdict`."""
@@ -180,6 +188,12 @@
         progressed: bool = False
         """Whether the attempt delivered a token."""
 
+        block_keys: tuple[int, ...] = ()
+        """Keys of the blocks of the request's prompt."""
+
+        run_s: float = 0.0
+        """Time since the attempt began."""
+
     @attrs.frozen(kw_only=True)
     class CrashReportsReceived(Message):
         """Crash reports from other nodes were received."""
@@ -249,6 +263,7 @@
         self._placer = placer
         self._admission = admission
         self._quarantine = quarantine
+        self._segments = SegmentQuarantine()
         self._time_line = time_line
         self._bytes = byte_budget
         self._breakers = CircuitBreakers()
@@ -333,7 +348,7 @@
         """Choose an endpoint for a request."""
         now_s = time.monotonic()
         request = message.request
-        checked = self._quarantine.check(message.fingerprint, now_s=now_s)
+        checked = self._check_quarantine(message.fingerprint, request.keys, now_s)
         if checked.is_err():
             return checked
         excluded = request.excluded | self._breakers.open_ids(now_s)
@@ -373,6 +388,8 @@
         self._suspects.remove(attempt)
         if message.completed_fingerprint is not None:
             self._quarantine.clear(message.completed_fingerprint)
+            segments = _segments(message.completed_block_keys)
+            self._segments.record_answered(segments, time.monotonic())
         self._placer.record_finished(
             message.endpoint_id, message.request_id, time.monotonic()
         )
@@ -384,7 +401,7 @@
             self._breakers.of(message.endpoint_id).record_failure(now_s)
         if message.kind == FailureKind.CRASHED:
             self._record_crash(message, now_s)
-        checked = self._quarantine.check(message.fingerprint, now_s=now_s)
+        checked = self._check_quarantine(message.fingerprint, message.block_keys, now_s)
         if checked.is_err():
             return FailureVerdict(retry=False, refusal=checked.err_value)
         if message.attempts >= MAX_ATTEMPTS:
@@ -398,7 +415,10 @@
 
     def on_crash_reports_received(self, message: CrashReportsReceived) -> None:
         """Add crash reports from other nodes to the quarantine."""
-        self._quarantine.add(message.reports, now_s=time.monotonic())
+        now_s = time.monotonic()
+        self._quarantine.add(message.reports, now_s=now_s)
+        for report in message.reports:
+            self._add_to_segments(report, now_s)
 
     def on_get_crash_reports(self, message: GetCrashReports) -> tuple[CrashReport, ...]:
         """Return the unexpired crash reports, for a node that starts."""
@@ -439,6 +459,25 @@
             limits, weights_by_organisation=weights, now_s=time.monotonic()
         )
 
+    def _check_quarantine(
+        self, fingerprint: str, block_keys: Sequence[int], now_s: float
+    ) -> Result[None, Refusal]:
+        """Return a refusal if the request, or a block of its prompt, is harmful."""
+        refusal = self._segments.check(_segments(block_keys), now_s=now_s)
+        if refusal is not None:
+            return Err(refusal)
+        return self._quarantine.check(fingerprint, now_s=now_s)
+
+    def _add_to_segments(self, report: CrashReport, now_s: float) -> None:
+        lost_s = now_s - report.age_ms / 1000
+        lost = LostRequest(
+            fingerprint=report.fingerprint,
+            segments=_segments(report.block_keys),
+            sent_s=lost_s - report.run_ms / 1000,
+            lost_s=lost_s,
+        )
+        self._segments.add(report.endpoint_id, lost, now_s=now_s)
+
     def _record_crash(self, message: AttemptFailed, now_s: float) -> None:
         self._placer.record_lost(message.endpoint_id, now_s)
         suspect = self._quarantine.is_suspect(message.fingerprint, now_s=now_s)
@@ -447,8 +486,12 @@
             # the first endpoint crashed, so it isn't regarded as that crash's cause.
             return
         report = CrashReport(
-            fingerprint=message.fingerprint, endpoint_id=message.endpoint_id
+            fingerprint=message.fingerprint,
+            endpoint_id=message.endpoint_id,
+            block_keys=message.block_keys[:MAX_REPORTED_BLOCKS],
+            run_ms=round(message.run_s * 1000),
         )
+        self._add_to_segments(report, now_s)
         if self._quarantine.add((report,), now_s=now_s):
             self._broadcast_crash_report(report)
         self._time_line.record(
@@ -458,6 +501,11 @@
         )
 
 
+def _segments(block_keys: Sequence[int]) -> tuple[str, ...]:
+    """Return the names of prompt blocks, of those that crash reports carry."""
+    return tuple(f"{key:016x}" for key in block_keys[:MAX_REPORTED_BLOCKS])
+
+
 def draining_refusal() -> Refusal:
     """Return the refusal of a new request by a node that is shutting down."""
     return Refusal(
--- a/src/crocuswick/quarantine.py
+++ b/src/crocuswick/quarantine.py
@@ -68,6 +68,12 @@
     age_ms: int = 0
     """Time since the crash in milliseconds."""
 
+    block_keys: tuple[int, ...] = ()
+    """Keys of the first blocks of the request's prompt, in order."""
+
+    run_ms: int = 0
+    """Time for which the request had run at the endpoint, in milliseconds."""
+
 
 def request_fingerprint(*, organisation: str, model: str, body: bytes) -> str:
     """Return a fingerprint that is shared only by identical requests.
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -14,6 +14,8 @@
 from crocuswick.time_line import TimeLine
 
 ENDPOINT_IDS = ("a", "b", "c")
+HOT, HARMFUL = 1, 2
+"""Keys of prompt blocks."""
 
 
 def load_report() -> LoadReport:
@@ -59,12 +61,12 @@
     def handle(self, message):
         return self.dispatcher.on_receive(message)
 
-    def place(self, request_id: str, fingerprint: str, excluded: str = ""):
+    def place(self, request_id: str, fingerprint: str, excluded: str = "", keys=()):
         request = PlacementRequest(
             request_id=request_id,
             model="m",
             weights_version="v1",
-            keys=[],
+            keys=list(keys),
             prompt_tokens=10,
             max_tokens=10,
             priority=0,
@@ -100,6 +102,56 @@
         self.assertTrue(self.admit("innocent").is_ok())
         self.assertEqual(len(self.broadcast_reports), 2)
 
+    def answered(self, *keys):
+        """Let a request with these prompt blocks run to completion."""
+        self.handle(
+            Dispatcher.AttemptFinished(
+                endpoint_id="a",
+                request_id="r",
+                completed_fingerprint="sound",
+                completed_block_keys=keys,
+            )
+        )
+
+    def crash_blocks(self, number: int, *keys):
+        """Let an endpoint crash under a request with these prompt blocks."""
+        return self.handle(
+            Dispatcher.AttemptFailed(
+                endpoint_id=f"e{number}",
+                kind=FailureKind.CRASHED,
+                fingerprint=f"f{number}",
+                attempts=1,
+                block_keys=keys,
+            )
+        )
+
+    def test_different_requests_with_a_prompt_block_that_crashes_endpoints(self):
+        """Guards against requests that share the begin of their prompts and crash
+        endpoint after endpoint, since no two of them are alike."""
+        for number in range(3):
+            placed = self.place(f"r{number}", f"f{number}", keys=[HOT, HARMFUL])
+            self.assertTrue(placed.is_ok())
+            self.crash_blocks(number, HOT, HARMFUL, 100 + number)
+            self.answered(HOT)
+        refused = self.place("r9", "f9", keys=[HOT, HARMFUL, 109])
+        self.assertEqual(refused.err_value.step, QUARANTINE_STEP)
+        self.assertTrue(self.place("r10", "f10", keys=[HOT, 110]).is_ok())
+
+    def test_blocks_that_crashed_endpoints_elsewhere_are_refused_here(self):
+        """Guards against nodes that each have to see the crashes themselves."""
+        reports = tuple(
+            CrashReport(
+                fingerprint=f"f{number}",
+                endpoint_id=f"e{number}",
+                age_ms=5_000 - 1_000 * number,
+                block_keys=(HARMFUL,),
+                run_ms=100,
+            )
+            for number in range(3)
+        )
+        self.handle(Dispatcher.CrashReportsReceived(reports=reports))
+        self.assertTrue(self.place("r9", "f9", keys=[HARMFUL]).is_err())
+
     def test_request_that_progressed_is_not_blamed_for_the_second_crash(self):
         self.crash("a", "innocent", progressed=True)
         self.assertTrue(self.crash("b", "innocent", progressed=True).retry)
