--- a/src/crocuswick/relay/poison_guard.py
+++ b/src/crocuswick/relay/poison_guard.py
@@ -55,9 +55,12 @@
 FLEET_ANSWERS_PER_S = 14.0
 """Messages about sound segments per second, of all nodes together."""
 
-UNFRAMED_DELAY_S = 1.0
-"""Time after the end of an answer without length or chunks in which a crash of its replica
-shows that it was broken off."""
+UNFRAMED_DELAY_S = 5.0
+"""Time after the end of an answer without length or chunks from which it counts as
+complete though its replica has sent no other since. A crash is known by then."""
+
+MAX_UNFRAMED = 1_024
+"""Maximum number of such answers that are stored."""
 
 _MS_PER_S = 1000
 
@@ -117,7 +120,7 @@
         self._unstored: set[str] = set()
         """Fingerprints and segments of which more crashes are known than stored."""
 
-        self._unframed: deque[_UnframedAnswer] = deque()
+        self._unframed: deque[_UnframedAnswer] = deque(maxlen=MAX_UNFRAMED)
         self._losses = TokenBucket(rate_per_s=LOSSES_PER_S, now_s=0.0)
         self._answers = TokenBucket(rate_per_s=FLEET_ANSWERS_PER_S, now_s=0.0)
 
@@ -194,9 +197,11 @@
                         is_success=is_success,
                     )
                 )
-                return self._accept_unframed(now_s)
+                return self._accept_unframed(now_s, incarnation, sent_s)
+            messages = self._accept_unframed(now_s, incarnation, sent_s)
             self.replica_answered(incarnation, now_s)
-            return self._record_answered(request, now_s, is_success=is_success)
+            messages += self._record_answered(request, now_s, is_success=is_success)
+            return messages
         return []
 
     def replica_answered(self, incarnation: str, now_s: float) -> None:
@@ -209,7 +214,7 @@
         Returns:
             The messages to broadcast to the peers.
         """
-        messages = self._accept_unframed(now_s)
+        messages: list[GossipMessage] = []
         self._doubt_unframed(incarnation)
         for lost in self._attribution.confirm(incarnation, now_s):
             report = _Report(lost=lost, incarnation=incarnation, confirmed_s=now_s)
@@ -394,15 +399,28 @@
         self._losses.take(1)
         return [_loss_message(lost, incarnation, now_s)]
 
-    def _accept_unframed(self, now_s: float) -> list[GossipMessage]:
-        """Count answers without length or chunks whose replicas haven't crashed since."""
+    def _accept_unframed(
+        self, now_s: float, incarnation: str, sent_s: float
+    ) -> list[GossipMessage]:
+        """Count answers without length or chunks whose replicas haven't crashed since.
+
+        Args:
+            now_s: Monotonic time.
+            incarnation: A replica that has just answered.
+            sent_s: Monotonic time at which it was sent the request.
+        """
         messages: list[GossipMessage] = []
-        while self._unframed and now_s - self._unframed[0].ended_s > UNFRAMED_DELAY_S:
-            answer = self._unframed.popleft()
+        pending: deque[_UnframedAnswer] = deque(maxlen=MAX_UNFRAMED)
+        for answer in self._unframed:
+            is_up = answer.incarnation == incarnation and sent_s >= answer.ended_s
+            if not is_up and now_s - answer.ended_s <= UNFRAMED_DELAY_S:
+                pending.append(answer)
+                continue
             self.replica_answered(answer.incarnation, answer.ended_s)
             messages += self._record_answered(
                 answer.request, answer.ended_s, is_success=answer.is_success
             )
+        self._unframed = pending
         return messages
 
     def _doubt_unframed(self, incarnation: str) -> None:
@@ -414,7 +432,8 @@
                 )
                 self._attribution.record_loss(lost, incarnation)
         self._unframed = deque(
-            answer for answer in self._unframed if answer.incarnation != incarnation
+            (answer for answer in self._unframed if answer.incarnation != incarnation),
+            maxlen=MAX_UNFRAMED,
         )
 
 
--- a/tests/relay/test_poison_guard.py
+++ b/tests/relay/test_poison_guard.py
@@ -65,6 +65,34 @@
             self.assertEqual(self.end(name, 0.4), [])
         self.assertIsNone(self.guard.check(self.poison, 1.0))
 
+    def end_unframed(self, number, incarnation, now_s, *, sent_s=None):
+        """Let an answer without length or chunks end with its connection."""
+        self.guard.attempt_ended(
+            request(number),
+            incarnation,
+            AttemptResult.ANSWERED,
+            is_lost_before_answer=False,
+            is_framed=False,
+            sent_s=now_s - 0.1 if sent_s is None else sent_s,
+            now_s=now_s,
+        )
+
+    def test_an_unframed_answer_that_ends_with_its_replica_was_broken_off(self):
+        """Guards against crashes that look like the end of a complete answer, which would
+        clear the request that causes them."""
+        for number, name in enumerate(("x@1", "y@1", "z@1")):
+            self.end_unframed(1, name, 10.0 * number)
+            self.end(name, 10.0 * number + 3.6)
+        self.assertIsNotNone(self.guard.check(self.poison, 40.0))
+
+    def test_an_unframed_answer_counts_once_its_replica_has_answered_again(self):
+        """Guards against the refusal of sound requests where no answer is framed."""
+        for number, name in enumerate(("x@1", "y@1", "z@1")):
+            self.end_unframed(1, name, 10.0 * number)
+            self.end_unframed(2, name, 10.0 * number + 0.3)
+            self.end(name, 10.0 * number + 3.6)
+        self.assertIsNone(self.guard.check(self.poison, 40.0))
+
     def test_a_node_that_starts_is_told_of_earlier_crashes(self):
         """Guards against a request that crashes replicas again by way of each node that
         has started since."""
