--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -231,12 +231,15 @@
             self._broadcast_to_fleet(gossip)
             return
         # In a large fleet, small prompts would reach few nodes of each other zone, which
-        # seldom use the engines of this one for theirs.
+        # seldom use the engines of this one for theirs. Lost requests need to be known to
+        # some nodes only.
         self._gossip_service.tell(
             GossipService.Send(
                 gossip=gossip,
                 is_zonal=is_zonal,
-                is_zonal_in_large_fleets=isinstance(gossip, SmallPromptsSent),
+                is_zonal_in_large_fleets=isinstance(
+                    gossip, SmallPromptsSent | RequestLost
+                ),
             )
         )
 
@@ -359,11 +362,18 @@
             ages_ms_by_topic=ages_ms,
         )
 
-    def _initial_messages(self) -> list[GossipMessage]:
-        """Return messages whose content a newly started node can't read from the store."""
+    def _initial_messages(self, receiver: str) -> list[GossipMessage]:
+        """Return messages whose content a newly started node can't read from the store.
+
+        Args:
+            receiver: Address of the node.
+        """
+        evidence = dispatcher_messages.GetCrashEvidence(
+            with_recent=self._supplies(receiver)
+        )
         return [
             self._dispatcher.ask(dispatcher_messages.GetTargetVersions()),
-            *self._dispatcher.ask(dispatcher_messages.GetCrashEvidence()),
+            *self._dispatcher.ask(evidence),
             *self._kept_records(),
             *self._recent_outages(),
         ]
@@ -463,18 +473,21 @@
             if lacks_records and self._supplies(sender):
                 self._send_missing(topic, end, sender)
 
-    def _supplies(self, node_id: str) -> bool:
-        """Whether this node is one of those in its zone that send a peer missing records.
+    def _supplies(self, peer: str) -> bool:
+        """Whether this node is one of those in its zone that send a peer what it lacks.
 
         Copies from all neighbours would fill the link of a peer that starts or lags.
+
+        Args:
+            peer: Id or address of the peer.
         """
         suppliers = {
             node.node_id
             for node in self._live
-            if node.zone == self.own.zone and node.node_id != node_id
+            if node.zone == self.own.zone and peer not in (node.node_id, node.address)
         }
         # Peers in other zones choose their neighbours here by the same ranks.
-        return task_rank(node_id, self.own.node_id, suppliers) < SUPPLIERS
+        return task_rank(peer, self.own.node_id, suppliers) < SUPPLIERS
 
     def _known_ends(self, now_s: float) -> dict[str, int]:
         """Return this node's end positions of the topics, at most `ENDS_CACHE_S` old."""
--- a/src/crocuswick/gossip/service.py
+++ b/src/crocuswick/gossip/service.py
@@ -59,7 +59,8 @@
         own: This node.
         seeds: Addresses of a few nodes to connect to first; may be stale.
         ends: Returns the end position of each topic, as this node knows it.
-        initial_messages: Returns further messages to send first on each connection.
+        initial_messages: Returns further messages to send first on a connection to an
+            address.
         open_link: Opens a link to an address, with a function that returns the first
             messages to send on each connection.
         on_message: Called with each message and the id of its sender.
@@ -147,7 +148,7 @@
         own: NodeAddress,
         seeds: tuple[str, ...],
         ends: Callable[[], TopicEnds],
-        initial_messages: Callable[[], list[GossipMessage]],
+        initial_messages: Callable[[str], list[GossipMessage]],
         open_link: Callable[[str, Callable[[], list[GossipMessage]]], PeerLink],
         on_message: Callable[[GossipMessage, str], None],
         on_batch_end: Callable[[], None],
@@ -349,7 +350,7 @@
                 peers=peers,
             ),
             self._ends(),
-            *self._initial_messages(),
+            *self._initial_messages(receiver),
         ]
 
     def _report_changes(self) -> None:
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -314,11 +314,13 @@
         self._poison.record_peer_answers(message.answered, time.monotonic())
 
     def on_get_crash_evidence(
-        self, _message: messages.GetCrashEvidence
+        self, message: messages.GetCrashEvidence
     ) -> list[GossipMessage]:
-        """Return the known crashes and lost requests."""
+        """Return crashes and lost requests."""
         now_s = time.monotonic()
-        return [*self._poison.crashes(now_s), *self._poison.losses(now_s)]
+        crashes = self._poison.crashes(now_s, with_recent=message.with_recent)
+        losses = self._poison.losses(now_s) if message.with_recent else []
+        return [*crashes, *losses]
 
     def on_peer_request_ended(self, message: messages.PeerRequestEnded) -> None:
         """Record the end of a peer's request."""
--- a/src/crocuswick/relay/dispatcher_messages.py
+++ b/src/crocuswick/relay/dispatcher_messages.py
@@ -121,7 +121,10 @@
 
 @attrs.frozen(kw_only=True)
 class GetCrashEvidence(Message):
-    """Query for the known crashes and lost requests, as messages for a node that starts."""
+    """Query for crashes and lost requests, as messages for a node that starts."""
+
+    with_recent: bool
+    """Whether to include evidence because of which nothing is refused yet."""
 
 
 @attrs.frozen(kw_only=True)
--- a/src/crocuswick/relay/poison_guard.py
+++ b/src/crocuswick/relay/poison_guard.py
@@ -271,10 +271,15 @@
         """Return what this node knows of the segments that a peer has reported."""
         return self._share_answers(crashed.segments, now_s)
 
-    def crashes(self, now_s: float) -> list[ReplicaCrashed]:
+    def crashes(
+        self, now_s: float, *, with_recent: bool = True
+    ) -> list[ReplicaCrashed]:
         """Return crashes for a node that has just started.
 
-        These are the crashes because of which requests are refused, and recent ones.
+        Args:
+            now_s: Monotonic time.
+            with_recent: Whether to add recent ones to the crashes because of which
+                requests are refused.
         """
         backing = {
             (report.fingerprint, report.endpoint_id)
@@ -284,7 +289,7 @@
         recent = [
             key
             for key, report in self._reports.items()
-            if now_s - report.confirmed_s < RECENT_S
+            if with_recent and now_s - report.confirmed_s < RECENT_S
         ]
         told = backing | set(recent[-MAX_RECENT:])
         return [
--- a/tests/gossip/test_fleet_gossip.py
+++ b/tests/gossip/test_fleet_gossip.py
@@ -15,6 +15,7 @@
 from crocuswick.records.mirror import TopicUpdate
 from crocuswick.records.record_cache import RecordCache
 from crocuswick.records.store_era import StoreEra
+from crocuswick.relay.dispatcher_messages import GetCrashEvidence
 from tests.gossip.in_memory_fleet import BOUNDS, InMemoryFleet
 
 TOPIC = "configuration"
@@ -90,6 +91,28 @@
         self.assertEqual(self.senders(reading, "a3"), [])
 
 
+class CrashEvidenceTests(unittest.TestCase):
+    def test_a_node_that_starts_is_told_of_recent_crashes_by_two_nodes_of_a_zone(self):
+        """Guards against evidence from all neighbours that fills the link of a node that
+        starts, while replicas crash."""
+        fleet = InMemoryFleet({"a": 20, "b": 20})
+        fleet.tick()
+        started = fleet.nodes_by_id["a3"].address
+        told_by = []
+        for node in fleet.nodes_by_id.values():
+            if node.address == started:
+                continue
+            asked = []
+            node.dispatcher.ask = lambda message, asked=asked: (
+                asked.append(message) or []
+            )
+            node.gossip._initial_messages(started.address)
+            (evidence,) = [each for each in asked if isinstance(each, GetCrashEvidence)]
+            if evidence.with_recent:
+                told_by.append(node.zone)
+        self.assertEqual(sorted(told_by), ["a", "a", "b", "b"])
+
+
 class StoreOutageTests(unittest.TestCase):
     """Removals are delayed after a store outage, in which entries may have lapsed."""
 
--- a/tests/gossip/test_fleet_reach.py
+++ b/tests/gossip/test_fleet_reach.py
@@ -148,7 +148,7 @@
         fleet = InMemoryFleet(dict.fromkeys("abcde", 39))
         node = fleet.nodes_by_id["a7"]
         service = node.service
-        service._initial_messages = list
+        service._initial_messages = lambda _: []
         introduced = {
             zone: len(service._handshake_messages(f"{zone}3:3")[0].peers)
             for zone in "ab"
--- a/tests/gossip/test_transport.py
+++ b/tests/gossip/test_transport.py
@@ -194,7 +194,7 @@
             own=own,
             seeds=tuple(known),
             ends=lambda: TopicEnds(ends_by_topic={}, ages_ms_by_topic={}),
-            initial_messages=list,
+            initial_messages=lambda _: [],
             open_link=nodes.open_link,
             on_message=mock.Mock(),
             on_batch_end=mock.Mock(),
