--- a/src/crocuswick/relay/poison_guard.py
+++ b/src/crocuswick/relay/poison_guard.py
@@ -67,7 +67,7 @@
 
 @attrs.frozen(kw_only=True)
 class _Report:
-    """A request that was lost at a confirmed crash."""
+    """A request that was lost at a confirmed crash of a replica."""
 
     lost: LostRequest
     incarnation: str
@@ -227,14 +227,7 @@
     def record_peer_loss(self, peer_loss: RequestLost, now_s: float) -> None:
         """Record a request that a peer has lost at a replica that may have crashed."""
         lost_s = now_s - peer_loss.age_ms / _MS_PER_S
-        lost = LostRequest(
-            fingerprint=peer_loss.fingerprint,
-            segments=tuple(peer_loss.segments),
-            sent_s=lost_s - peer_loss.run_ms / _MS_PER_S,
-            lost_s=lost_s,
-            has_begun=peer_loss.has_begun,
-            is_from_peer=True,
-        )
+        lost = _lost_by_peer(peer_loss, lost_s)
         self._attribution.record_loss(lost, peer_loss.incarnation)
 
     def record_peer_crash(self, crashed: ReplicaCrashed, now_s: float) -> bool:
@@ -245,16 +238,10 @@
         """
         confirmed_s = now_s - crashed.age_ms / _MS_PER_S
         lost_s = confirmed_s - crashed.lost_before_ms / _MS_PER_S
-        lost = LostRequest(
-            fingerprint=crashed.fingerprint,
-            segments=tuple(crashed.segments),
-            sent_s=lost_s - crashed.run_ms / _MS_PER_S,
-            lost_s=lost_s,
-            has_begun=crashed.has_begun,
-            is_from_peer=True,
-        )
         report = _Report(
-            lost=lost, incarnation=crashed.incarnation, confirmed_s=confirmed_s
+            lost=_lost_by_peer(crashed, lost_s),
+            incarnation=crashed.incarnation,
+            confirmed_s=confirmed_s,
         )
         return self._add(report, now_s)
 
@@ -455,6 +442,17 @@
     )
 
 
+def _lost_by_peer(message: RequestLost | ReplicaCrashed, lost_s: float) -> LostRequest:
+    return LostRequest(
+        fingerprint=message.fingerprint,
+        segments=tuple(message.segments),
+        sent_s=lost_s - message.run_ms / _MS_PER_S,
+        lost_s=lost_s,
+        has_begun=message.has_begun,
+        is_from_peer=True,
+    )
+
+
 def _loss_message(lost: LostRequest, incarnation: str, now_s: float) -> RequestLost:
     return RequestLost(
         fingerprint=lost.fingerprint,
--- a/tests/relay/test_fleet_crashes.py
+++ b/tests/relay/test_fleet_crashes.py
@@ -15,6 +15,7 @@
 from crocuswick.relay.poison_guard import PoisonGuard
 from crocuswick.relay.replica_health import AttemptResult
 from tests.relay.samples import caller, routed
+from tests.relay.simulated_time import SimulatedTime
 
 NODES, REPLICAS = 7, 5
 SECONDS = 60.0
@@ -64,7 +65,7 @@
         self.guards = [PoisonGuard() for _ in range(NODES)]
         self.up_from_s_by_replica = {f"r{n}@0": 0.0 for n in range(REPLICAS)}
         self.started_s = [float("-inf")] * NODES
-        self.events = []
+        self.time = SimulatedTime()
         self.stored_by_key = {}
         self.crash_times_s = []
         self.late_crashes = 0
@@ -73,23 +74,17 @@
         """Send copies of the harmful request and let nodes start again."""
         copies = int(SECONDS / COPY_INTERVAL_S)
         for number in range(copies):
-            self.at(number * COPY_INTERVAL_S, self.send_copy)
+            self.time.at(number * COPY_INTERVAL_S, self.send_copy)
         restart_s = self.pattern.restarts_every_s
         while restart_s < SECONDS:
-            self.at(restart_s, self.restart_node)
+            self.time.at(restart_s, self.restart_node)
             restart_s += self.pattern.restarts_every_s
         for number in range(self.pattern.silent_nodes):
             read_s = self.random.uniform(0.0, READ_INTERVAL_S)
             while read_s < SECONDS:
-                self.at(read_s, self.reading(number))
+                self.time.at(read_s, self.reading(number))
                 read_s += READ_INTERVAL_S
-        while self.events:
-            self.events.sort(key=lambda event: event[0])
-            now_s, action = self.events.pop(0)
-            action(now_s)
-
-    def at(self, time_s, action) -> None:
-        self.events.append((time_s, action))
+        self.time.run()
 
     def restart_node(self, now_s) -> None:
         number = self.random.randrange(NODES)
@@ -118,7 +113,7 @@
     def store(self, guard, now_s) -> None:
         """Store what a node has to store."""
         for key, crashes in guard.take_unstored(now_s).items():
-            self.at(
+            self.time.at(
                 now_s + STORED_S,
                 lambda _then_s, key=key, crashes=crashes: self.stored_by_key.update(
                     {key: (now_s, crashes)}
@@ -152,7 +147,7 @@
             other = routed(caller=caller(body=body, prompt=None))
             self.lose(other, replica, self.random.randrange(NODES), now_s)
         for guard in self.guards:
-            self.at(now_s + LAPSE_S, self.ending(guard, replica))
+            self.time.at(now_s + LAPSE_S, self.ending(guard, replica))
         if self.pattern.port_refuses:
             self.ending(self.guards[node], replica)(now_s)
 
@@ -169,7 +164,7 @@
     def tell_peers(self, messages, record, now_s) -> None:
         for peer in self.guards[self.pattern.silent_nodes :]:
             for message in messages:
-                self.at(
+                self.time.at(
                     now_s + BROADCAST_S,
                     lambda then_s, peer=peer, message=message: record(
                         peer, message, then_s
--- a/tests/relay/test_fleet_segments.py
+++ b/tests/relay/test_fleet_segments.py
@@ -17,6 +17,7 @@
 from crocuswick.relay.relay_request import Prompt, PromptSegment
 from crocuswick.relay.replica_health import AttemptResult
 from tests.relay.samples import MODEL, caller, routed
+from tests.relay.simulated_time import SimulatedTime
 
 NODES, REPLICAS = 7, 5
 SECONDS = 40.0
@@ -53,8 +54,7 @@
     Args:
         seed: Seed of the traffic.
         restarts: Whether some node restarts every few seconds.
-        max_events_before_crash: Events that a harmful request may deliver before its
-            replica crashes.
+        has_begun: Whether requests are lost after the first event of their answers.
     """
 
     def __init__(self, seed: int, *, restarts: bool = False, has_begun: bool = False):
@@ -62,7 +62,7 @@
         self.has_begun = has_begun
         self.guards = [PoisonGuard() for _ in range(NODES)]
         self.attempts_by_replica = {f"r{n}@0": [] for n in range(REPLICAS)}
-        self.events = []
+        self.time = SimulatedTime()
         self.number = 0
         self.crash_times_s = []
         self.late = 0
@@ -71,19 +71,10 @@
             time_s = 0.0
             while time_s < SECONDS:
                 time_s += self.random.expovariate(rate_per_s)
-                self.at(time_s, self.sending(is_harmful))
+                self.time.at(time_s, self.sending(is_harmful))
         if restarts:
             for count in range(1, int(SECONDS / RESTART_EVERY_S)):
-                self.at(count * RESTART_EVERY_S, self.restart_node)
-
-    def run(self) -> None:
-        while self.events:
-            self.events.sort(key=lambda event: event[0])
-            now_s, action = self.events.pop(0)
-            action(now_s)
-
-    def at(self, time_s, action) -> None:
-        self.events.append((time_s, action))
+                self.time.at(count * RESTART_EVERY_S, self.restart_node)
 
     def sending(self, is_harmful):
         return lambda now_s: self.send(is_harmful, now_s)
@@ -112,7 +103,7 @@
         self.attempts_by_replica[replica].append(attempt)
         end = self.crash if is_harmful else self.answer
         after_s = CRASH_AFTER_S if is_harmful else self.random.uniform(0.1, RUN_S)
-        self.at(now_s + after_s, lambda then_s: end(replica, attempt, then_s))
+        self.time.at(now_s + after_s, lambda then_s: end(replica, attempt, then_s))
 
     def is_late(self, now_s) -> bool:
         return len(self.crash_times_s) >= 5 and now_s > self.crash_times_s[4] + LATE_S
@@ -129,7 +120,7 @@
             return
         self.crash_times_s.append(now_s)
         name, _, boot = replica.partition("@")
-        self.at(
+        self.time.at(
             now_s + DOWN_S,
             lambda _then_s: self.attempts_by_replica.__setitem__(
                 f"{name}@{int(boot) + 1}", []
@@ -156,7 +147,7 @@
     def tell(self, messages, now_s) -> None:
         for guard in self.guards:
             for message in messages:
-                self.at(
+                self.time.at(
                     now_s + BROADCAST_S,
                     lambda then_s, guard=guard, message=message: receive(
                         guard, message, then_s
@@ -195,7 +186,7 @@
         for seed in range(SEEDS):
             with self.subTest(seed=seed, **options):
                 fleet = Fleet(seed, **options)
-                fleet.run()
+                fleet.time.run()
                 self.assertLessEqual(len(fleet.crash_times_s), MAX_CRASHES)
                 self.assertLessEqual(fleet.late, MAX_LATE)
                 self.assertLessEqual(
