--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -319,8 +319,11 @@
         """Return crashes and lost requests."""
         now_s = time.monotonic()
         crashes = self._poison.crashes(now_s, with_recent=message.with_recent)
-        losses = self._poison.losses(now_s) if message.with_recent else []
-        return [*crashes, *losses]
+        if not message.with_recent:
+            return list(crashes)
+        # Answers go first: a segment must not be refused because they arrive late.
+        answers = self._poison.answers(now_s)
+        return [*answers, *crashes, *self._poison.losses(now_s)]
 
     def on_peer_request_ended(self, message: messages.PeerRequestEnded) -> None:
         """Record the end of a peer's request."""
--- a/src/crocuswick/relay/poison_guard.py
+++ b/src/crocuswick/relay/poison_guard.py
@@ -21,7 +21,7 @@
 from crocuswick.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from crocuswick.errors import Refusal
     from crocuswick.gossip.messages import GossipMessage
@@ -321,6 +321,13 @@
             self._unstored.add(fingerprint)
         self._unstored.update(self._segments.suspects(lost.segments))
 
+    def answers(self, now_s: float) -> list[SegmentsAnswered]:
+        """Return which segments are sound, for a node that has just started."""
+        answered_s_by_segment = self._segments.answered()
+        if not answered_s_by_segment:
+            return []
+        return [_answers_message(answered_s_by_segment, now_s)]
+
     def _add(self, report: _Report, now_s: float) -> bool:
         """Add a report.
 
@@ -376,11 +383,7 @@
         if not answered_s_by_segment:
             return []
         self._answers.take(1)
-        ages_ms = {
-            segment: _ms(now_s - answered_s)
-            for segment, answered_s in answered_s_by_segment.items()
-        }
-        return [SegmentsAnswered(ages_ms_by_segment=ages_ms)]
+        return [_answers_message(answered_s_by_segment, now_s)]
 
     def _share_loss(
         self, lost: LostRequest, incarnation: str, now_s: float
@@ -453,6 +456,17 @@
     )
 
 
+def _answers_message(
+    answered_s_by_segment: Mapping[str, float], now_s: float
+) -> SegmentsAnswered:
+    return SegmentsAnswered(
+        ages_ms_by_segment={
+            segment: _ms(now_s - answered_s)
+            for segment, answered_s in answered_s_by_segment.items()
+        }
+    )
+
+
 def _loss_message(lost: LostRequest, incarnation: str, now_s: float) -> RequestLost:
     return RequestLost(
         fingerprint=lost.fingerprint,
--- a/src/crocuswick/segment_quarantine.py
+++ b/src/crocuswick/segment_quarantine.py
@@ -17,7 +17,7 @@
 from crocuswick.quarantine import QUARANTINE_STEP, REPORT_LIFETIME_S
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Sequence
+    from collections.abc import Collection, Iterable
 
 __all__ = ["LostRequest", "SegmentQuarantine"]
 
@@ -27,6 +27,9 @@
 CRASHES_TO_REFUSE_KNOWN = 5
 """The same for a segment with which requests were answered before."""
 
+EXTRA_CRASHES_OF_BURST = 2
+"""Additional crashes needed if some came together, as under a burst of requests."""
+
 MIN_REQUESTS = 2
 """Different requests that must have been lost. Retries of one request are left to the
 quarantine of whole requests."""
@@ -35,6 +38,14 @@
 """Crashes after which peers are told that requests with a segment are answered, before
 they can refuse it."""
 
+SHARE_FOR_S = 60.0
+"""Time after a segment's last crash in which peers are told again and again that requests
+with it are answered. Nodes that start, or that were not told of all crashes, may blame
+another segment than their peers do."""
+
+SHARE_INTERVAL_S = 2.0
+"""Interval at which peers are told, by any node."""
+
 MAX_CRASHES = 128
 """Maximum number of crashed replicas stored; the oldest are evicted."""
 
@@ -73,6 +84,8 @@
     fingerprint: str
     sent_s: float
     lost_s: float
+    index: int
+    """Position of the segment in the prompt."""
 
 
 class SegmentQuarantine:
@@ -103,16 +116,23 @@
         if len(known) + len(lost.segments) > MAX_SEGMENTS_PER_CRASH:
             return
         known.update(lost.segments)
-        loss = _Loss(
-            fingerprint=lost.fingerprint, sent_s=lost.sent_s, lost_s=lost.lost_s
-        )
-        for segment in lost.segments:
+        for index, segment in enumerate(lost.segments):
+            loss = _Loss(
+                fingerprint=lost.fingerprint,
+                sent_s=lost.sent_s,
+                lost_s=lost.lost_s,
+                index=index,
+            )
             losses = self._losses_by_segment.setdefault(segment, {})
             before = losses.get(incarnation)
             if before is None or before.sent_s < loss.sent_s:
                 losses[incarnation] = loss
         self._evict_oldest()
-        self._judge(lost.segments, now_s)
+        if any(
+            len(self._losses_by_segment.get(segment, ())) >= CRASHES_TO_REFUSE
+            for segment in lost.segments
+        ):
+            self._judge(now_s)
 
     def record_answered(
         self, segments: Iterable[str], answered_s: float, *, is_from_peer: bool = False
@@ -124,23 +144,21 @@
             answered_s: Monotonic time of the answer.
             is_from_peer: Whether a peer has told of it.
         """
+        is_refused = False
         for segment in segments:
             before_s = self._answered_s_by_segment.get(segment, float("-inf"))
             self._answered_s_by_segment[segment] = max(before_s, answered_s)
             self._answered_s_by_segment.move_to_end(segment)
             if is_from_peer:
                 self._set_shared(segment, answered_s)
-            if segment in self._refused_until_s_by_segment and self._is_cleared(
-                segment
-            ):
-                del self._refused_until_s_by_segment[segment]
+            is_refused = is_refused or segment in self._refused_until_s_by_segment
+        if is_refused:
+            self._judge(answered_s)
         while len(self._answered_s_by_segment) > MAX_ANSWERED:
             self._answered_s_by_segment.popitem(last=False)
 
     def take_answered(self, segments: Iterable[str]) -> dict[str, float]:
-        """Return those segments whose last answer the peers should be told of.
-
-        They are returned once.
+        """Return those segments whose last answer the peers should be told of now.
 
         Args:
             segments: Keys of segments.
@@ -194,6 +212,19 @@
             or self._count(segment) >= self._needed(segment) - 1
         ]
 
+    def answered(self) -> dict[str, float]:
+        """Return when segments that were lost at crashes were last answered.
+
+        Returns:
+            Monotonic time by segment, of those that were answered.
+        """
+        return {
+            segment: self._answered_s_by_segment[segment]
+            for segment, losses in self._losses_by_segment.items()
+            if segment in self._answered_s_by_segment
+            and len(losses) >= CRASHES_TO_SHARE
+        }
+
     def backing(self) -> set[tuple[str, str]]:
         """Return fingerprint and replica of the last losses because of which segments are
         refused."""
@@ -206,99 +237,116 @@
             )[-CRASHES_TO_REFUSE_KNOWN:]
         }
 
-    def _judge(self, segments: Sequence[str], now_s: float) -> None:
-        """Refuse the most likely culprit among segments that were lost at a crash."""
-        for segment in segments:
-            if segment in self._refused_until_s_by_segment:
-                self._refuse(segment, now_s)
-                return
-        suspects = [segment for segment in segments if self._is_to_blame(segment)]
-        if suspects:
-            # Later segments are shared by fewer requests, most of them harmful if one is.
-            culprit = max(
-                suspects,
-                key=lambda segment: (
-                    self._count(segment),
-                    segment not in self._answered_s_by_segment,
-                    segments.index(segment),
-                ),
-            )
-            self._refuse(culprit, now_s)
+    def _judge(self, now_s: float) -> None:
+        """Find the fewest segments that explain the crashes, and refuse them.
 
-    def _is_to_blame(self, segment: str) -> bool:
-        """Whether a segment explains crashes that refused segments don't, or more."""
-        needed = self._needed(segment)
-        count = self._count(segment)
-        if count < needed:
-            return False
-        rivals = self._rivals(segment)
-        if all(self._count(rival) < count for rival in rivals):
-            return True
-        explained = {
-            incarnation
-            for rival in rivals
-            for incarnation in self._losses_by_segment[rival]
-        }
-        return self._count(segment, excluded=explained) >= needed
-
-    def _refuse(self, segment: str, now_s: float) -> None:
-        losses = self._losses_by_segment[segment]
-        last_s = max((loss.lost_s for loss in losses.values()), default=now_s)
-        self._refused_until_s_by_segment[segment] = last_s + REPORT_LIFETIME_S
-        for rival in self._rivals(segment):
-            if self._count(rival, excluded=losses) < self._needed(rival):
-                del self._refused_until_s_by_segment[rival]
-
-    def _rivals(self, segment: str) -> list[str]:
-        """Return the other refused segments that were lost at the same crashes."""
-        losses = self._losses_by_segment.get(segment, {})
-        return [
-            refused
-            for refused in self._refused_until_s_by_segment
-            if refused != segment
-            and not losses.keys().isdisjoint(self._losses_by_segment.get(refused, {}))
+        The outcome doesn't depend on the order in which losses became known.
+        """
+        explained: set[str] = set()
+        refused_until_s_by_segment: dict[str, float] = {}
+        while (culprit := self._culprit(explained)) is not None:
+            losses = self._losses_by_segment[culprit]
+            last_s = max(loss.lost_s for loss in losses.values())
+            refused_until_s_by_segment[culprit] = last_s + REPORT_LIFETIME_S
+            explained.update(losses)
+        for segment, until_s in self._refused_until_s_by_segment.items():
+            # Its losses may have been evicted.
+            if segment not in self._losses_by_segment and until_s > now_s:
+                refused_until_s_by_segment[segment] = until_s
+        self._refused_until_s_by_segment = refused_until_s_by_segment
+
+    def _culprit(self, explained: Collection[str]) -> str | None:
+        """Return the segment that explains most of the crashes that are not explained."""
+        suspects = [
+            segment
+            for segment, losses in self._losses_by_segment.items()
+            if len(losses) >= CRASHES_TO_REFUSE
+            and self._crashes(segment, excluded=explained) >= self._needed(segment)
+        ]
+        proven = [
+            segment for segment in suspects if self._is_proven(segment, explained)
+        ]
+        if not proven:
+            return None
+        crashed = set().union(*(self._losses_by_segment[each] for each in proven))
+        # Requests with the culprit may have overlapped, while those beside them did not.
+        overlapping = [
+            segment
+            for segment in suspects
+            if not crashed.isdisjoint(self._losses_by_segment[segment])
         ]
+        return max(overlapping, key=lambda each: self._likelihood(each, explained))
+
+    def _is_proven(self, segment: str, explained: Collection[str]) -> bool:
+        needed = self._needed(segment)
+        count = self._count(segment, excluded=explained)
+        crashes = self._crashes(segment, excluded=explained)
+        is_burst = count > 1 and crashes >= needed + EXTRA_CRASHES_OF_BURST
+        return count >= needed or is_burst
+
+    def _likelihood(self, segment: str, explained: Collection[str]) -> tuple:
+        losses = self._losses_by_segment[segment].values()
+        return (
+            self._crashes(segment, excluded=explained),
+            segment not in self._answered_s_by_segment,
+            # Later segments are shared by fewer requests, most of them harmful if one is.
+            max(loss.index for loss in losses),
+            segment,
+        )
 
     def _needed(self, segment: str) -> int:
         is_known = segment in self._answered_s_by_segment
         return CRASHES_TO_REFUSE_KNOWN if is_known else CRASHES_TO_REFUSE
 
+    def _crashes(self, segment: str, *, excluded: Collection[str] = ()) -> int:
+        """Return how many replicas crashed since the last answer, however close in time.
+
+        Args:
+            segment: The segment.
+            excluded: Replicas that don't count.
+        """
+        return len(self._unanswered(segment, excluded))
+
     def _count(self, segment: str, *, excluded: Collection[str] = ()) -> int:
         """Return how many replicas crashed one after the other since the last answer.
 
         Replicas that crash together fail for another reason: a crash counts only if its
         request was sent after the crash before it.
+
+        Args:
+            segment: The segment.
+            excluded: Replicas that don't count.
         """
-        answered_s = self._answered_s_by_segment.get(segment, float("-inf"))
-        losses = [
-            loss
-            for incarnation, loss in self._losses_by_segment.get(segment, {}).items()
-            if incarnation not in excluded and loss.lost_s > answered_s
-        ]
-        if len({loss.fingerprint for loss in losses}) < MIN_REQUESTS:
-            return 0
         count = 0
         crashed_s = float("-inf")
+        losses = self._unanswered(segment, excluded)
         for loss in sorted(losses, key=lambda loss: loss.lost_s):
             if loss.sent_s >= crashed_s:
                 count += 1
                 crashed_s = loss.lost_s
         return count
 
-    def _is_cleared(self, segment: str) -> bool:
-        """Whether a request with a segment was answered after its last loss."""
+    def _unanswered(self, segment: str, excluded: Collection[str]) -> list[_Loss]:
+        """Return the losses since the last answer, none if they are of one request."""
         answered_s = self._answered_s_by_segment.get(segment, float("-inf"))
-        losses = self._losses_by_segment.get(segment, {})
-        return all(loss.lost_s <= answered_s for loss in losses.values())
+        losses = [
+            loss
+            for incarnation, loss in self._losses_by_segment.get(segment, {}).items()
+            if incarnation not in excluded and loss.lost_s > answered_s
+        ]
+        requests = {loss.fingerprint for loss in losses}
+        return losses if len(requests) >= MIN_REQUESTS else []
 
     def _must_share(self, segment: str) -> bool:
         answered_s = self._answered_s_by_segment.get(segment)
-        losses = self._losses_by_segment.get(segment)
-        if answered_s is None or not losses:
+        losses = self._losses_by_segment.get(segment, {})
+        if answered_s is None or len(losses) < CRASHES_TO_SHARE:
+            return False
+        last_s = max(loss.lost_s for loss in losses.values())
+        if not last_s <= answered_s <= last_s + SHARE_FOR_S:
             return False
         shared_s = self._shared_s_by_segment.get(segment, float("-inf"))
-        crashes = sum(shared_s < loss.lost_s <= answered_s for loss in losses.values())
-        return crashes >= CRASHES_TO_SHARE
+        return shared_s < last_s or answered_s - shared_s >= SHARE_INTERVAL_S
 
     def _set_shared(self, segment: str, answered_s: float) -> None:
         if segment in self._losses_by_segment:
@@ -307,7 +355,8 @@
 
     def _evict_oldest(self) -> None:
         while len(self._segments_by_incarnation) > MAX_CRASHES:
-            incarnation, segments = self._segments_by_incarnation.popitem(last=False)
+            incarnation = self._least_useful_crash()
+            segments = self._segments_by_incarnation.pop(incarnation)
             for segment in segments:
                 losses = self._losses_by_segment[segment]
                 losses.pop(incarnation, None)
@@ -315,6 +364,12 @@
                     del self._losses_by_segment[segment]
                     self._shared_s_by_segment.pop(segment, None)
 
+    def _least_useful_crash(self) -> str:
+        """Return the oldest crash that no refusal depends on, or the oldest one."""
+        incarnations = list(self._segments_by_incarnation)
+        unexplained = (each for each in incarnations if not self.explains(each))
+        return next(unexplained, incarnations[0])
+
 
 def _refusal(segment: str, crashed: Collection[str], retry_after_s: float) -> Refusal:
     endpoints = ", ".join(sorted(crashed))
--- a/tests/relay/test_fleet_segments.py
+++ b/tests/relay/test_fleet_segments.py
@@ -55,11 +55,24 @@
         seed: Seed of the traffic.
         restarts: Whether some node restarts every few seconds.
         has_begun: Whether requests are lost after the first event of their answers.
+        harmful_per_s: Rate of the harmful requests.
+        hot_segments: Number of first segments.
+        rare_segments: Number of last shared segments.
     """
 
-    def __init__(self, seed: int, *, restarts: bool = False, has_begun: bool = False):
+    def __init__(
+        self,
+        seed: int,
+        *,
+        restarts: bool = False,
+        has_begun: bool = False,
+        harmful_per_s: float = HARMFUL_PER_S,
+        hot_segments: int = HOT_SEGMENTS,
+        rare_segments: int = RARE_SEGMENTS,
+    ):
         self.random = random.Random(seed)
         self.has_begun = has_begun
+        self.hot_segments, self.rare_segments = hot_segments, rare_segments
         self.guards = [PoisonGuard() for _ in range(NODES)]
         self.attempts_by_replica = {f"r{n}@0": [] for n in range(REPLICAS)}
         self.time = SimulatedTime()
@@ -67,7 +80,7 @@
         self.crash_times_s = []
         self.late = 0
         self.sound_sent = self.sound_refused = 0
-        for rate_per_s, is_harmful in ((HARMFUL_PER_S, True), (SOUND_PER_S, False)):
+        for rate_per_s, is_harmful in ((harmful_per_s, True), (SOUND_PER_S, False)):
             time_s = 0.0
             while time_s < SECONDS:
                 time_s += self.random.expovariate(rate_per_s)
@@ -81,10 +94,10 @@
 
     def send(self, is_harmful, now_s) -> None:
         self.number += 1
-        segments = [f"hot{self.random.randrange(HOT_SEGMENTS)}"]
+        segments = [f"hot{self.random.randrange(self.hot_segments)}"]
         if is_harmful:
             segments.append("harmful")
-        segments.append(f"rare{self.random.randrange(RARE_SEGMENTS)}")
+        segments.append(f"rare{self.random.randrange(self.rare_segments)}")
         request = request_with(self.number, *segments)
         node = self.random.randrange(NODES)
         is_settled = self.crash_times_s and now_s > self.crash_times_s[-1] + SETTLED_S
@@ -158,7 +171,11 @@
         number = self.random.randrange(NODES)
         told_by = self.guards[(number + 1) % NODES]
         self.guards[number] = PoisonGuard()
-        for message in [*told_by.crashes(now_s), *told_by.losses(now_s)]:
+        for message in [
+            *told_by.answers(now_s),
+            *told_by.crashes(now_s),
+            *told_by.losses(now_s),
+        ]:
             receive(self.guards[number], message, now_s)
 
 
@@ -183,21 +200,39 @@
 
 class FleetSegmentTests(unittest.TestCase):
     def assert_stopped(self, **options):
+        for fleet in self.assert_bounds(**options):
+            self.assertLessEqual(len(fleet.crash_times_s), MAX_CRASHES)
+
+    def assert_bounds(self, **options):
+        fleets = []
         for seed in range(SEEDS):
             with self.subTest(seed=seed, **options):
                 fleet = Fleet(seed, **options)
                 fleet.time.run()
-                self.assertLessEqual(len(fleet.crash_times_s), MAX_CRASHES)
                 self.assertLessEqual(fleet.late, MAX_LATE)
                 self.assertLessEqual(
                     fleet.sound_refused, MAX_REFUSED_SHARE * fleet.sound_sent
                 )
+                fleets.append(fleet)
+        return fleets
 
     def test_crashes_stop_and_sound_requests_are_served(self):
         """Guards against requests with one segment in common that crash replica after
         replica, and against the refusal of sound ones with their other segments."""
         self.assert_stopped()
 
+    def test_bursts_of_harmful_requests_with_few_segments_stop(self):
+        """Guards against a verdict that passes to another segment when most replicas crash
+        at once, under requests that share the few other segments as well."""
+        self.assert_bounds(harmful_per_s=3.0, hot_segments=3, rare_segments=10)
+        self.assert_bounds(harmful_per_s=10.0, hot_segments=1, rare_segments=10)
+
+    def test_sound_requests_are_served_where_all_share_the_first_segment(self):
+        """Guards against nodes that start while replicas crash, have seen no answer yet, and
+        refuse what all requests share."""
+        self.assert_bounds(restarts=True, hot_segments=1)
+        self.assert_bounds(restarts=True, hot_segments=1, rare_segments=1)
+
     def test_crashes_stop_though_nodes_restart(self):
         """Guards against evidence that is lost with the nodes that hold it."""
         self.assert_stopped(restarts=True)
--- a/tests/test_segment_quarantine.py
+++ b/tests/test_segment_quarantine.py
@@ -63,6 +63,19 @@
         self.assertTrue(self.is_refused(HARMFUL))
         self.assertFalse(self.is_refused(RARE))
 
+    def test_the_segment_that_is_lost_at_each_crash_is_refused_though_runs_overlap(
+        self,
+    ):
+        """Guards against the refusal of a segment whose requests ran beside the harmful
+        ones, and were sent later than these."""
+        for number, at_s in enumerate((1.0, 1.1, 1.2, 5.0)):
+            self.crash(number, HARMFUL, at_s=at_s, run_s=0.5)
+            if number > 0:
+                beside = lost(f"x{number}", RARE, lost_s=at_s, run_s=0.05)
+                self.quarantine.add(f"r{number}@1", beside, now_s=at_s)
+        self.assertTrue(self.is_refused(HARMFUL))
+        self.assertFalse(self.is_refused(RARE))
+
     def test_replicas_that_crash_together_blame_no_segment(self):
         """Guards against the refusal of what runs everywhere when a rack loses power."""
         for number in range(8):
@@ -103,6 +116,15 @@
             )
         self.assertFalse(self.is_refused(RARE))
 
+    def test_a_refusal_outlasts_many_other_crashes(self):
+        """Guards against a harmful segment that is run again because the evidence against
+        it has made room for later crashes."""
+        for number in range(3):
+            self.crash(number, HARMFUL, at_s=number)
+        for number in range(10, 400):
+            self.crash(number, f"m/{number}", at_s=0.5 * number)
+        self.assertTrue(self.is_refused(HARMFUL, now_s=300.0))
+
     def test_stored_evidence_is_bounded(self):
         for number in range(2_000):
             self.crash(number, f"m/{number}", HOT, at_s=number)
