--- a/src/crocuswick/relay/poison_guard.py
+++ b/src/crocuswick/relay/poison_guard.py
@@ -17,6 +17,9 @@
 from crocuswick.relay.crash_attribution import CrashAttribution
 from crocuswick.relay.relay_request import RoutedRequest
 from crocuswick.relay.replica_health import AttemptResult
+from crocuswick.segment_quarantine import (
+    CRASHES_TO_REFUSE as CRASHES_TO_REFUSE_SEGMENT,
+)
 from crocuswick.segment_quarantine import LostRequest, SegmentQuarantine
 from crocuswick.token_bucket import TokenBucket
 
@@ -43,7 +46,10 @@
 """Maximum number of such reports."""
 
 MAX_STORED = 5
-"""Maximum number of crashes stored for a request or a segment."""
+"""Maximum number of crashes stored for a request."""
+
+MAX_STORED_OF_SEGMENT = CRASHES_TO_REFUSE_SEGMENT - 1
+"""Maximum number of crashes stored for a segment, fewer than refuse it."""
 
 MAX_REPORTS = 1_024
 """Maximum number of reports stored."""
@@ -296,22 +302,35 @@
         """Return what is to be stored for nodes that no peer can tell of it.
 
         These are the crashes under requests that have crashed several replicas, of which
-        this node has seen the last one. They are returned once.
+        this node has seen the last one. They are returned once. What is stored refuses
+        no segment without a further crash: the segment may have been answered since, and
+        after a restart of all nodes none would know.
 
         Returns:
             The last crashes by fingerprint or key of a segment.
         """
         crashes_by_key = {
-            key: [
-                report.message(now_s)
-                for report in self._reports.values()
-                if key == report.lost.fingerprint or key in report.lost.segments
-            ][-MAX_STORED:]
-            for key in self._unstored
+            key: self._stored_crashes(key, now_s) for key in self._unstored
         }
         self._unstored.clear()
         return crashes_by_key
 
+    def _stored_crashes(self, key: str, now_s: float) -> list[ReplicaCrashed]:
+        reports = self._reports.values()
+        by_fingerprint = [each for each in reports if each.lost.fingerprint == key]
+        if by_fingerprint:
+            return [
+                attrs.evolve(report.message(now_s), segments=[])
+                for report in by_fingerprint[-MAX_STORED:]
+            ]
+        by_segment = {
+            each.incarnation: each for each in reports if key in each.lost.segments
+        }
+        return [
+            attrs.evolve(report.message(now_s), segments=[key])
+            for report in list(by_segment.values())[-MAX_STORED_OF_SEGMENT:]
+        ]
+
     def _note_unstored(self, lost: LostRequest) -> None:
         fingerprint = lost.fingerprint
         crashes = sum(
@@ -336,7 +355,7 @@
         """
         lost = report.lost
         key = (lost.fingerprint, report.incarnation)
-        is_new = key not in self._reports
+        known = self._reports.get(key)
         crash_report = CrashReport(
             fingerprint=lost.fingerprint,
             endpoint_id=report.incarnation,
@@ -345,13 +364,16 @@
         if not lost.has_begun:
             self._quarantine.add([crash_report], now_s=now_s)
         self._quarantine_of_begun.add([crash_report], now_s=now_s)
-        if is_new:
+        # Reports from the store name one segment at most.
+        if known is None or len(known.lost.segments) < len(lost.segments):
             self._reports[key] = report
             self._segments.add(report.incarnation, lost, now_s=now_s)
             self._evict_reports(now_s)
-            if not lost.is_from_peer:
-                self._note_unstored(lost)
-        return is_new
+        elif not set(lost.segments) <= set(known.lost.segments):
+            self._segments.add(report.incarnation, lost, now_s=now_s)
+        if known is None and not lost.is_from_peer:
+            self._note_unstored(lost)
+        return known is None
 
     def _evict_reports(self, now_s: float) -> None:
         while self._reports:
--- a/src/crocuswick/segment_quarantine.py
+++ b/src/crocuswick/segment_quarantine.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
-__all__ = ["LostRequest", "SegmentQuarantine"]
+__all__ = ["CRASHES_TO_REFUSE", "LostRequest", "SegmentQuarantine"]
 
 CRASHES_TO_REFUSE = 3
 """Crashes, one after the other, after which a segment is refused."""
--- a/tests/relay/test_poison_guard.py
+++ b/tests/relay/test_poison_guard.py
@@ -93,6 +93,34 @@
             self.end(name, 10.0 * number + 3.6)
         self.assertIsNone(self.guard.check(self.poison, 40.0))
 
+    def lose_with(self, guard, number, incarnation, now_s):
+        """Let a replica crash under a request that shares a segment with others."""
+        guard.attempt_ended(
+            routed(caller=caller(request_id=f"r{number}", body=b"%d" % number)),
+            incarnation,
+            AttemptResult.FAILED,
+            is_lost_before_answer=True,
+            now_s=now_s,
+        )
+        guard.replica_ended(incarnation, now_s)
+
+    def test_what_is_stored_refuses_no_segment_without_a_further_crash(self):
+        """Guards against the refusal of a sound segment by all nodes of a fleet that have
+        restarted: the crashes are in the store, and the answers since are forgotten."""
+        sound = routed(caller=caller(body=b"another"))
+        for number in range(4):
+            self.lose_with(self.guard, number, f"x{number}@1", float(number))
+        self.assertIsNotNone(self.guard.check(sound, 5.0))
+        stored = self.guard.take_unstored(5.0)
+        self.assertTrue(stored)
+        started = PoisonGuard()
+        for crashes in stored.values():
+            for crashed in crashes:
+                started.record_peer_crash(crashed, 6.0)
+        self.assertIsNone(started.check(sound, 6.0))
+        self.lose_with(started, 9, "x9@1", 7.0)
+        self.assertIsNotNone(started.check(sound, 8.0))
+
     def test_a_node_that_starts_is_told_of_earlier_crashes(self):
         """Guards against a request that crashes replicas again by way of each node that
         has started since."""
