--- a/src/crocuswick/dispatcher.py
+++ b/src/crocuswick/dispatcher.py
@@ -43,6 +43,10 @@
 __all__ = ["Dispatcher", "FailureKind", "FailureVerdict"]
 
 MAX_ATTEMPTS = 5
+PEERS_BLOCKS_AFTER_S = 15.0
+"""Time after its start from which a node blames blocks for crashes that others have seen.
+Before, it has seen too few answers to tell them from blocks that most requests share."""
+
 MAX_REPORTED_BLOCKS = 16
 """Blocks of a prompt that reports of crashes name, from its begin. Reports travel in
 datagrams, and long prompts share their begin."""
@@ -264,6 +268,7 @@
         self._admission = admission
         self._quarantine = quarantine
         self._segments = SegmentQuarantine()
+        self._started_s = time.monotonic()
         self._time_line = time_line
         self._bytes = byte_budget
         self._breakers = CircuitBreakers()
@@ -417,8 +422,9 @@
         """Add crash reports from other nodes to the quarantine."""
         now_s = time.monotonic()
         self._quarantine.add(message.reports, now_s=now_s)
-        for report in message.reports:
-            self._add_to_segments(report, now_s)
+        if now_s - self._started_s >= PEERS_BLOCKS_AFTER_S:
+            for report in message.reports:
+                self._add_to_segments(report, now_s)
 
     def on_get_crash_reports(self, message: GetCrashReports) -> tuple[CrashReport, ...]:
         """Return the unexpired crash reports, for a node that starts."""
--- a/src/crocuswick/segment_quarantine.py
+++ b/src/crocuswick/segment_quarantine.py
@@ -46,10 +46,10 @@
 SHARE_INTERVAL_S = 2.0
 """Interval at which peers are told, by any node."""
 
-MAX_CRASHES = 128
+MAX_CRASHES = 64
 """Maximum number of crashed replicas stored; the oldest are evicted."""
 
-MAX_SEGMENTS_PER_CRASH = 256
+MAX_SEGMENTS_PER_CRASH = 1_024
 MAX_ANSWERED = 8_192
 """Maximum number of segments whose last answer is stored."""
 
