--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -304,6 +304,7 @@
         if self._poison.record_peer_crash(crashed, now_s):
             self._log_crash(crashed, source="peer")
             self._broadcast_evidence(self._poison.answers_to_share(crashed, now_s))
+        self._log_verdicts()
 
     def on_peer_loss(self, message: messages.PeerLoss) -> None:
         """Record a request that a peer has lost."""
@@ -312,6 +313,7 @@
     def on_peer_answers(self, message: messages.PeerAnswers) -> None:
         """Record that requests with some prompt segments are answered."""
         self._poison.record_peer_answers(message.answered, time.monotonic())
+        self._log_verdicts()
 
     def on_get_crash_evidence(
         self, message: messages.GetCrashEvidence
@@ -459,6 +461,16 @@
             unstored = self._poison.take_unstored(time.monotonic())
             for key, crashes in unstored.items():
                 self._store_crashes(key, crashes)
+        self._log_verdicts()
+
+    def _log_verdicts(self) -> None:
+        for verdict in self._poison.take_verdicts():
+            event = "refused" if verdict.is_refused else "served again"
+            self._log.record_state(
+                f"prompt segment {event}",
+                segment=verdict.segment,
+                crashed=list(verdict.crashed),
+            )
 
     def _log_crash(self, crashed: ReplicaCrashed, *, source: str) -> None:
         self._log.record_state(
--- a/src/crocuswick/relay/poison_guard.py
+++ b/src/crocuswick/relay/poison_guard.py
@@ -20,7 +20,11 @@
 from crocuswick.segment_quarantine import (
     CRASHES_TO_REFUSE as CRASHES_TO_REFUSE_SEGMENT,
 )
-from crocuswick.segment_quarantine import LostRequest, SegmentQuarantine
+from crocuswick.segment_quarantine import (
+    LostRequest,
+    SegmentQuarantine,
+    SegmentVerdict,
+)
 from crocuswick.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
@@ -251,6 +255,10 @@
         )
         return self._add(report, now_s)
 
+    def take_verdicts(self) -> list[SegmentVerdict]:
+        """Return which segments are refused, or no longer, since the last call."""
+        return self._segments.take_changes()
+
     def record_peer_answers(self, answered: SegmentsAnswered, now_s: float) -> None:
         """Record that a peer has received answers to requests with some segments."""
         for segment, age_ms in answered.ages_ms_by_segment.items():
--- a/src/crocuswick/segment_quarantine.py
+++ b/src/crocuswick/segment_quarantine.py
@@ -17,9 +17,14 @@
 from crocuswick.quarantine import QUARANTINE_STEP, REPORT_LIFETIME_S
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection, Iterable, Mapping
 
-__all__ = ["CRASHES_TO_REFUSE", "LostRequest", "SegmentQuarantine"]
+__all__ = [
+    "CRASHES_TO_REFUSE",
+    "LostRequest",
+    "SegmentQuarantine",
+    "SegmentVerdict",
+]
 
 CRASHES_TO_REFUSE = 3
 """Crashes, one after the other, after which a segment is refused."""
@@ -50,6 +55,9 @@
 """Maximum number of crashed replicas stored; the oldest are evicted."""
 
 MAX_SEGMENTS_PER_CRASH = 1_024
+MAX_CHANGES = 64
+"""Maximum number of changes kept for the log."""
+
 MAX_ANSWERED = 8_192
 """Maximum number of segments whose last answer is stored."""
 
@@ -88,6 +96,16 @@
     """Position of the segment in the prompt."""
 
 
+@attrs.frozen(kw_only=True)
+class SegmentVerdict:
+    """A change of what is known of a segment."""
+
+    segment: str
+    is_refused: bool
+    crashed: tuple[str, ...] = ()
+    """Replicas that crashed under requests with it."""
+
+
 class SegmentQuarantine:
     """Losses and answers by prompt segment; not thread-safe, has a single owner."""
 
@@ -101,6 +119,7 @@
         """When the last answer that peers know of arrived."""
 
         self._refused_until_s_by_segment: dict[str, float] = {}
+        self._changes: list[SegmentVerdict] = []
 
     def add(self, incarnation: str, lost: LostRequest, *, now_s: float) -> None:
         """Add a request that was lost when a replica crashed.
@@ -196,6 +215,11 @@
             del self._refused_until_s_by_segment[segment]
         return None
 
+    def take_changes(self) -> list[SegmentVerdict]:
+        """Return the changes since the last call, for the log."""
+        changes, self._changes = self._changes, []
+        return changes
+
     def explains(self, incarnation: str) -> bool:
         """Return whether a replica crashed under a request with a refused segment."""
         return any(
@@ -253,8 +277,21 @@
             # Its losses may have been evicted.
             if segment not in self._losses_by_segment and until_s > now_s:
                 refused_until_s_by_segment[segment] = until_s
+        self._note_changes(refused_until_s_by_segment)
         self._refused_until_s_by_segment = refused_until_s_by_segment
 
+    def _note_changes(self, refused_until_s_by_segment: Mapping[str, float]) -> None:
+        before = self._refused_until_s_by_segment.keys()
+        after = refused_until_s_by_segment.keys()
+        for segment in sorted(before ^ after):
+            verdict = SegmentVerdict(
+                segment=segment,
+                is_refused=segment in after,
+                crashed=tuple(sorted(self._losses_by_segment.get(segment, ()))),
+            )
+            self._changes.append(verdict)
+        del self._changes[:-MAX_CHANGES]
+
     def _culprit(self, explained: Collection[str]) -> str | None:
         """Return the segment that explains most of the crashes that are not explained."""
         suspects = [
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -14,6 +14,7 @@
     PromptEnded,
     PromptPlaced,
     ReplicaCrashed,
+    SegmentsAnswered,
     SmallPromptsSent,
 )
 from crocuswick.outcome import Outcome
@@ -487,6 +488,30 @@
         crashes = [each for each in self.broadcasts if isinstance(each, ReplicaCrashed)]
         self.assertEqual(len(crashes), 2)
 
+    def test_the_log_names_a_segment_that_is_refused_and_served_again(self):
+        """Guards against refusals of which the log doesn't tell the begin and the end."""
+        for number in range(3):
+            self.ask(
+                messages.PeerCrash(
+                    crashed=ReplicaCrashed(
+                        fingerprint=f"f{number}",
+                        incarnation=f"e{number}@1",
+                        age_ms=3_000 - 1_000 * number,
+                        segments=["m/a"],
+                    )
+                )
+            )
+        answered = SegmentsAnswered(ages_ms_by_segment={"m/a": 0})
+        self.ask(messages.PeerAnswers(answered=answered))
+        logged = [
+            call.args[0]
+            for call in self.log.record_state.call_args_list
+            if call.kwargs.get("segment") == "m/a"
+        ]
+        self.assertEqual(
+            logged, ["prompt segment refused", "prompt segment served again"]
+        )
+
     def test_crashes_by_identical_requests_are_stored(self):
         """Guards against evidence that only a peer that hears this node can get."""
         for name in ("x", "y"):
