--- a/src/crocuswick/relay/poison_guard.py
+++ b/src/crocuswick/relay/poison_guard.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 import attrs
@@ -15,8 +15,8 @@
     request_fingerprint,
 )
 from crocuswick.relay.crash_attribution import CrashAttribution
-from crocuswick.relay.relay_request import RoutedRequest
 from crocuswick.relay.replica_health import AttemptResult
+from crocuswick.relay.unframed_answers import EndedAnswer, UnframedAnswers
 from crocuswick.segment_quarantine import (
     CRASHES_TO_REFUSE as CRASHES_TO_REFUSE_SEGMENT,
 )
@@ -32,6 +32,7 @@
 
     from crocuswick.errors import Refusal
     from crocuswick.gossip.messages import GossipMessage
+    from crocuswick.relay.relay_request import RoutedRequest
 
 __all__ = ["PoisonGuard"]
 
@@ -65,13 +66,6 @@
 FLEET_ANSWERS_PER_S = 14.0
 """Messages about sound segments per second, of all nodes together."""
 
-UNFRAMED_DELAY_S = 5.0
-"""Time after the end of an answer without length or chunks from which it counts as
-complete though its replica has sent no other since. A crash is known by then."""
-
-MAX_UNFRAMED = 1_024
-"""Maximum number of such answers that are stored."""
-
 _MS_PER_S = 1000
 
 
@@ -97,17 +91,6 @@
         )
 
 
-@attrs.frozen(kw_only=True)
-class _UnframedAnswer:
-    """An answer that ended with its connection."""
-
-    request: RoutedRequest
-    incarnation: str
-    sent_s: float
-    ended_s: float
-    is_success: bool
-
-
 class PoisonGuard:
     """Attributes crashes to requests and refuses those that crash replicas.
 
@@ -130,7 +113,7 @@
         self._unstored: set[str] = set()
         """Fingerprints and segments of which more crashes are known than stored."""
 
-        self._unframed: deque[_UnframedAnswer] = deque(maxlen=MAX_UNFRAMED)
+        self._unframed = UnframedAnswers()
         self._losses = TokenBucket(rate_per_s=LOSSES_PER_S, now_s=0.0)
         self._answers = TokenBucket(rate_per_s=FLEET_ANSWERS_PER_S, now_s=0.0)
 
@@ -197,21 +180,14 @@
             self._attribution.record_loss(lost, incarnation)
             return self._share_loss(lost, incarnation, now_s)
         if result is AttemptResult.ANSWERED:
-            if not is_framed:
-                self._unframed.append(
-                    _UnframedAnswer(
-                        request=request,
-                        incarnation=incarnation,
-                        sent_s=sent_s,
-                        ended_s=now_s,
-                        is_success=is_success,
-                    )
-                )
-                return self._accept_unframed(now_s, incarnation, sent_s)
-            messages = self._accept_unframed(now_s, incarnation, sent_s)
-            self.replica_answered(incarnation, now_s)
-            messages += self._record_answered(request, now_s, is_success=is_success)
-            return messages
+            answer = EndedAnswer(
+                request=request,
+                incarnation=incarnation,
+                sent_s=sent_s,
+                ended_s=now_s,
+                is_success=is_success,
+            )
+            return self._answer_ended(answer, is_framed=is_framed)
         return []
 
     def replica_answered(self, incarnation: str, now_s: float) -> None:
@@ -225,7 +201,12 @@
             The messages to broadcast to the peers.
         """
         messages: list[GossipMessage] = []
-        self._doubt_unframed(incarnation)
+        # Answers that ended with their connections may have been broken off.
+        for answer in self._unframed.take_of(incarnation):
+            lost = _lost_request(
+                answer.request, answer.sent_s, answer.ended_s, has_begun=True
+            )
+            self._attribution.record_loss(lost, incarnation)
         for lost in self._attribution.confirm(incarnation, now_s):
             report = _Report(lost=lost, incarnation=incarnation, confirmed_s=now_s)
             # Peers that know of the loss confirm the crash themselves.
@@ -391,15 +372,28 @@
                 return
             self._reports.popitem(last=False)
 
-    def _record_answered(
-        self, request: RoutedRequest, answered_s: float, *, is_success: bool
+    def _answer_ended(
+        self, answer: EndedAnswer, *, is_framed: bool
     ) -> list[GossipMessage]:
+        complete = self._unframed.take_complete(answer)
+        if is_framed:
+            complete.append(answer)
+        else:
+            self._unframed.add(answer)
+        messages: list[GossipMessage] = []
+        for each in complete:
+            messages += self._record_complete(each)
+        return messages
+
+    def _record_complete(self, answer: EndedAnswer) -> list[GossipMessage]:
+        request, answered_s = answer.request, answer.ended_s
+        self.replica_answered(answer.incarnation, answered_s)
         if self._reports:
             fingerprint = _fingerprint(request)
             self._quarantine.clear(fingerprint)
             self._quarantine_of_begun.clear(fingerprint)
         prompt = request.caller.prompt
-        if prompt is None or not is_success:
+        if prompt is None or not answer.is_success:
             return []
         self._segments.record_answered(prompt.shared_keys, answered_s)
         return self._share_answers(prompt.shared_keys, answered_s)
@@ -424,43 +418,6 @@
         self._losses.take(1)
         return [_loss_message(lost, incarnation, now_s)]
 
-    def _accept_unframed(
-        self, now_s: float, incarnation: str, sent_s: float
-    ) -> list[GossipMessage]:
-        """Count answers without length or chunks whose replicas haven't crashed since.
-
-        Args:
-            now_s: Monotonic time.
-            incarnation: A replica that has just answered.
-            sent_s: Monotonic time at which it was sent the request.
-        """
-        messages: list[GossipMessage] = []
-        pending: deque[_UnframedAnswer] = deque(maxlen=MAX_UNFRAMED)
-        for answer in self._unframed:
-            is_up = answer.incarnation == incarnation and sent_s >= answer.ended_s
-            if not is_up and now_s - answer.ended_s <= UNFRAMED_DELAY_S:
-                pending.append(answer)
-                continue
-            self.replica_answered(answer.incarnation, answer.ended_s)
-            messages += self._record_answered(
-                answer.request, answer.ended_s, is_success=answer.is_success
-            )
-        self._unframed = pending
-        return messages
-
-    def _doubt_unframed(self, incarnation: str) -> None:
-        """Take answers that ended just before their replica for lost ones."""
-        for answer in self._unframed:
-            if answer.incarnation == incarnation:
-                lost = _lost_request(
-                    answer.request, answer.sent_s, answer.ended_s, has_begun=True
-                )
-                self._attribution.record_loss(lost, incarnation)
-        self._unframed = deque(
-            (answer for answer in self._unframed if answer.incarnation != incarnation),
-            maxlen=MAX_UNFRAMED,
-        )
-
 
 def _lost_request(
     request: RoutedRequest, sent_s: float, lost_s: float, *, has_begun: bool
