--- a/src/crocuswick/relay/poison_guard.py
+++ b/src/crocuswick/relay/poison_guard.py
@@ -2,24 +2,25 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from typing import TYPE_CHECKING
 
-import attrs
-
 from crocuswick.gossip.messages import ReplicaCrashed, RequestLost, SegmentsAnswered
 from crocuswick.quarantine import (
-    REPORT_LIFETIME_S,
     CrashReport,
     Quarantine,
     request_fingerprint,
 )
 from crocuswick.relay.crash_attribution import CrashAttribution
+from crocuswick.relay.crash_reports import (
+    MAX_TOLD,
+    ConfirmedLoss,
+    CrashReportLog,
+    loss_message,
+    lost_by_peer,
+    to_ms,
+)
 from crocuswick.relay.replica_health import AttemptResult
 from crocuswick.relay.unframed_answers import EndedAnswer, UnframedAnswers
-from crocuswick.segment_quarantine import (
-    CRASHES_TO_REFUSE as CRASHES_TO_REFUSE_SEGMENT,
-)
 from crocuswick.segment_quarantine import (
     LostRequest,
     SegmentQuarantine,
@@ -43,22 +44,6 @@
 """The same if some of the answers had begun. Requests whose answers go on for long run at
 many crashes that they don't cause."""
 
-RECENT_S = 60.0
-"""Age up to which nodes that start are told of crashes because of which nothing is
-refused yet."""
-
-MAX_RECENT = 64
-"""Maximum number of such reports."""
-
-MAX_STORED = 5
-"""Maximum number of crashes stored for a request."""
-
-MAX_STORED_OF_SEGMENT = CRASHES_TO_REFUSE_SEGMENT - 1
-"""Maximum number of crashes stored for a segment, fewer than refuse it."""
-
-MAX_REPORTS = 1_024
-"""Maximum number of reports stored."""
-
 LOSSES_PER_S = 10.0
 """Lost requests per second of which peers are told before a crash is confirmed. A faulty
 replica may lose far more."""
@@ -66,29 +51,11 @@
 FLEET_ANSWERS_PER_S = 14.0
 """Messages about sound segments per second, of all nodes together."""
 
-_MS_PER_S = 1000
-
-
-@attrs.frozen(kw_only=True)
-class _Report:
-    """A request that was lost at a confirmed crash of a replica."""
-
-    lost: LostRequest
-    incarnation: str
-    confirmed_s: float
+RECENT_S = 60.0
+"""Age up to which nodes that start are told of crashes because of which nothing is
+refused yet."""
 
-    def message(self, now_s: float) -> ReplicaCrashed:
-        """Return the report as a message to peers."""
-        lost = self.lost
-        return ReplicaCrashed(
-            fingerprint=lost.fingerprint,
-            incarnation=self.incarnation,
-            age_ms=_ms(now_s - self.confirmed_s),
-            segments=list(lost.segments),
-            has_begun=lost.has_begun,
-            lost_before_ms=_ms(self.confirmed_s - lost.lost_s),
-            run_ms=_ms(lost.lost_s - lost.sent_s),
-        )
+_MS_PER_S = 1000
 
 
 class PoisonGuard:
@@ -107,8 +74,7 @@
 
         self._segments = SegmentQuarantine()
         self._attribution = CrashAttribution()
-        self._reports: OrderedDict[tuple[str, str], _Report] = OrderedDict()
-        """By fingerprint and replica."""
+        self._reports = CrashReportLog()
 
         self._unstored: set[str] = set()
         """Fingerprints and segments of which more crashes are known than stored."""
@@ -123,7 +89,7 @@
 
     def check(self, request: RoutedRequest, now_s: float) -> Refusal | None:
         """Return the refusal of a request that crashes replicas, None for others."""
-        if not self._reports:
+        if self._reports.is_empty:
             return None
         prompt = request.caller.prompt
         if prompt is not None:
@@ -208,7 +174,9 @@
             )
             self._attribution.record_loss(lost, incarnation)
         for lost in self._attribution.confirm(incarnation, now_s):
-            report = _Report(lost=lost, incarnation=incarnation, confirmed_s=now_s)
+            report = ConfirmedLoss(
+                lost=lost, incarnation=incarnation, confirmed_s=now_s
+            )
             # Peers that know of the loss confirm the crash themselves.
             if self._add(report, now_s) and not lost.is_from_peer:
                 messages.append(report.message(now_s))
@@ -217,8 +185,7 @@
 
     def record_peer_loss(self, peer_loss: RequestLost, now_s: float) -> None:
         """Record a request that a peer has lost at a replica that may have crashed."""
-        lost_s = now_s - peer_loss.age_ms / _MS_PER_S
-        lost = _lost_by_peer(peer_loss, lost_s)
+        lost = lost_by_peer(peer_loss, now_s)
         self._attribution.record_loss(lost, peer_loss.incarnation)
 
     def record_peer_crash(self, crashed: ReplicaCrashed, now_s: float) -> bool:
@@ -227,13 +194,7 @@
         Returns:
             Whether it is new to this node.
         """
-        confirmed_s = now_s - crashed.age_ms / _MS_PER_S
-        lost_s = confirmed_s - crashed.lost_before_ms / _MS_PER_S
-        report = _Report(
-            lost=_lost_by_peer(crashed, lost_s),
-            incarnation=crashed.incarnation,
-            confirmed_s=confirmed_s,
-        )
+        report = ConfirmedLoss.from_message(crashed, now_s)
         return self._add(report, now_s)
 
     def take_verdicts(self) -> list[SegmentVerdict]:
@@ -268,24 +229,19 @@
             for quarantine in (self._quarantine, self._quarantine_of_begun)
             for report in quarantine.refused(now_s=now_s)
         } | self._segments.backing()
-        recent = [
-            key
-            for key, report in self._reports.items()
-            if with_recent and now_s - report.confirmed_s < RECENT_S
-        ]
-        told = backing | set(recent[-MAX_RECENT:])
         return [
             report.message(now_s)
-            for key, report in self._reports.items()
-            if key in told
+            for report in self._reports.chosen(
+                backing, recent_since_s=now_s - RECENT_S if with_recent else now_s
+            )
         ]
 
     def losses(self, now_s: float) -> list[RequestLost]:
         """Return the losses that are not confirmed yet, for a node that has just started."""
         return [
-            _loss_message(lost, incarnation, now_s)
+            loss_message(lost, incarnation, now_s)
             for incarnation, lost in self._attribution.unconfirmed(now_s)
-        ][-MAX_RECENT:]
+        ][-MAX_TOLD:]
 
     def take_unstored(self, now_s: float) -> dict[str, list[ReplicaCrashed]]:
         """Return what is to be stored for nodes that no peer can tell of it.
@@ -299,34 +255,14 @@
             The last crashes by fingerprint or key of a segment.
         """
         crashes_by_key = {
-            key: self._stored_crashes(key, now_s) for key in self._unstored
+            key: self._reports.to_store(key, now_s) for key in self._unstored
         }
         self._unstored.clear()
         return crashes_by_key
 
-    def _stored_crashes(self, key: str, now_s: float) -> list[ReplicaCrashed]:
-        reports = self._reports.values()
-        by_fingerprint = [each for each in reports if each.lost.fingerprint == key]
-        if by_fingerprint:
-            return [
-                attrs.evolve(report.message(now_s), segments=[])
-                for report in by_fingerprint[-MAX_STORED:]
-            ]
-        by_segment = {
-            each.incarnation: each for each in reports if key in each.lost.segments
-        }
-        return [
-            attrs.evolve(report.message(now_s), segments=[key])
-            for report in list(by_segment.values())[-MAX_STORED_OF_SEGMENT:]
-        ]
-
     def _note_unstored(self, lost: LostRequest) -> None:
-        fingerprint = lost.fingerprint
-        crashes = sum(
-            report.lost.fingerprint == fingerprint for report in self._reports.values()
-        )
-        if crashes >= CRASHES_TO_REFUSE:
-            self._unstored.add(fingerprint)
+        if self._reports.count(lost.fingerprint) >= CRASHES_TO_REFUSE:
+            self._unstored.add(lost.fingerprint)
         self._unstored.update(self._segments.suspects(lost.segments))
 
     def answers(self, now_s: float) -> list[SegmentsAnswered]:
@@ -336,41 +272,27 @@
             return []
         return [_answers_message(answered_s_by_segment, now_s)]
 
-    def _add(self, report: _Report, now_s: float) -> bool:
+    def _add(self, report: ConfirmedLoss, now_s: float) -> bool:
         """Add a report.
 
         Returns:
             Whether it is new.
         """
         lost = report.lost
-        key = (lost.fingerprint, report.incarnation)
-        known = self._reports.get(key)
         crash_report = CrashReport(
             fingerprint=lost.fingerprint,
             endpoint_id=report.incarnation,
-            age_ms=_ms(now_s - report.confirmed_s),
+            age_ms=to_ms(now_s - report.confirmed_s),
         )
         if not lost.has_begun:
             self._quarantine.add([crash_report], now_s=now_s)
         self._quarantine_of_begun.add([crash_report], now_s=now_s)
-        # Reports from the store name one segment at most.
-        if known is None or len(known.lost.segments) < len(lost.segments):
-            self._reports[key] = report
+        is_new, has_new_segments = self._reports.add(report, now_s)
+        if has_new_segments:
             self._segments.add(report.incarnation, lost, now_s=now_s)
-            self._evict_reports(now_s)
-        elif not set(lost.segments) <= set(known.lost.segments):
-            self._segments.add(report.incarnation, lost, now_s=now_s)
-        if known is None and not lost.is_from_peer:
+        if is_new and not lost.is_from_peer:
             self._note_unstored(lost)
-        return known is None
-
-    def _evict_reports(self, now_s: float) -> None:
-        while self._reports:
-            oldest = next(iter(self._reports.values()))
-            is_expired = now_s - oldest.confirmed_s >= REPORT_LIFETIME_S
-            if not is_expired and len(self._reports) <= MAX_REPORTS:
-                return
-            self._reports.popitem(last=False)
+        return is_new
 
     def _answer_ended(
         self, answer: EndedAnswer, *, is_framed: bool
@@ -388,7 +310,7 @@
     def _record_complete(self, answer: EndedAnswer) -> list[GossipMessage]:
         request, answered_s = answer.request, answer.ended_s
         self.replica_answered(answer.incarnation, answered_s)
-        if self._reports:
+        if not self._reports.is_empty:
             fingerprint = _fingerprint(request)
             self._quarantine.clear(fingerprint)
             self._quarantine_of_begun.clear(fingerprint)
@@ -416,7 +338,7 @@
         if self._losses.wait_s(now_s=now_s) > 0:
             return []
         self._losses.take(1)
-        return [_loss_message(lost, incarnation, now_s)]
+        return [loss_message(lost, incarnation, now_s)]
 
 
 def _lost_request(
@@ -432,39 +354,17 @@
     )
 
 
-def _lost_by_peer(message: RequestLost | ReplicaCrashed, lost_s: float) -> LostRequest:
-    return LostRequest(
-        fingerprint=message.fingerprint,
-        segments=tuple(message.segments),
-        sent_s=lost_s - message.run_ms / _MS_PER_S,
-        lost_s=lost_s,
-        has_begun=message.has_begun,
-        is_from_peer=True,
-    )
-
-
 def _answers_message(
     answered_s_by_segment: Mapping[str, float], now_s: float
 ) -> SegmentsAnswered:
     return SegmentsAnswered(
         ages_ms_by_segment={
-            segment: _ms(now_s - answered_s)
+            segment: to_ms(now_s - answered_s)
             for segment, answered_s in answered_s_by_segment.items()
         }
     )
 
 
-def _loss_message(lost: LostRequest, incarnation: str, now_s: float) -> RequestLost:
-    return RequestLost(
-        fingerprint=lost.fingerprint,
-        incarnation=incarnation,
-        age_ms=_ms(now_s - lost.lost_s),
-        segments=list(lost.segments),
-        has_begun=lost.has_begun,
-        run_ms=_ms(lost.lost_s - lost.sent_s),
-    )
-
-
 def _fingerprint(request: RoutedRequest) -> str:
     """Return the fingerprint that all retries of a request share, at any node."""
     caller = request.caller
@@ -473,7 +373,3 @@
         model=f"{caller.method} {caller.host}{caller.target}",
         body=caller.body,
     )
-
-
-def _ms(duration_s: float) -> int:
-    return max(0, round(duration_s * _MS_PER_S))
