--- a/src/crocuswick/explaining/causes.py
+++ b/src/crocuswick/explaining/causes.py
@@ -15,6 +15,12 @@
 OVERLOAD_DETAIL = "first event is expected after"
 """Text in the detail of a refusal whose reason is the length of the queues."""
 
+HARMFUL_DETAIL = " crashed "
+"""Text in the detail of a refusal whose reason are earlier crashes."""
+
+SEGMENT_DETAIL = "prompt segment"
+"""Text before the segment in such a detail, if a segment is to blame."""
+
 LOST_REPLICA_WINDOW_S = 3.0
 """Time before a refusal in which a lost replica counts as a reason for long queues."""
 
@@ -131,6 +137,35 @@
     )
 
 
+@rule
+def harmful(request: RequestLines) -> Cause | None:
+    """Match a request refused because it, or others like it, crashed replicas."""
+    if request.outcome != "refused" or HARMFUL_DETAIL not in request.detail:
+        return None
+    crashed = [
+        f"{line['replica']} crashed at {line.unix_s:.1f}, known at {line.node}"
+        for line in request.log.lines
+        if line.event == "crash attributed"
+        and line["source"] == "own"
+        and _names(line, request.detail)
+    ]
+    return Cause(
+        text=f"requests like this one crash replicas: {request.detail}",
+        evidence=tuple(crashed),
+    )
+
+
+def _names(crash: LogLine, detail: str) -> bool:
+    """Whether a refusal names the replica of a crash and, if any, its segment."""
+    replica = str(crash["replica"])
+    segments = crash["segments"] or []
+    is_segment = SEGMENT_DETAIL in detail
+    return replica in detail and (
+        not is_segment
+        or any(f"{SEGMENT_DETAIL} {segment} " in detail for segment in segments)
+    )
+
+
 @rule
 def no_replica(request: RequestLines) -> Cause | None:
     """Match a request refused because no replica was usable."""
--- a/tests/explaining/test_explanation.py
+++ b/tests/explaining/test_explanation.py
@@ -65,6 +65,22 @@
         self.assertIn("1 replicas were lost", cause.text)
         self.assertIn("y", cause.evidence[0])
 
+    def test_a_request_with_a_segment_that_crashes_replicas(self):
+        """Guards against an explanation that finds no replica usable."""
+        crash = {"event": "crash attributed", "replica": "x@1", "source": "own"}
+        cause = self.cause(
+            line(8.0, **crash, segments=["m/a", "m/c4"]),
+            line(9.0, **crash, segments=["m/b"]),
+            ended(
+                10.0,
+                "refused",
+                "Requests with the prompt segment m/c4 crashed x@1, y@1; requests with "
+                "it will not be run.",
+            ),
+        )
+        self.assertIn("m/c4", cause.text)
+        self.assertEqual(cause.evidence, ("x@1 crashed at 8.0, known at n1",))
+
     def test_a_silent_replica(self):
         cause = self.cause(attempt(10.0, "silent"), ended(10.0, "failed"))
         self.assertIn("answered nobody after that", cause.text)
