--- a/src/crocuswick/gossip/messages.py
+++ b/src/crocuswick/gossip/messages.py
@@ -290,11 +290,14 @@
 @message("answered")
 @attrs.frozen(kw_only=True)
 class SegmentsAnswered(GossipMessage):
-    """Requests with prompt segments that were lost at crashes have been answered."""
+    """Requests that were lost at crashes, or others with their segments, were answered."""
 
     ages_ms_by_segment: dict[str, int]
     """Time since the last answer by segment."""
 
+    fingerprints: list[str] = attrs.Factory(list)
+    """Fingerprints of identical requests that were answered."""
+
 
 @message("fleet")
 @attrs.frozen(kw_only=True)
--- a/src/crocuswick/quarantine.py
+++ b/src/crocuswick/quarantine.py
@@ -176,13 +176,16 @@
             now_s - crashed_s < REPORT_LIFETIME_S for crashed_s in crash_times.values()
         )
 
-    def clear(self, fingerprint: str) -> None:
+    def clear(self, fingerprint: str) -> bool:
         """Remove the crash reports of a request that ran to completion.
 
         Args:
             fingerprint: Fingerprint of the request.
+
+        Returns:
+            Whether there were any.
         """
-        self._crash_times_by_fingerprint.pop(fingerprint, None)
+        return self._crash_times_by_fingerprint.pop(fingerprint, None) is not None
 
     def recent(self, *, now_s: float) -> tuple[CrashReport, ...]:
         """Return the latest reports, to be forwarded to other nodes.
--- a/src/crocuswick/relay/crash_reports.py
+++ b/src/crocuswick/relay/crash_reports.py
@@ -26,8 +26,8 @@
 MAX_TOLD = 64
 """Maximum number of recent reports of which a node that starts is told."""
 
-MAX_STORED = 5
-"""Maximum number of crashes stored for a request."""
+MAX_STORED = 1
+"""Maximum number of crashes stored for a request, fewer than refuse it."""
 
 MAX_STORED_OF_SEGMENT = CRASHES_TO_REFUSE - 1
 """Maximum number of crashes stored for a segment, fewer than refuse it."""
@@ -104,6 +104,11 @@
             self._reports[key] = report
         return False, True
 
+    def discard(self, fingerprint: str) -> None:
+        """Remove the reports of identical requests, one of which was answered."""
+        for key in [key for key in self._reports if key[0] == fingerprint]:
+            del self._reports[key]
+
     def count(self, fingerprint: str) -> int:
         """Return how many replicas crashed under identical requests."""
         return sum(each.lost.fingerprint == fingerprint for each in self._all())
--- a/src/crocuswick/relay/poison_guard.py
+++ b/src/crocuswick/relay/poison_guard.py
@@ -207,6 +207,8 @@
             self._segments.record_answered(
                 [segment], now_s - age_ms / _MS_PER_S, is_from_peer=True
             )
+        for fingerprint in answered.fingerprints:
+            self._clear(fingerprint)
 
     def answers_to_share(
         self, crashed: ReplicaCrashed, now_s: float
@@ -310,15 +312,31 @@
     def _record_complete(self, answer: EndedAnswer) -> list[GossipMessage]:
         request, answered_s = answer.request, answer.ended_s
         self.replica_answered(answer.incarnation, answered_s)
-        if not self._reports.is_empty:
-            fingerprint = _fingerprint(request)
-            self._quarantine.clear(fingerprint)
-            self._quarantine_of_begun.clear(fingerprint)
+        messages: list[GossipMessage] = []
+        fingerprint = "" if self._reports.is_empty else _fingerprint(request)
+        is_cleared = fingerprint and self._clear(fingerprint)
+        if is_cleared and self._answers.wait_s(now_s=answered_s) == 0:
+            self._answers.take(1)
+            messages.append(
+                SegmentsAnswered(ages_ms_by_segment={}, fingerprints=[fingerprint])
+            )
         prompt = request.caller.prompt
-        if prompt is None or not answer.is_success:
-            return []
-        self._segments.record_answered(prompt.shared_keys, answered_s)
-        return self._share_answers(prompt.shared_keys, answered_s)
+        if prompt is not None and answer.is_success:
+            self._segments.record_answered(prompt.shared_keys, answered_s)
+            messages += self._share_answers(prompt.shared_keys, answered_s)
+        return messages
+
+    def _clear(self, fingerprint: str) -> bool:
+        """Forget the crashes under identical requests, one of which was answered.
+
+        Returns:
+            Whether there were any.
+        """
+        if not self._quarantine_of_begun.clear(fingerprint):
+            return False
+        self._quarantine.clear(fingerprint)
+        self._reports.discard(fingerprint)
+        return True
 
     def _share_answers(
         self, segments: Iterable[str], now_s: float
--- a/tests/relay/test_poison_guard.py
+++ b/tests/relay/test_poison_guard.py
@@ -93,6 +93,27 @@
             self.end(name, 10.0 * number + 3.6)
         self.assertIsNone(self.guard.check(self.poison, 40.0))
 
+    def test_an_answer_at_a_peer_clears_a_request(self):
+        """Guards against the refusal of a request that many callers send, and that was in
+        flight at two crashes which it did not cause."""
+        peer = PoisonGuard()
+        self.lose("x@1", 0.0)
+        for crashed in self.end("x@1", 0.1):
+            peer.record_peer_crash(crashed, 0.2)
+        answers = peer.attempt_ended(
+            self.poison,
+            "y@1",
+            AttemptResult.ANSWERED,
+            is_lost_before_answer=False,
+            now_s=5.0,
+        )
+        for answered in answers:
+            self.guard.record_peer_answers(answered, 5.1)
+        self.lose("z@1", 9.0)
+        self.end("z@1", 9.1)
+        self.assertIsNone(self.guard.check(self.poison, 10.0))
+        self.assertEqual(len(self.guard.crashes(10.0)), 1)
+
     def lose_with(self, guard, number, incarnation, now_s):
         """Let a replica crash under a request that shares a segment with others."""
         guard.attempt_ended(
