--- a/src/crocuswick/fleet_gossip.py
+++ b/src/crocuswick/fleet_gossip.py
@@ -23,7 +23,7 @@
     ReplicaLeaving,
     ReplicaLoading,
     RequestLost,
-    SegmentsAnswered,
+    RequestsAnswered,
     SmallPromptsSent,
     StoreReturned,
     TargetVersions,
@@ -95,7 +95,7 @@
 that they cause grows with the fleet. In a larger one, the neighbours are sent them."""
 
 PROMPT_MESSAGES = (PromptPlaced, PromptComputed, PromptEnded)
-UNORDERED_MESSAGES = (ReplicaCrashed, ReplicaLeaving, SegmentsAnswered)
+UNORDERED_MESSAGES = (ReplicaCrashed, ReplicaLeaving, RequestsAnswered)
 """Messages that no other undoes, so that each is handled whatever arrives before it."""
 
 PROMPT_STREAM = "p"
@@ -603,8 +603,8 @@
         """Record a request that a peer has lost at a replica that may have crashed."""
         self._deliver(dispatcher_messages.PeerLoss(lost=gossip))
 
-    @handles(SegmentsAnswered)
-    def on_segments_answered(self, gossip: SegmentsAnswered, _sender: str) -> None:
+    @handles(RequestsAnswered)
+    def on_segments_answered(self, gossip: RequestsAnswered, _sender: str) -> None:
         """Record that requests with some prompt segments are answered."""
         self._deliver(dispatcher_messages.PeerAnswers(answered=gossip))
 
--- a/src/crocuswick/gossip/messages.py
+++ b/src/crocuswick/gossip/messages.py
@@ -28,7 +28,7 @@
     "ReplicaLeaving",
     "ReplicaLoading",
     "RequestLost",
-    "SegmentsAnswered",
+    "RequestsAnswered",
     "SmallPromptsSent",
     "StoreReturned",
     "TargetVersions",
@@ -289,7 +289,7 @@
 
 @message("answered")
 @attrs.frozen(kw_only=True)
-class SegmentsAnswered(GossipMessage):
+class RequestsAnswered(GossipMessage):
     """Requests that were lost at crashes, or others with their segments, were answered."""
 
     ages_ms_by_segment: dict[str, int]
--- a/src/crocuswick/relay/dispatcher_messages.py
+++ b/src/crocuswick/relay/dispatcher_messages.py
@@ -10,7 +10,7 @@
     PromptPlaced,
     ReplicaCrashed,
     RequestLost,
-    SegmentsAnswered,
+    RequestsAnswered,
     SmallPromptsSent,
 )
 from crocuswick.relay.kv_events import KvEvent
@@ -228,7 +228,7 @@
 class PeerAnswers(Message):
     """A peer has received answers to requests with some prompt segments."""
 
-    answered: SegmentsAnswered
+    answered: RequestsAnswered
 
 
 @attrs.frozen(kw_only=True)
--- a/src/crocuswick/relay/poison_guard.py
+++ b/src/crocuswick/relay/poison_guard.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from crocuswick.gossip.messages import ReplicaCrashed, RequestLost, SegmentsAnswered
+from crocuswick.gossip.messages import ReplicaCrashed, RequestLost, RequestsAnswered
 from crocuswick.quarantine import (
     CrashReport,
     Quarantine,
@@ -201,7 +201,7 @@
         """Return which segments are refused, or no longer, since the last call."""
         return self._segments.take_changes()
 
-    def record_peer_answers(self, answered: SegmentsAnswered, now_s: float) -> None:
+    def record_peer_answers(self, answered: RequestsAnswered, now_s: float) -> None:
         """Record that a peer has received answers to requests with some segments."""
         for segment, age_ms in answered.ages_ms_by_segment.items():
             self._segments.record_answered(
@@ -267,7 +267,7 @@
             self._unstored.add(lost.fingerprint)
         self._unstored.update(self._segments.suspects(lost.segments))
 
-    def answers(self, now_s: float) -> list[SegmentsAnswered]:
+    def answers(self, now_s: float) -> list[RequestsAnswered]:
         """Return which segments are sound, for a node that has just started."""
         answered_s_by_segment = self._segments.answered()
         if not answered_s_by_segment:
@@ -318,7 +318,7 @@
         if is_cleared and self._answers.wait_s(now_s=answered_s) == 0:
             self._answers.take(1)
             messages.append(
-                SegmentsAnswered(ages_ms_by_segment={}, fingerprints=[fingerprint])
+                RequestsAnswered(ages_ms_by_segment={}, fingerprints=[fingerprint])
             )
         prompt = request.caller.prompt
         if prompt is not None and answer.is_success:
@@ -374,8 +374,8 @@
 
 def _answers_message(
     answered_s_by_segment: Mapping[str, float], now_s: float
-) -> SegmentsAnswered:
-    return SegmentsAnswered(
+) -> RequestsAnswered:
+    return RequestsAnswered(
         ages_ms_by_segment={
             segment: to_ms(now_s - answered_s)
             for segment, answered_s in answered_s_by_segment.items()
--- a/src/crocuswick/segment_quarantine.py
+++ b/src/crocuswick/segment_quarantine.py
@@ -233,7 +233,7 @@
             segment
             for segment in segments
             if segment in self._refused_until_s_by_segment
-            or self._count(segment) >= self._needed(segment) - 1
+            or self._sequential_crashes(segment) >= self._needed(segment) - 1
         ]
 
     def answered(self) -> dict[str, float]:
@@ -298,7 +298,8 @@
             segment
             for segment, losses in self._losses_by_segment.items()
             if len(losses) >= CRASHES_TO_REFUSE
-            and self._crashes(segment, excluded=explained) >= self._needed(segment)
+            and self._total_crashes(segment, excluded=explained)
+            >= self._needed(segment)
         ]
         proven = [
             segment for segment in suspects if self._is_proven(segment, explained)
@@ -316,15 +317,15 @@
 
     def _is_proven(self, segment: str, explained: Collection[str]) -> bool:
         needed = self._needed(segment)
-        count = self._count(segment, excluded=explained)
-        crashes = self._crashes(segment, excluded=explained)
+        count = self._sequential_crashes(segment, excluded=explained)
+        crashes = self._total_crashes(segment, excluded=explained)
         is_burst = count > 1 and crashes >= needed + EXTRA_CRASHES_OF_BURST
         return count >= needed or is_burst
 
     def _likelihood(self, segment: str, explained: Collection[str]) -> tuple:
         losses = self._losses_by_segment[segment].values()
         return (
-            self._crashes(segment, excluded=explained),
+            self._total_crashes(segment, excluded=explained),
             segment not in self._answered_s_by_segment,
             # Later segments are shared by fewer requests, most of them harmful if one is.
             max(loss.index for loss in losses),
@@ -335,7 +336,7 @@
         is_known = segment in self._answered_s_by_segment
         return CRASHES_TO_REFUSE_KNOWN if is_known else CRASHES_TO_REFUSE
 
-    def _crashes(self, segment: str, *, excluded: Collection[str] = ()) -> int:
+    def _total_crashes(self, segment: str, *, excluded: Collection[str] = ()) -> int:
         """Return how many replicas crashed since the last answer, however close in time.
 
         Args:
@@ -344,7 +345,9 @@
         """
         return len(self._unanswered(segment, excluded))
 
-    def _count(self, segment: str, *, excluded: Collection[str] = ()) -> int:
+    def _sequential_crashes(
+        self, segment: str, *, excluded: Collection[str] = ()
+    ) -> int:
         """Return how many replicas crashed one after the other since the last answer.
 
         Replicas that crash together fail for another reason: a crash counts only if its
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -14,7 +14,7 @@
     PromptEnded,
     PromptPlaced,
     ReplicaCrashed,
-    SegmentsAnswered,
+    RequestsAnswered,
     SmallPromptsSent,
 )
 from crocuswick.outcome import Outcome
@@ -501,7 +501,7 @@
                     )
                 )
             )
-        answered = SegmentsAnswered(ages_ms_by_segment={"m/a": 0})
+        answered = RequestsAnswered(ages_ms_by_segment={"m/a": 0})
         self.ask(messages.PeerAnswers(answered=answered))
         logged = [
             call.args[0]
--- a/tests/relay/test_fleet_segments.py
+++ b/tests/relay/test_fleet_segments.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from crocuswick.gossip.messages import ReplicaCrashed, RequestLost, SegmentsAnswered
+from crocuswick.gossip.messages import ReplicaCrashed, RequestLost, RequestsAnswered
 from crocuswick.relay.poison_guard import PoisonGuard
 from crocuswick.relay.relay_request import Prompt, PromptSegment
 from crocuswick.relay.replica_health import AttemptResult
@@ -194,7 +194,7 @@
         guard.record_peer_crash(message, now_s)
     elif isinstance(message, RequestLost):
         guard.record_peer_loss(message, now_s)
-    elif isinstance(message, SegmentsAnswered):
+    elif isinstance(message, RequestsAnswered):
         guard.record_peer_answers(message, now_s)
 
 
