--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -14,7 +14,7 @@
 import threading
 import time
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 ROOT = Path(__file__).resolve().parents[2]
 sys.path[:0] = [str(ROOT), str(ROOT / "target" / "deps")]
@@ -60,6 +60,17 @@
             return port
 
 
+class Answer(NamedTuple):
+    """What a caller got for one request."""
+
+    outcome: int | str
+    """Status, or ``failed`` without a complete answer."""
+
+    body: bytes
+    is_sealed: bool
+    """Whether the answer bears a replica's seal."""
+
+
 class Record:
     """The file ``record.txt`` of a case."""
 
@@ -235,6 +246,10 @@
         timer.daemon = True
         timer.start()
 
+    def drain(self) -> None:
+        """Let the replica report that it drains; it goes on serving."""
+        self._process.signal(signal.SIGUSR1)
+
     def stop(self) -> None:
         """End the process."""
         if self._process is not None and self._process.is_running:
@@ -312,8 +327,8 @@
         body: bytes | None = None,
         budget_ms: int = 3_000,
         label: str = "",
-    ) -> int | str:
-        """Send one request on a new channel; return its status or how it failed."""
+    ) -> Answer:
+        """Send one request on a new channel and return what came back."""
         request_id = f"{next(self._numbers):016x}"
         fields = {
             "Host": host,
@@ -328,13 +343,14 @@
         )
         text = f"{method} {path}"
         sent_s = time.time()
+        content, is_sealed = b"", False
         try:
             connection.request(method, path, body=body, headers=fields)
             answer = connection.getresponse()
             content = answer.read()
             outcome: int | str = answer.status
-            is_own = answer.getheader("X-Replica-Seal") is None
-            detail = f"own {content[:160]!r}" if is_own else "from a replica"
+            is_sealed = answer.getheader("X-Replica-Seal") is not None
+            detail = f"{'sealed' if is_sealed else 'own'} {content[:160]!r}"
         except (OSError, http.client.HTTPException) as error:
             outcome, detail = "failed", repr(error)
         finally:
@@ -344,7 +360,7 @@
             f"{node.name} {request_id} {text} {label} -> {outcome} "
             f"after {elapsed_ms} ms {detail}"
         )
-        return outcome
+        return Answer(outcome, content, is_sealed)
 
     def stop(self) -> None:
         """End all processes, and copy what the replicas ran to the record."""
--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -11,6 +11,7 @@
 import argparse
 import json
 import select
+import signal
 import socket
 import struct
 import threading
@@ -26,6 +27,8 @@
 
 REPORT_INTERVAL_S = 0.05
 EVENTS = 4
+WRONG_BYTES = bytes(range(0xE0, 0xF8))
+"""As many bytes as the line of the head that they take the place of."""
 
 
 def parse_arguments() -> argparse.Namespace:
@@ -41,6 +44,9 @@
     parser.add_argument("--slots", type=int, default=6)
     parser.add_argument("--model", default="")
     parser.add_argument("--version", type=int, default=1)
+    parser.add_argument("--spoil-from", type=float, default=0.0)
+    parser.add_argument("--spoil-for", type=float, default=0.0)
+    parser.add_argument("--spoil-each", type=int, default=0)
     return parser.parse_args()
 
 
@@ -56,6 +62,11 @@
         self.orders = 0
         self.is_busy = False
         self.running = 0
+        self.state = "ready"
+        self.drains = threading.Event()
+        self.answers = 0
+        """Answers sent while some are to be spoiled."""
+
         self.lock = threading.Lock()
         self.cached: OrderedDict[tuple[str, str], str] = OrderedDict()
         """Tenant that made each cached part, by cache salt and id of the part."""
@@ -74,11 +85,18 @@
         """Write the entry again and again."""
         while True:
             self.number += 1
-            self.register()
-            time.sleep(HEARTBEAT_S)
+            is_draining = self.drains.is_set()
+            self.state = "draining" if is_draining else "ready"
+            is_registered = self.register()
+            if is_draining:
+                if is_registered:
+                    self.write(event="draining acknowledged")
+                time.sleep(HEARTBEAT_S)
+            else:
+                self.drains.wait(HEARTBEAT_S)
 
-    def register(self) -> None:
-        """Append the entry to the store."""
+    def register(self) -> bool:
+        """Append the entry to the store; return whether the store has accepted it."""
         arguments = self.arguments
         entry = {
             "Service": arguments.service,
@@ -86,7 +104,7 @@
             "Zone": arguments.zone,
             "Version": "v1",
             "Slots": arguments.slots,
-            "State": "ready",
+            "State": self.state,
             "ColdLeftMs": 0,
             "Stage": "colocated",
             "Models": self.models(),
@@ -105,6 +123,8 @@
             urllib.request.urlopen(call, timeout=1).read()
         except OSError as error:
             self.write(event="not registered", error=str(error))
+            return False
+        return True
 
     def models(self) -> list[dict]:
         """Return the models as in entries and reports."""
@@ -118,6 +138,7 @@
         """Accept channels until the process ends."""
         listener = socket.create_server(("127.0.0.1", self.arguments.port), backlog=512)
         threading.Thread(target=self.heartbeat, daemon=True).start()
+        signal.signal(signal.SIGUSR1, lambda *_: self.drains.set())
         while True:
             channel, _ = listener.accept()
             threading.Thread(
@@ -195,7 +216,8 @@
             return
         head = [*self.head(headers), ("X-Replica-Seal", "seal")]
         if not self.arguments.model:
-            send(channel, "200 OK", head, f"{target} at {self.arguments.id}".encode())
+            body = f"{target} at {self.arguments.id}".encode()
+            send_chunked(channel, head, body, spoils=self.spoils(headers))
             return
         head += [
             ("Content-Type", "text/event-stream"),
@@ -207,6 +229,19 @@
         )
         send(channel, "200 OK", head, events)
 
+    def spoils(self, headers: dict) -> bool:
+        """Whether to put wrong bytes into the head of this answer."""
+        arguments = self.arguments
+        since_s = time.time() - arguments.spoil_from
+        if not arguments.spoil_each or not 0 <= since_s < arguments.spoil_for:
+            return False
+        with self.lock:
+            self.answers += 1
+            is_spoiled = self.answers % arguments.spoil_each == 0
+        if is_spoiled:
+            self.write(event="spoiled", id=headers["x-attempt-id"])
+        return is_spoiled
+
     def shared_parts(self, headers: dict) -> list[list[str]]:
         """Return the parts that were found cached, each with the tenant that made it.
 
@@ -301,10 +336,31 @@
 ) -> None:
     """Send a whole answer."""
     lines = [f"HTTP/1.1 {status}", *(f"{name}: {value}" for name, value in headers)]
-    lines += [f"Content-Length: {len(body)}", "", ""]
+    lines += [f"Content-Length: {len(body)}", "Connection: close", "", ""]
     channel.sendall("\r\n".join(lines).encode() + body)
 
 
+def send_chunked(
+    channel: socket.socket,
+    headers: list[tuple[str, str]],
+    body: bytes,
+    *,
+    spoils: bool,
+) -> None:
+    """Send an answer in two chunks; if it is spoiled, one line of its head is wrong."""
+    lines = [
+        b"HTTP/1.1 200 OK",
+        *(f"{name}: {value}".encode() for name, value in headers),
+    ]
+    lines.append(WRONG_BYTES if spoils else b"Content-Type: text/plain")
+    lines += [b"Transfer-Encoding: chunked", b"Connection: close", b"", b""]
+    half = len(body) // 2
+    chunks = b"".join(
+        b"%x\r\n%b\r\n" % (len(piece), piece) for piece in (body[:half], body[half:])
+    )
+    channel.sendall(b"\r\n".join(lines) + chunks + b"0\r\n\r\n")
+
+
 def is_closed_within(channel: socket.socket, duration_s: float) -> bool:
     """Wait, and return early with True if the other side closes the channel."""
     readable, _, _ = select.select([channel], [], [], duration_s)
