Change review case 5: a foreign entry brings a replica back that has left

Cause: an entry without born is read as one of another incarnation, which the memory of removed replicas doesn't know.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,9 +1,7 @@
-"""Another writer's entry hides that a model replica drains."""
+"""Another writer's entry brings a replica back that has left."""
 
 from __future__ import annotations
 
-import base64
-import json
 import random
 import sys
 import threading
@@ -12,40 +10,30 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
+from typing import TYPE_CHECKING
+
 from review.standins.configuration import configuration  # noqa: E402
-from review.standins.deployment import (  # noqa: E402
-    CouldNotRunError,
-    Deployment,
-    ReplicaProcess,
-    run_case,
-)
+from review.standins.deployment import Deployment, run_case  # noqa: E402
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 ZONES = ("a", "b", "c")
-RATE_PER_S = 40.0
-FORGED_AT_S = 3.0
-DRAINS_AT_S = 6.0
-LENGTH_S = 14.0
+RATE_PER_S = 60.0
+REMOVED_AT_S = 4.0
+FORGED_AT_S = 5.5
+EXIT_AT_S = 14.0
+LENGTH_S = 15.0
 DRAIN_S = 2.0
 """`Bounds.DrainMs`."""
 
-FORGED_AHEAD = 1_000
-"""By how much the other writer's `Sequence` is ahead of the replica's own."""
-
-PROMPT = {
-    "Authorization": "Token k1",
-    "X-Model": "m",
-    "X-Token-Counts": "300,20",
-}
-
 
 def case(folder: Path, has_trouble: bool) -> bool:
-    """Return whether requests reached a replica too long after it reported draining."""
+    """Return whether requests reached a replica too long after it was gone."""
     deployment = Deployment(folder, configuration())
     try:
         for zone in ZONES:
-            deployment.add_replica(
-                f"engine-{zone}", "engines", zone=zone, model="m", work_ms=60, slots=64
-            )
+            deployment.add_replica(f"desk-{zone}", "desk", zone=zone)
             deployment.add_node(f"edge-{zone}-1", zone)
         deployment.start()
         time.sleep(2)
@@ -57,22 +45,40 @@
 def _play(deployment: Deployment, has_trouble: bool) -> bool:
     generator = random.Random(5)
     leaving = deployment.replicas[0]
-    events = [(DRAINS_AT_S, lambda: _drain(deployment, leaving))]
+    entry = leaving.entry()
+    del entry["born"]
+    removed_s: list[float] = []
+
+    def remove() -> None:
+        leaving.leave()
+        removed_s.append(time.time())
+        deployment.record.write(f"the entry of {leaving.id} is removed")
+
+    def forge() -> None:
+        deployment.store.put("keyed.servers", leaving.id, entry)
+        deployment.record.write(f"another writer writes under {leaving.id}: {entry}")
+
+    events: list[tuple[float, Callable[[], None]]] = [(REMOVED_AT_S, remove)]
     if has_trouble:
-        events.insert(0, (FORGED_AT_S, lambda: _forge(deployment, leaving)))
+        events.append((FORGED_AT_S, forge))
+    events.append((EXIT_AT_S, leaving.stop))
     callers = []
     started_s = time.monotonic()
     while (now_s := time.monotonic() - started_s) < LENGTH_S:
         while events and now_s >= events[0][0]:
             events.pop(0)[1]()
-        number = generator.randrange(10_000)
-        arguments = (generator.choice(deployment.nodes), "POST", "ai.example")
+        name, method = generator.choice((("lookup", "GET"), ("book", "POST")))
         call = threading.Thread(
             target=deployment.ask,
-            args=(*arguments, f"/ask/{number}"),
+            args=(
+                generator.choice(deployment.nodes),
+                method,
+                "desk.example",
+                f"/{name}/tent-{generator.randrange(10_000)}",
+            ),
             kwargs={
-                "headers": {**PROMPT, "X-Prompt-Prefix": f"a1:100,{number:x}:200"},
-                "body": b"question",
+                "headers": {"Authorization": "Token k1"},
+                "body": b"seats: 2" if method == "POST" else None,
             },
             daemon=True,
         )
@@ -81,47 +87,15 @@
         time.sleep(generator.expovariate(RATE_PER_S))
     for call in callers:
         call.join()
-    return _is_broken(deployment, leaving)
-
-
-def _forge(deployment: Deployment, replica: ReplicaProcess) -> None:
-    """Write an entry that lacks the field `Models` under the replica's id."""
-    items = json.loads(
-        deployment.store.call_log_newest({"Topic": "keyed.servers"}, b"")[1]
-    )["items"]
-    entry = next(
-        json.loads(base64.b64decode(item["Value"]))
-        for item in items
-        if item["Key"] == replica.id
-    )
-    del entry["Models"]
-    entry["Sequence"] += FORGED_AHEAD
-    deployment.store.put("keyed.servers", replica.id, entry)
-    deployment.record.write(f"another writer writes under {replica.id}: {entry}")
-
-
-def _drain(deployment: Deployment, replica: ReplicaProcess) -> None:
-    deployment.record.write(f"{replica.id} drains")
-    replica.drain()
-
-
-def _is_broken(deployment: Deployment, leaving: ReplicaProcess) -> bool:
-    lines = [line for line in deployment.runs() if line["replica"] == leaving.id]
-    acknowledged = [
-        line["t"] for line in lines if line["event"] == "draining acknowledged"
-    ]
-    if not acknowledged:
-        raise CouldNotRunError("the replica didn't report draining")
     late = [
-        line["t"] - acknowledged[0]
-        for line in lines
-        if line["event"] == "run" and line["t"] > acknowledged[0] + DRAIN_S
+        line["t"] - removed_s[0]
+        for line in deployment.runs()
+        if line["replica"] == leaving.id and line["event"] == "run"
+        if line["t"] > removed_s[0] + DRAIN_S
     ]
     text = f"{len(late)} requests reached {leaving.id} later than {DRAIN_S} s"
     if late:
-        text += (
-            f", the last one {max(late):.2f} s after the store accepted its draining"
-        )
+        text += f", the last one {max(late):.2f} s after its entry was removed"
     deployment.record.write(text)
     print(text)
     return bool(late)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import http.client
 import itertools
 import json
@@ -246,9 +247,16 @@
         timer.daemon = True
         timer.start()
 
-    def drain(self) -> None:
-        """Let the replica report that it drains; it goes on serving."""
+    def leave(self) -> None:
+        """Let the platform remove the entry; the replica goes on serving."""
         self._process.signal(signal.SIGUSR1)
+        self._deployment.store.put("keyed.servers", self.id, None)
+
+    def entry(self) -> dict:
+        """Return the newest entry of the replica."""
+        page = self._deployment.store.call_log_newest({"Topic": "keyed.servers"}, b"")
+        values = {item["Key"]: item["Value"] for item in json.loads(page[1])["items"]}
+        return json.loads(base64.b64decode(values[self.id]))
 
     def stop(self) -> None:
         """End the process."""
--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -62,8 +62,9 @@
         self.orders = 0
         self.is_busy = False
         self.running = 0
-        self.state = "ready"
-        self.drains = threading.Event()
+        self.leaves = threading.Event()
+        """Set when the replica stops writing its entry; it goes on serving."""
+
         self.answers = 0
         """Answers sent while some are to be spoiled."""
 
@@ -82,21 +83,14 @@
     # The registry entry.
 
     def heartbeat(self) -> None:
-        """Write the entry again and again."""
-        while True:
+        """Write the entry again and again, until the replica leaves."""
+        while not self.leaves.is_set():
             self.number += 1
-            is_draining = self.drains.is_set()
-            self.state = "draining" if is_draining else "ready"
-            is_registered = self.register()
-            if is_draining:
-                if is_registered:
-                    self.write(event="draining acknowledged")
-                time.sleep(HEARTBEAT_S)
-            else:
-                self.drains.wait(HEARTBEAT_S)
+            self.register()
+            self.leaves.wait(HEARTBEAT_S)
 
-    def register(self) -> bool:
-        """Append the entry to the store; return whether the store has accepted it."""
+    def register(self) -> None:
+        """Append the entry to the store."""
         arguments = self.arguments
         entry = {
             "Service": arguments.service,
@@ -104,7 +98,7 @@
             "Zone": arguments.zone,
             "Version": "v1",
             "Slots": arguments.slots,
-            "State": self.state,
+            "State": "ready",
             "ColdLeftMs": 0,
             "Stage": "colocated",
             "Models": self.models(),
@@ -123,8 +117,6 @@
             urllib.request.urlopen(call, timeout=1).read()
         except OSError as error:
             self.write(event="not registered", error=str(error))
-            return False
-        return True
 
     def models(self) -> list[dict]:
         """Return the models as in entries and reports."""
@@ -138,7 +130,7 @@
         """Accept channels until the process ends."""
         listener = socket.create_server(("127.0.0.1", self.arguments.port), backlog=512)
         threading.Thread(target=self.heartbeat, daemon=True).start()
-        signal.signal(signal.SIGUSR1, lambda *_: self.drains.set())
+        signal.signal(signal.SIGUSR1, lambda *_: self.leaves.set())
         while True:
             channel, _ = listener.accept()
             threading.Thread(
