--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 import http.client
 import itertools
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -23,6 +25,7 @@
 from tests.platform.metadata_store import MetadataStore  # noqa: E402
 
 START_TIMEOUT_S = 20.0
+PORTS = (20_000, 32_000)
 ENTRY_LIFETIME_S = 3.6
 """Three intervals of silence, after which the platform removes a replica's entry."""
 
@@ -52,12 +55,20 @@
 
 
 def free_port() -> int:
-    """Return a free port of the loopback address, each time another one."""
+    """Return a free port of the loopback address, each time another one.
+
+    Ports that the kernel gives to outgoing connections are left out: one of them could be
+    taken while a replica is down.
+    """
     while True:
-        with socket.create_server(("127.0.0.1", 0)) as server:
-            port = server.getsockname()[1]
-        if port not in _used_ports:
-            _used_ports.add(port)
+        port = random.randrange(*PORTS)
+        if port in _used_ports:
+            continue
+        _used_ports.add(port)
+        with (
+            contextlib.suppress(OSError),
+            socket.create_server(("127.0.0.1", port)),
+        ):
             return port
 
 
