--- a/src/crocuswick/bounded_answer.py
+++ b/src/crocuswick/bounded_answer.py
@@ -5,12 +5,14 @@
 import io
 import time
 from collections.abc import Mapping
-from http.client import HTTPResponse
 from typing import TYPE_CHECKING, Any
 
 import attrs
 import urllib3
 from urllib3.connection import HTTPConnection
+from urllib3.exceptions import ProtocolError
+
+from crocuswick.strict_answer import StrictAnswer, has_lost_framing
 
 if TYPE_CHECKING:
     import socket
@@ -34,6 +36,7 @@
 """Time in seconds for an answer, in addition to the longest wait for its next byte."""
 
 READ_BYTES = 64 * 1024
+FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 
 
 class AnswerTooLargeError(OSError):
@@ -83,11 +86,11 @@
         super().close()
 
 
-class BoundedHeadAnswer(HTTPResponse):
+class BoundedHeadAnswer(StrictAnswer):
     """An answer whose head is limited; its user limits the body.
 
-    It ends at the last chunk of its body. Trailers stay unread, so that its connection
-    can't be used again.
+    Of its trailers only the first line is read, so that its connection can't be used
+    again.
     """
 
     def __init__(self, sock: socket.socket, *args: Any, **kwargs: Any):
@@ -104,7 +107,8 @@
         self._reader.remaining_bytes = float("inf")
 
     def _read_and_discard_trailer(self) -> None:
-        """Read no trailers, which may come without end after a complete body."""
+        """Read one line; trailers may come without end after a complete body."""
+        self._read_trailer_line()
 
 
 class _BoundedAnswer(BoundedHeadAnswer):
@@ -122,7 +126,7 @@
 
     def _read_and_discard_trailer(self) -> None:
         """Read the trailers, because the connection is used again."""
-        HTTPResponse._read_and_discard_trailer(self)
+        StrictAnswer._read_and_discard_trailer(self)
 
 
 class _BoundedConnection(HTTPConnection):
@@ -177,5 +181,9 @@
     except BaseException:
         response.close()
         raise
+    is_framed = not FRAMING_HEADERS.isdisjoint(map(str.lower, response.headers))
+    if not is_framed and has_lost_framing(bytes(data)):
+        response.close()
+        raise ProtocolError("the head has lost its length or chunks")
     response.release_conn()
     return Answer(status=response.status, headers=response.headers, data=bytes(data))
--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -21,6 +21,7 @@
 from crocuswick.relay.serving import RouteKind
 from crocuswick.relay.stall_watch import WatchedAttempt
 from crocuswick.relay.upstream import Upstream
+from crocuswick.strict_answer import begins_with_framing, has_lost_framing
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -72,6 +73,8 @@
 """Handshake timeout of the check whether a replica is down. The port of a process that
 has crashed refuses connections at once."""
 
+LOST_FRAMING = "the head has lost its length or chunks"
+
 MAX_REJECTIONS = 3
 """Replicas that may reject a request as full before it is refused. Under overload the
 others are as full, and the retries are needed for requests that were lost."""
@@ -327,11 +330,14 @@
                 chunks.append(chunk.ok_value)
         finally:
             self._context.held_bytes.release(held_bytes)
+        body = b"".join(chunks)
+        if not head.is_framed and has_lost_framing(body):
+            return self._after_bad_response(attempt, LOST_FRAMING)
         self._progress.possible_runs += 1
         # The replica has run the request; a retry would fail as well.
         is_failure = head.status >= SERVER_ERROR
         result = AttemptResult.FAILED if is_failure else AttemptResult.ANSWERED
-        return result, self._deliver(head, b"".join(chunks))
+        return result, self._deliver(head, body)
 
     def _deliver(self, head: ResponseHead, body: bytes) -> str:
         if self._progress.head is not None:
@@ -357,7 +363,11 @@
             if not chunk.ok_value:
                 break
             self._context.stalls.record_activity(attempt.incarnation, None)
-            ended = self._relay_events(splitter.feed(chunk.ok_value), attempt, head)
+            events = splitter.feed(chunk.ok_value)
+            is_first = self._events == 0 and bool(events)
+            if is_first and not head.is_framed and begins_with_framing(events[0].data):
+                return self._after_bad_response(attempt, LOST_FRAMING)
+            ended = self._relay_events(events, attempt, head)
             if ended is not None:
                 return ended
             if splitter.is_oversized:
--- a/src/crocuswick/relay/relay_server.py
+++ b/src/crocuswick/relay/relay_server.py
@@ -19,7 +19,7 @@
 from crocuswick.relay.relay_run import RelayRun
 from crocuswick.relay.request_body import read_body
 from crocuswick.relay.request_router import no_configuration, route_request
-from crocuswick.relay.strict_head import HeaderFields, StrictHeaderReader
+from crocuswick.strict_head import HeaderFields, StrictHeaderReader
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
--- a/src/crocuswick/relay/upstream.py
+++ b/src/crocuswick/relay/upstream.py
@@ -23,7 +23,7 @@
 from crocuswick.outcome import Outcome
 
 if TYPE_CHECKING:
-    from http.client import HTTPResponse
+    from crocuswick.strict_answer import StrictAnswer
 
 __all__ = ["Upstream", "UpstreamRequest", "UpstreamResponse"]
 
@@ -84,10 +84,8 @@
         )
         self._connection.response_class = BoundedHeadAnswer
         self._socket: socket.socket | None = None
-        self._response: HTTPResponse | None = None
+        self._response: StrictAnswer | None = None
         self._timeout_s = 0.0
-        self._received_bytes = 0
-        self._is_bodiless = False
         self._lock = threading.Lock()
         self._is_aborted = False
 
@@ -137,7 +135,7 @@
                 status=self._response.status,
                 reason=self._response.reason or "",
                 headers=tuple(self._response.headers.items()),
-                is_framed=self._response.chunked or self._response.length is not None,
+                is_framed=self._response.is_framed,
             )
         )
 
@@ -158,7 +156,6 @@
             data = self._response.read1(READ_BYTES)
         except (HTTPError, HTTPException, OSError, ValueError) as error:
             return Err(self._error("read", error, Outcome.UNKNOWN))
-        self._received_bytes += len(data)
         if not data and self._is_truncated():
             detail = ConnectionError("the body ended early")
             return Err(self._error("read", detail, Outcome.UNKNOWN))
@@ -190,7 +187,6 @@
             self._socket.settimeout(timeout_s)
 
     def _write(self, request: UpstreamRequest) -> None:
-        self._is_bodiless = request.method == "HEAD"
         headers = HTTPHeaderDict(request.headers)
         for name in ADDED_BY_LIBRARY:
             headers.setdefault(name, SKIP_HEADER)
@@ -209,13 +205,8 @@
                 raise
 
     def _is_truncated(self) -> bool:
-        if self._is_bodiless or self._response.status in (204, 304):
-            return False
-        announced = self._response.headers.get("Content-Length", "")
-        is_chunked = "Transfer-Encoding" in self._response.headers
-        if is_chunked or not announced.isdigit():
-            return False
-        return self._received_bytes < int(announced)
+        """Whether the end of the connection is not that of the body."""
+        return bool(self._response.length)
 
     def _error(self, step: str, error: Exception, outcome: Outcome) -> PeerError:
         return PeerError(
--- a/src/crocuswick/relay/strict_head.py
+++ b/src/crocuswick/strict_head.py
@@ -1,4 +1,4 @@
-"""Strict reading of request headers, which rejects ambiguous ones."""
+"""Strict reading of HTTP headers, which rejects ambiguous ones."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 _SINGLE = frozenset(
     {b"content-length", b"host", b"transfer-encoding", b"authorization"}
 )
-"""Lower-case names of headers whose repetition makes a request ambiguous."""
+"""Lower-case names of headers whose repetition makes a message ambiguous."""
 
 
 class HeaderFields(dict):
--- /dev/null
+++ b/tests/test_answer_faults.py
@@ -0,0 +1,290 @@
+"""Tests of all readers of answers with answers that are broken off or changed.
+
+One whole answer of each form is broken off after each byte and ended by FIN, RST or silence;
+each byte of what frames it is replaced; its lines are doubled, dropped and swapped. The
+result must be the whole body or no success.
+
+Changes that nothing but the replica's seal could reveal are left out: bytes of the body, of
+the status, of a header's value and of a header's name other than those that frame the body;
+a length that becomes smaller; a missing length, when the connection ends with the body; the
+end of an unframed body by FIN; a second blank line after a head, which counts as the
+beginning of a body that has no chunks.
+"""
+
+from __future__ import annotations
+
+import re
+import unittest
+from typing import TYPE_CHECKING
+
+import attrs
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from crocuswick.bounded_answer import bounded_pool, fetch
+from crocuswick.relay.upstream import Upstream, UpstreamRequest
+from crocuswick.strict_answer import has_lost_framing
+from tests.byte_server import ByteServer, End
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+BODY = b'{"seats": 2, "tent": "perth"}'
+EVENTS = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+HEAD = STATUS_LINE + b"X-Attempt-Id: 17\r\nX-Replica-Seal: s\r\nConnection: close\r\n"
+LENGTH = b"Content-Length: %d\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+FRAMING = (b"Content-Length", b"Transfer-Encoding")
+BLANK_LINE = b"\r\n"
+EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+REPLACEMENTS = b"0fX :\n\xe0"
+SILENCE_TIMEOUT_S = 0.03
+TIMEOUT_S = 2.0
+REQUEST = UpstreamRequest(
+    method="GET", target="/x", headers=(("Host", "a.example"),), body=b""
+)
+
+
+@attrs.frozen(kw_only=True)
+class Form:
+    """A whole answer."""
+
+    name: str
+    head: bytes
+    framed_body: bytes
+    body: bytes
+    is_framed: bool = True
+
+    @property
+    def answer(self) -> bytes:
+        """All bytes of the answer."""
+        return self.head + self.framed_body
+
+
+def chunk(data: bytes, extension: bytes = b"") -> bytes:
+    """Return a chunk."""
+    return b"%x%b\r\n%b\r\n" % (len(data), extension, data)
+
+
+FORMS = (
+    Form(
+        name="length",
+        head=HEAD + LENGTH % len(BODY) + b"\r\n",
+        framed_body=BODY,
+        body=BODY,
+    ),
+    Form(
+        name="chunks",
+        head=HEAD + CHUNKED + b"\r\n",
+        framed_body=chunk(BODY[:9]) + chunk(BODY[9:], b";a=b") + b"0\r\nX-T: 1\r\n\r\n",
+        body=BODY,
+    ),
+    Form(
+        name="unframed",
+        head=HEAD + b"\r\n",
+        framed_body=BODY,
+        body=BODY,
+        is_framed=False,
+    ),
+    Form(
+        name="event stream",
+        head=HEAD + b"Content-Type: text/event-stream\r\n" + CHUNKED + b"\r\n",
+        framed_body=chunk(EVENTS[:21]) + chunk(EVENTS[21:]) + b"0\r\n\r\n",
+        body=EVENTS,
+    ),
+)
+
+
+def read_with_upstream(server: ByteServer, timeout_s: float) -> bytes | None:
+    """Read an answer as the relay does; None if it is no success."""
+    upstream = Upstream(replica_id="r", address=server.address)
+    try:
+        if upstream.connect(TIMEOUT_S).is_err():
+            return None
+        sent = upstream.send(REQUEST, timeout_s)
+        if sent.is_err() or sent.ok_value.status != 200:
+            return None
+        body = b""
+        while True:
+            piece = upstream.read(timeout_s)
+            if piece.is_err():
+                return None
+            if not piece.ok_value:
+                break
+            body += piece.ok_value
+        if not sent.ok_value.is_framed and has_lost_framing(body):
+            return None
+        return body
+    finally:
+        upstream.close()
+
+
+def read_with_pool(server: ByteServer, timeout_s: float) -> bytes | None:
+    """Read an answer as calls to the store, replicas and peers do; None if it fails."""
+    pool = bounded_pool(server.host, server.port)
+    timeout = urllib3.Timeout(connect=TIMEOUT_S, read=timeout_s)
+    try:
+        answer = fetch(pool, "GET", "/x", timeout=timeout)
+        return answer.data if answer.status == 200 else None
+    except (HTTPError, OSError):
+        return None
+    finally:
+        pool.close()
+
+
+READERS = (read_with_upstream, read_with_pool)
+
+
+def replaced_bytes(form: Form) -> Iterator[bytes]:
+    """Yield the answer with each byte that frames it replaced by others.
+
+    A value of a header is changed only if it has the form of the body's length, and then
+    not to a smaller number.
+    """
+    for position in framing_positions(form):
+        for other in REPLACEMENTS:
+            changed = bytearray(form.answer)
+            changed[position] = other
+            if changed != form.answer and not shrinks_length(form, bytes(changed)):
+                yield bytes(changed)
+
+
+def framing_positions(form: Form) -> list[int]:
+    """Return the positions of bytes that frame the body."""
+    lines = re.finditer(rb"[^\n]*\n", form.head)
+    positions = []
+    for line in lines:
+        is_framing = line[0].lower().startswith((b"content-length", b"transfer-enc"))
+        for offset, byte in enumerate(line[0]):
+            if is_framing or byte in b"\r\n:":
+                positions.append(line.start() + offset)
+    if CHUNKED in form.head:
+        marks = re.finditer(rb"[0-9a-f]+(;a=b)?\r\n|\r\n", form.framed_body)
+        for mark in marks:
+            size_end = mark.start() + len(mark[0].partition(b";")[0])
+            ends = range(mark.end() - 2, mark.end())
+            positions += [
+                len(form.head) + each
+                for each in (*range(mark.start(), size_end), *ends)
+            ]
+    return sorted(set(positions))
+
+
+def shrinks_length(form: Form, changed: bytes) -> bool:
+    """Whether a length has become smaller, which only the seal reveals."""
+    found = re.search(rb"Content-Length:[ ]*(\d+)[ ]*\r\n", changed)
+    return found is not None and int(found[1]) < len(form.body)
+
+
+def changed_heads(form: Form) -> Iterator[bytes]:
+    """Yield the head with each of its lines doubled, dropped and swapped with the next."""
+    lines = re.findall(rb"[^\n]*\n", form.head)
+    for index, line in enumerate(lines):
+        before, after = lines[:index], lines[index + 1 :]
+        if line != BLANK_LINE or CHUNKED in form.head:
+            yield b"".join([*before, line, line, *after])
+        yield b"".join([*before, *after])
+        # A header after the blank line is part of the body, which the seal reveals, unless
+        # it frames the body.
+        if after and (after[0] != BLANK_LINE or line.startswith(FRAMING)):
+            yield b"".join([*before, after[0], line, *after[1:]])
+
+
+class AnswerFaultTests(unittest.TestCase):
+    def setUp(self):
+        self.server = ByteServer()
+        self.addCleanup(self.server.stop)
+
+    def read_all(self, answer: bytes, end: End, timeout_s: float = TIMEOUT_S):
+        self.server.answer, self.server.end = answer, end
+        return [(read.__name__, read(self.server, timeout_s)) for read in READERS]
+
+    def check(self, form: Form, answer: bytes, end: End, timeout_s: float = TIMEOUT_S):
+        for reader, body in self.read_all(answer, end, timeout_s):
+            if body not in (None, form.body):
+                self.fail(f"{reader}, {form.name}, {end}: {answer!r} gave {body!r}")
+
+    def test_whole_answers_are_read(self):
+        """Guards against sound answers that are refused."""
+        for form in FORMS:
+            for interim in (b"", b"HTTP/1.1 102 Processing\r\n\r\n", EARLY_HINTS * 3):
+                for reader, body in self.read_all(interim + form.answer, End.FIN):
+                    self.assertEqual(body, form.body, (reader, form.name, interim))
+
+    def test_answers_that_break_off_are_no_successes(self):
+        """Guards against answers that end early and look complete."""
+        for form in FORMS:
+            for size_bytes in range(len(form.answer)):
+                broken = form.answer[:size_bytes]
+                if form.is_framed or size_bytes < len(form.head):
+                    self.check(form, broken, End.FIN)
+                self.check(form, broken, End.RST)
+
+    def test_answers_that_fall_silent_are_no_successes(self):
+        """Guards against answers that stop halfway and look complete."""
+        for form in FORMS:
+            for size_bytes in range(0, len(form.answer), 3):
+                broken = form.answer[:size_bytes]
+                self.check(form, broken, End.SILENCE, SILENCE_TIMEOUT_S)
+
+    def test_answers_with_a_wrong_byte_in_their_framing_are_no_successes(self):
+        """Guards against a length or chunks that are lost, so that the marks of the chunks
+        or bytes after the answer count as its body."""
+        for form in FORMS:
+            for changed in replaced_bytes(form):
+                self.check(form, changed, End.FIN)
+
+    def test_answers_whose_lines_are_doubled_dropped_or_swapped(self):
+        """Guards against heads that are read differently from how they were sent."""
+        for form in FORMS:
+            for head in changed_heads(form):
+                self.check(form, head + form.framed_body, End.FIN)
+
+    def test_a_header_line_that_is_none_does_not_hide_the_chunks(self):
+        """Guards against answers whose chunk marks reach the caller, because a malformed
+        line ends the reading of the headers."""
+        for bad in (
+            b"\xe0\xe1\xe2\r\n",
+            b"no colon\r\n",
+            b" folded: x\r\n",
+            b": x\r\n",
+        ):
+            for form in FORMS:
+                self.check(form, form.answer.replace(b"X-A", bad + b"X-A"), End.FIN)
+
+    def test_ambiguous_lengths_are_no_successes(self):
+        """Guards against lengths and encodings that parsers read differently."""
+        for framing in (
+            b"Content-Length: +29\r\n",
+            b"Content-Length: 2_9\r\n",
+            b"Content-Length: 29, 29\r\n",
+            b"Content-Length: 29\r\nContent-Length: 9\r\n",
+            b"Content-Length: -1\r\n",
+            b"Content-Length: \r\n",
+            b"Transfer-Encoding: gzip, chunked\r\n",
+            b"Transfer-Encoding: identity\r\n",
+            b"Content-Length: 29\r\nTransfer-Encoding: chunked\r\n",
+        ):
+            answer = HEAD + framing + b"\r\n" + BODY
+            for reader, body in self.read_all(answer, End.FIN):
+                self.assertIsNone(body, (reader, framing))
+
+    def test_chunks_with_malformed_marks_are_no_successes(self):
+        """Guards against chunks whose sizes or ends are wrong."""
+        for chunks in (
+            b"+2\r\nok\r\n0\r\n\r\n",
+            b"0x2\r\nok\r\n0\r\n\r\n",
+            b"2 2\r\nok\r\n0\r\n\r\n",
+            b"2\r\nokXX0\r\n\r\n",
+            b"2\nok\r\n0\r\n\r\n",
+            b"0\r\nok\r\n0\r\n\r\n",
+            b"2\r\nok\r\n-0\r\n\r\n",
+        ):
+            answer = HEAD + CHUNKED + b"\r\n" + chunks
+            for reader, body in self.read_all(answer, End.FIN):
+                self.assertIsNone(body, (reader, chunks))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/relay/test_strict_head.py
+++ b/tests/test_strict_head.py
@@ -5,7 +5,7 @@
 import io
 import unittest
 
-from crocuswick.relay.strict_head import HeaderFields, StrictHeaderReader
+from crocuswick.strict_head import HeaderFields, StrictHeaderReader
 
 
 def read(*lines: bytes) -> HeaderFields:
