--- a/src/crocuswick/relay/upstream.py
+++ b/src/crocuswick/relay/upstream.py
@@ -206,7 +206,10 @@
 
     def _is_truncated(self) -> bool:
         """Whether the end of the connection is not that of the body."""
-        return bool(self._response.length)
+        if self._response.length:
+            return True
+        # A socket that was shut down reads like one that the replica has closed.
+        return self._is_aborted
 
     def _error(self, step: str, error: Exception, outcome: Outcome) -> PeerError:
         return PeerError(
--- a/tests/platform/test_node_answer_faults.py
+++ b/tests/platform/test_node_answer_faults.py
@@ -26,6 +26,13 @@
     return b"\r\n".join([*fields, b"", b""])
 
 
+def half_unframed(received: ReceivedRequest) -> None:
+    """Send half of an unframed answer, not at once, and fall silent."""
+    time.sleep(0.05)
+    received.send(head(received) + b"seat 7 of ")
+    received.is_closed_within(4.0)
+
+
 def half_unframed_and_reset(received: ReceivedRequest) -> None:
     """Send half of an unframed answer and reset the connection after a pause."""
     received.send(head(received) + b"seat 7 of ")
@@ -76,6 +83,15 @@
     def assert_no_success(self, answer: bytes) -> None:
         self.assertIn(answer[9:12], (b"502", b"504"), answer)
 
+    def test_a_stalled_answer_without_length_is_no_success(self):
+        """Guards against the half of an unframed answer that reached its caller as a
+        success: the end that an abort causes was taken for that of the body."""
+        for path in ("/lookup/1", "/book/1"):
+            with self.subTest(path):
+                method = "POST" if path.startswith("/book/") else "GET"
+                answer = self.ask(path, half_unframed, method=method, budget_ms=1_200)
+                self.assert_no_success(answer)
+
     def test_an_answer_without_length_that_is_reset_is_no_success(self):
         """Guards against a reset that is taken for the end of an unframed answer."""
         for path in ("/lookup/2", "/book/2"):
--- a/tests/relay/test_upstream.py
+++ b/tests/relay/test_upstream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 import unittest
 
 from crocuswick.outcome import Outcome
@@ -63,3 +64,20 @@
         self.assertIs(
             self.upstream.send(REQUEST, 2.0).err_value.outcome, Outcome.UNKNOWN
         )
+
+    def test_an_abort_does_not_complete_an_answer_without_length(self):
+        """Guards against the half of an unframed answer that counts as a whole one,
+        because a socket that was shut down reads like one that has ended."""
+
+        def script(received):
+            received.send(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+            received.is_closed_within(3.0)
+
+        self.replica.script = script
+        self.upstream.connect(1.0)
+        self.assertFalse(self.upstream.send(REQUEST, 1.0).ok_value.is_framed)
+        self.assertEqual(self.upstream.read(1.0).ok_value, b"half")
+        aborting = threading.Timer(0.1, self.upstream.abort)
+        aborting.start()
+        self.addCleanup(aborting.join)
+        self.assertTrue(self.upstream.read(2.0).is_err())
