--- a/src/crocuswick/relay/upstream.py
+++ b/src/crocuswick/relay/upstream.py
@@ -86,6 +86,7 @@
         self._socket: socket.socket | None = None
         self._response: StrictAnswer | None = None
         self._timeout_s = 0.0
+        self._has_lost_request = False
         self._lock = threading.Lock()
         self._is_aborted = False
 
@@ -203,13 +204,17 @@
             # The replica may have answered before it read the whole body.
             if not request.body:
                 raise
+            self._has_lost_request = True
 
     def _is_truncated(self) -> bool:
         """Whether the end of the connection is not that of the body."""
         if self._response.length:
             return True
-        # A socket that was shut down reads like one that the replica has closed.
-        return self._is_aborted
+        # A socket that was shut down, or whose reset was reported to a write, reads
+        # like one that the replica has closed.
+        return self._is_aborted or (
+            self._has_lost_request and not self._response.is_framed
+        )
 
     def _error(self, step: str, error: Exception, outcome: Outcome) -> PeerError:
         return PeerError(
--- a/tests/relay/test_upstream.py
+++ b/tests/relay/test_upstream.py
@@ -5,13 +5,18 @@
 import threading
 import unittest
 
+import attrs
+
 from crocuswick.outcome import Outcome
 from crocuswick.relay.upstream import Upstream, UpstreamRequest
+from tests.byte_server import ByteServer, End
 from tests.platform.scripted_replica import ScriptedReplica
 
 REQUEST = UpstreamRequest(
     method="GET", target="/x", headers=(("Host", "a.example"),), body=b""
 )
+LONG_BODY_BYTES = 16 * 1024 * 1024
+"""More than the buffers of a connection hold."""
 
 
 class UpstreamTests(unittest.TestCase):
@@ -81,3 +86,19 @@
         aborting.start()
         self.addCleanup(aborting.join)
         self.assertTrue(self.upstream.read(2.0).is_err())
+
+    def test_a_reset_that_fails_a_write_does_not_complete_an_answer(self):
+        """Guards against half an unframed answer that counts as a whole one: the reset is
+        reported to the write of the request's body, and reads then end as if by FIN."""
+        server = ByteServer()
+        self.addCleanup(server.stop)
+        server.answer, server.end = b"HTTP/1.1 200 OK\r\n\r\nhalf", End.RST
+        upstream = Upstream(replica_id="r", address=server.address)
+        self.addCleanup(upstream.close)
+        request = attrs.evolve(REQUEST, method="POST", body=bytes(LONG_BODY_BYTES))
+        upstream.connect(1.0)
+        sent = upstream.send(request, 2.0)
+        results = [sent]
+        while results[-1].is_ok() and results[-1].ok_value != b"":
+            results.append(upstream.read(1.0))
+        self.assertTrue(results[-1].is_err(), results)
