--- a/src/crocuswick/bounded_answer.py
+++ b/src/crocuswick/bounded_answer.py
@@ -123,6 +123,9 @@
         """Read the head."""
         super().begin()
         self._reader.remaining_bytes = MAX_ANSWER_BYTES
+        # A read of the whole body allocates its announced length at once.
+        if self.length is not None and self.length > MAX_ANSWER_BYTES:
+            raise AnswerTooLargeError("the announced length exceeds the size limit")
 
     def _read_and_discard_trailer(self) -> None:
         """Read the trailers, because the connection is used again."""
@@ -137,14 +140,17 @@
     ConnectionCls = _BoundedConnection
 
 
-def bounded_pool(host: str, port: int) -> urllib3.HTTPConnectionPool:
-    """Return a pool of one connection whose answers are limited in bytes and time.
+def bounded_pool(
+    host: str, port: int, *, max_connections: int = 1
+) -> urllib3.HTTPConnectionPool:
+    """Return a pool whose answers are read strictly and limited in bytes and time.
 
     Args:
         host: IP address of the server.
         port: Port of the server.
+        max_connections: Number of connections that are kept open.
     """
-    return _BoundedPool(host, port, maxsize=1, retries=False)
+    return _BoundedPool(host, port, maxsize=max_connections, retries=False)
 
 
 def fetch(
--- a/src/crocuswick/endpoints/engine_client.py
+++ b/src/crocuswick/endpoints/engine_client.py
@@ -17,6 +17,7 @@
     ReadTimeoutError,
 )
 
+from crocuswick.bounded_answer import BoundedHeadAnswer, bounded_pool
 from crocuswick.cache_index import CacheEvent, CacheEvents, CacheSnapshot
 from crocuswick.errors import PeerError
 from crocuswick.host_port import HostPort
@@ -70,6 +71,8 @@
 class StreamConnection(urllib3.connection.HTTPConnection):
     """HTTP connection whose timeouts are enforced by the kernel."""
 
+    response_class = BoundedHeadAnswer
+
     def connect(self) -> None:
         """Connect and let the kernel enforce the timeouts."""
         super().connect()
@@ -140,8 +143,8 @@
         self._endpoint_id = endpoint_id
         self._progress_timeout_s = progress_timeout_s
         self._peer = HostPort.parse(address)
-        self._control_pool = urllib3.HTTPConnectionPool(
-            self._peer.host, self._peer.port, maxsize=2, retries=False
+        self._control_pool = bounded_pool(
+            self._peer.host, self._peer.port, max_connections=2
         )
 
     @property
--- a/src/crocuswick/endpoints/order_client.py
+++ b/src/crocuswick/endpoints/order_client.py
@@ -9,7 +9,9 @@
 from result import Err, Ok, Result
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from crocuswick.bounded_answer import bounded_pool
 from crocuswick.errors import PeerError
+from crocuswick.host_port import HostPort
 from crocuswick.orders import EngineState, Order, OrderReceipt
 from crocuswick.outcome import Outcome
 
@@ -31,7 +33,7 @@
 
     def __init__(self, *, endpoint_id: str, address: str):
         self._endpoint_id = endpoint_id
-        self._url = f"http://{address}/v1"
+        self._peer = HostPort.parse(address)
 
     def send(self, order: Order) -> Result[OrderReceipt, PeerError]:
         """Send an order.
@@ -73,10 +75,11 @@
     ) -> Result[urllib3.BaseHTTPResponse, PeerError]:
         # An idle connection may have been lost unnoticed; each call opens a new one.
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
-        with urllib3.PoolManager(retries=False) as pool:
+        with bounded_pool(self._peer.host, self._peer.port) as pool:
             try:
-                url = f"{self._url}/{path}"
-                return Ok(pool.request(method, url, timeout=timeout, **arguments))
+                return Ok(
+                    pool.request(method, f"/v1/{path}", timeout=timeout, **arguments)
+                )
             except (NewConnectionError, ConnectTimeoutError) as error:
                 return self._error(step, str(error), outcome=Outcome.NOT_RUN)
             except HTTPError as error:
--- a/src/crocuswick/endpoints/service_client.py
+++ b/src/crocuswick/endpoints/service_client.py
@@ -9,7 +9,9 @@
 from result import Err, Ok, Result
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from crocuswick.bounded_answer import bounded_pool, fetch
 from crocuswick.errors import PeerError
+from crocuswick.host_port import HostPort
 from crocuswick.outcome import Outcome
 
 __all__ = ["ServiceCall", "ServiceClient", "ServiceResponse"]
@@ -56,27 +58,26 @@
             The response. An error's outcome is ``not_run`` only if no byte of the
             request was sent.
         """
-        pool = urllib3.PoolManager(maxsize=1, retries=False)
+        peer = HostPort.parse(address)
+        pool = bounded_pool(peer.host, peer.port)
         try:
-            response = pool.request(
+            answer = fetch(
+                pool,
                 call.method,
-                f"http://{address}{call.path}",
+                call.path,
                 headers=dict(call.headers),
                 body=call.body or None,
                 timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
-                redirect=False,
             )
         except (NewConnectionError, ConnectTimeoutError) as error:
             return Err(_error(endpoint_id, error, Outcome.NOT_RUN))
         except (HTTPError, OSError) as error:
             return Err(_error(endpoint_id, error, Outcome.UNKNOWN))
         finally:
-            pool.clear()
+            pool.close()
         return Ok(
             ServiceResponse(
-                status=response.status,
-                headers=dict(response.headers),
-                body=response.data,
+                status=answer.status, headers=dict(answer.headers), body=answer.data
             )
         )
 
--- a/src/crocuswick/platform_log/client.py
+++ b/src/crocuswick/platform_log/client.py
@@ -8,7 +8,9 @@
 from result import Err, Ok, Result
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from crocuswick.bounded_answer import bounded_pool
 from crocuswick.errors import PeerError
+from crocuswick.host_port import HostPort
 from crocuswick.outcome import Outcome
 from crocuswick.platform_log.records import (
     AppendReceipt,
@@ -32,9 +34,8 @@
     def __init__(self, *, address: str, timeout_ms: int):
         self._address = address
         self._timeout_s = timeout_ms / 1000
-        self._pool = urllib3.connection_from_url(
-            f"http://{address}", maxsize=MAX_CONNECTIONS, retries=False
-        )
+        peer = HostPort.parse(address)
+        self._pool = bounded_pool(peer.host, peer.port, max_connections=MAX_CONNECTIONS)
 
     def append(
         self, stream: str, values: list[Any]
--- a/src/crocuswick/vm_list/client.py
+++ b/src/crocuswick/vm_list/client.py
@@ -8,7 +8,9 @@
 import urllib3
 from result import Err, Ok
 
+from crocuswick.bounded_answer import bounded_pool
 from crocuswick.errors import PeerError
+from crocuswick.host_port import HostPort
 from crocuswick.outcome import Outcome
 from crocuswick.vm_list.listing import VmListing
 
@@ -35,7 +37,8 @@
         """
         self._address = address
         self._timeout_s = timeout_s
-        self._pool = urllib3.connection_from_url(f"http://{address}", retries=False)
+        peer = HostPort.parse(address)
+        self._pool = bounded_pool(peer.host, peer.port)
 
     def fetch(self) -> Result[VmListing, PeerError]:
         """Read the list."""
--- a/tests/test_answer_faults.py
+++ b/tests/test_answer_faults.py
@@ -22,6 +22,7 @@
 from urllib3.exceptions import HTTPError
 
 from crocuswick.bounded_answer import bounded_pool, fetch
+from crocuswick.endpoints.service_client import ServiceCall, ServiceClient
 from crocuswick.relay.upstream import Upstream, UpstreamRequest
 from crocuswick.strict_answer import has_lost_framing
 from tests.byte_server import ByteServer, End
@@ -133,7 +134,17 @@
         pool.close()
 
 
-READERS = (read_with_upstream, read_with_pool)
+def read_with_service_client(server: ByteServer, timeout_s: float) -> bytes | None:
+    """Read an answer as a call to a plain service does; None if it is no success."""
+    call = ServiceCall(method="GET", path="/x", headers={}, body=b"")
+    sent = ServiceClient().send(
+        endpoint_id="r", address=server.address, call=call, timeout_s=timeout_s
+    )
+    is_success = sent.is_ok() and sent.ok_value.status == 200
+    return sent.ok_value.body if is_success else None
+
+
+READERS = (read_with_upstream, read_with_pool, read_with_service_client)
 
 
 def replaced_bytes(form: Form) -> Iterator[bytes]:
@@ -253,6 +264,12 @@
             for form in FORMS:
                 self.check(form, form.answer.replace(b"X-A", bad + b"X-A"), End.FIN)
 
+    def test_an_announced_length_beyond_the_limit_allocates_nothing(self):
+        """Guards against a node that runs out of memory by a header."""
+        answer = HEAD + LENGTH % 10**14 + b"\r\n" + BODY
+        for reader, body in self.read_all(answer, End.FIN):
+            self.assertIsNone(body, reader)
+
     def test_ambiguous_lengths_are_no_successes(self):
         """Guards against lengths and encodings that parsers read differently."""
         for framing in (
