--- a/src/crocuswick/records/store_era.py
+++ b/src/crocuswick/records/store_era.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import threading
-import time
 from typing import TYPE_CHECKING
 
 import logbook
 
+from crocuswick.boot_clock import boot_clock_s
 from crocuswick.records.position import MAX_ERA
 
 if TYPE_CHECKING:
@@ -28,7 +28,7 @@
     def __init__(self):
         self._lock = threading.Lock()
         self._era: int | None = None
-        self._since_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+        self._since_s = boot_clock_s()
         self._callbacks: list[Callable[[int], None]] = []
 
     @property
@@ -69,7 +69,7 @@
             self._era = era
             is_step = known is not None or era > 0
             if is_step:
-                self._since_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+                self._since_s = boot_clock_s()
         if known is not None:
             logger.info("the store's era has risen from {} to {}", known, era)
             for callback in self._callbacks:
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -9,6 +9,7 @@
 import logbook
 
 from crocuswick.actor import Actor
+from crocuswick.boot_clock import boot_clock_s
 from crocuswick.gossip.messages import ReplicaCrashed, ReplicaLeaving, TargetVersions
 from crocuswick.relay.admission_bound import longest_wait_ms
 from crocuswick.relay.candidate import Candidate
@@ -236,14 +237,14 @@
 
     def on_set_target_version(self, message: messages.SetTargetVersion) -> None:
         """Record a target version."""
-        announced_s = time.monotonic() - message.age_s
-        self._weights.set_target(message.model, message.version, announced_s)
+        now_s = boot_clock_s()
+        self._weights.set_target(message.model, message.version, now_s - message.age_s)
 
     def on_get_target_versions(
         self, _message: messages.GetTargetVersions
     ) -> TargetVersions:
         """Return the target versions as a message for a peer."""
-        now_s = time.monotonic()
+        now_s = boot_clock_s()
         return TargetVersions(
             versions=[
                 [each.model, each.version, round((now_s - each.announced_s) * 1000)]
@@ -589,7 +590,7 @@
                 prompt.model, weights_version
             )
             if outdated_since_s is not None:
-                age_s = now_s - outdated_since_s
+                age_s = boot_clock_s() - outdated_since_s
         return Candidate(
             replica=replica,
             load=self._tracker.load(replica.incarnation),
--- a/src/crocuswick/relay/weights_table.py
+++ b/src/crocuswick/relay/weights_table.py
@@ -17,7 +17,8 @@
     model: str
     version: int
     announced_s: float
-    """Earliest monotonic time at which the target is known to have been announced."""
+    """Earliest time at which the target is known to have been announced, from a clock
+    that also advances while the machine is suspended."""
 
 
 class WeightsTable:
@@ -38,7 +39,7 @@
         Args:
             model: The model.
             version: The version.
-            announced_s: Monotonic time at which it was announced.
+            announced_s: Time at which it was announced.
         """
         announced_s_by_version = self._announced_s_by_model.setdefault(model, {})
         earliest_s = announced_s_by_version.get(version, announced_s)
@@ -64,7 +65,7 @@
             served: Version that a replica serves, None if unknown.
 
         Returns:
-            Monotonic time, or None if the served version is the newest.
+            Time of announcement, or None if the served version is the newest.
         """
         newer_s = [
             announced_s
--- a/src/crocuswick/rollouts/driver.py
+++ b/src/crocuswick/rollouts/driver.py
@@ -9,6 +9,7 @@
 
 from crocuswick.actor import Actor, Message
 from crocuswick.backoff import backoff_s
+from crocuswick.boot_clock import boot_clock_s
 from crocuswick.elastic_threads import ElasticThreads
 from crocuswick.gossip.messages import (
     LeaseAcquired,
@@ -17,11 +18,7 @@
     WeightsServed,
 )
 from crocuswick.rollouts.engine_orders import WeightsOrder
-from crocuswick.rollouts.lease_claims import (
-    LeaseClaim,
-    LeaseClaims,
-    boot_clock_s,
-)
+from crocuswick.rollouts.lease_claims import LeaseClaim, LeaseClaims
 from crocuswick.rollouts.lease_takeover import LeaseTakeover
 from crocuswick.rollouts.order_lease import OrderLease
 from crocuswick.rollouts.rollout_plan import WeightsStep, next_steps, outdated_engines
--- a/src/crocuswick/rollouts/lease_claims.py
+++ b/src/crocuswick/rollouts/lease_claims.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from crocuswick.boot_clock import boot_clock_s
 from crocuswick.records.position import era_of, offset_of
 from crocuswick.rollouts.order_lease import (
     LEASE_VALID_S,
@@ -21,7 +22,7 @@
     from crocuswick.records.store import RecordStore
     from crocuswick.records.store_era import StoreEra
 
-__all__ = ["EXPIRED_S", "LeaseClaim", "LeaseClaims", "boot_clock_s"]
+__all__ = ["EXPIRED_S", "LeaseClaim", "LeaseClaims"]
 
 INITIAL_POSITION = 0
 """Position that a node without knowledge of the topic tries first."""
@@ -30,11 +31,6 @@
 """Age of a record, by this node's clock, from which its lease has expired."""
 
 
-def boot_clock_s() -> float:
-    """Return the time of a clock that also advances while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 @attrs.frozen(kw_only=True)
 class LeaseClaim:
     """Result of an attempt to acquire or renew the lease."""
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from crocuswick.boot_clock import boot_clock_s
 from crocuswick.errors import Refusal
 from crocuswick.gossip.messages import (
     PromptComputed,
@@ -264,6 +265,16 @@
             )
         self.assertIsInstance(self.place(), Wait)
 
+    def test_the_age_of_weights_includes_a_suspension(self):
+        """Guards against requests that begin on weights that were replaced long ago: the
+        steady clock stood still while the machine was suspended."""
+        self.update_replicas("x")
+        self.ask(messages.SetTargetVersion(model=MODEL, version=2, age_s=1.0))
+        self.assertIsInstance(self.place(), Placed)
+        later_s = boot_clock_s() + 8.0
+        with mock.patch("crocuswick.relay.dispatcher.boot_clock_s", lambda: later_s):
+            self.assertIsInstance(self.place(), Wait)
+
     def test_a_queue_counts_towards_the_age_of_weights(self):
         """Guards against requests that begin on outdated weights: a prompt was sent in
         time but began 1.5 s later because of the queue."""
--- a/tests/rollouts/test_driver.py
+++ b/tests/rollouts/test_driver.py
@@ -9,6 +9,7 @@
 
 from result import Ok
 
+from crocuswick.boot_clock import boot_clock_s
 from crocuswick.gossip.messages import LeaseAcquired, LeaseReleased
 from crocuswick.records.store import AppendAck, LogTail
 from crocuswick.records.store_era import StoreEra
@@ -21,7 +22,7 @@
     RolloutDriver,
 )
 from crocuswick.rollouts.engine_orders import EngineReport, OrderResponse
-from crocuswick.rollouts.lease_claims import LeaseClaim, boot_clock_s
+from crocuswick.rollouts.lease_claims import LeaseClaim
 from crocuswick.rollouts.lease_takeover import TAKE_OVER_STEP_S
 
 MODEL = "m"
--- a/tests/rollouts/test_lease_claims.py
+++ b/tests/rollouts/test_lease_claims.py
@@ -6,9 +6,10 @@
 import unittest
 from unittest import mock
 
+from crocuswick.boot_clock import boot_clock_s
 from crocuswick.platform.store_client import StoreClient
 from crocuswick.records.store_era import StoreEra
-from crocuswick.rollouts.lease_claims import EXPIRED_S, LeaseClaims, boot_clock_s
+from crocuswick.rollouts.lease_claims import EXPIRED_S, LeaseClaims
 from crocuswick.rollouts.order_lease import OrderLease
 from tests.platform.metadata_store import MetadataStore
 
