--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -342,14 +342,16 @@
 
     # Records from the store and from peers.
 
-    def _on_record(self, topic: str, record: KeyedRecord) -> None:
+    def _on_record(
+        self, topic: str, record: KeyedRecord, is_of_unknown_age: bool
+    ) -> None:
         topics = self._platform.topics
         if topic == topics.operations:
-            self._on_operation(record)
+            self._on_operation(record, is_of_unknown_age=is_of_unknown_age)
         elif topic == topics.replicas:
             self._on_replica(record)
 
-    def _on_operation(self, record: KeyedRecord) -> None:
+    def _on_operation(self, record: KeyedRecord, *, is_of_unknown_age: bool) -> None:
         decoded = self._platform.decode_operation(record)
         if decoded.is_err():
             self._log.record_state(
@@ -358,7 +360,8 @@
         elif isinstance(decoded.ok_value, ServingConfiguration):
             self._apply_configuration(decoded.ok_value)
         elif isinstance(decoded.ok_value, TargetWeights):
-            self._set_target_weights(decoded.ok_value)
+            age_s = None if is_of_unknown_age else 0.0
+            self._set_target_weights(decoded.ok_value, age_s)
 
     def _apply_configuration(self, configuration: ServingConfiguration) -> None:
         current = self._configuration
@@ -372,17 +375,17 @@
         self._warm_up.configure(configuration)
         self._log.record_state("configuration in force", version=configuration.version)
 
-    def _set_target_weights(self, target: TargetWeights) -> None:
+    def _set_target_weights(self, target: TargetWeights, age_s: float | None) -> None:
         self._dispatcher.tell(
             dispatcher_messages.SetTargetVersion(
-                model=target.model, version=target.version
+                model=target.model, version=target.version, age_s=age_s
             )
         )
         self._driver.tell(
             RolloutDriver.SetTargetVersion(model=target.model, version=target.version)
         )
         self._log.record_state(
-            "weights named", model=target.model, version=target.version
+            "weights named", model=target.model, version=target.version, age_s=age_s
         )
 
     def _on_replica(self, record: KeyedRecord) -> None:
--- a/src/crocuswick/records/record_cache.py
+++ b/src/crocuswick/records/record_cache.py
@@ -22,7 +22,9 @@
     """Merges the updates of readers and peers and passes on new records.
 
     Args:
-        on_record: Called with the topic and each record that is new at this node.
+        on_record: Called with the topic, each record that is new at this node, and
+            whether it may have been written at any time before: nothing was known of
+            the topic, or a peer kept the record.
         on_update: Called with the new records of each update that contains any, to be
             passed on to other nodes.
         version_of: Returns the version that a record's content names, None if it names
@@ -71,7 +73,7 @@
     def __init__(
         self,
         *,
-        on_record: Callable[[str, KeyedRecord], None],
+        on_record: Callable[[str, KeyedRecord, bool], None],
         on_update: Callable[[TopicUpdate], None],
         version_of: Callable[[str, KeyedRecord], int | None],
     ):
@@ -86,7 +88,7 @@
         end_before = self._mirror.end(update.topic)
         changed = self._mirror.merge(update)
         for record in sorted(changed, key=lambda record: record.position):
-            self._apply(update.topic, record)
+            self._apply(update.topic, record, is_of_unknown_age=end_before < 0)
         if changed:
             self._on_update(self._to_pass_on(update, changed, end_before))
         return self._mirror.end(update.topic)
@@ -116,12 +118,14 @@
     def on_merge_kept(self, message: MergeKept) -> None:
         """Merge records that another node has kept."""
         for record in self._mirror.merge_kept(message.topic, message.records):
-            self._apply(message.topic, record)
+            self._apply(message.topic, record, is_of_unknown_age=True)
 
-    def _apply(self, topic: str, record: KeyedRecord) -> None:
+    def _apply(
+        self, topic: str, record: KeyedRecord, *, is_of_unknown_age: bool
+    ) -> None:
         """Pass a record on; one that can't be applied does not affect the others."""
         try:
-            self._on_record(topic, record)
+            self._on_record(topic, record, is_of_unknown_age)
         except Exception:  # noqa: BLE001 - the content comes from other writers
             logger.exception("applying record {} of {} failed", record.key, topic)
 
--- a/src/crocuswick/relay/dispatcher.py
+++ b/src/crocuswick/relay/dispatcher.py
@@ -238,6 +238,12 @@
     def on_set_target_version(self, message: messages.SetTargetVersion) -> None:
         """Record a target version."""
         now_s = boot_clock_s()
+        if message.age_s is None:
+            # Its record may be as old as any; the maximum age is the safe assumption.
+            self._weights.assume_target(
+                message.model, message.version, now_s - self._weights_limit_s
+            )
+            return
         self._weights.set_target(message.model, message.version, now_s - message.age_s)
 
     def on_get_target_versions(
@@ -248,7 +254,7 @@
         return TargetVersions(
             versions=[
                 [each.model, each.version, round((now_s - each.announced_s) * 1000)]
-                for each in self._weights.all_targets()
+                for each in self._weights.observed_targets()
             ]
         )
 
--- a/src/crocuswick/relay/dispatcher_messages.py
+++ b/src/crocuswick/relay/dispatcher_messages.py
@@ -115,8 +115,9 @@
 
     model: str
     version: int
-    age_s: float = 0.0
-    """Time since the version became the target, as far as this node or a peer knows."""
+    age_s: float | None = 0.0
+    """Time since the version became the target, as far as this node or a peer knows.
+    None if no one has told this node, which has started since."""
 
 
 @attrs.frozen(kw_only=True)
--- a/src/crocuswick/relay/weights_table.py
+++ b/src/crocuswick/relay/weights_table.py
@@ -29,12 +29,14 @@
 
     def __init__(self):
         self._announced_s_by_model: dict[str, dict[int, float]] = {}
+        self._assumed: set[tuple[str, int]] = set()
         self._served_by_key: dict[tuple[str, str], int] = {}
 
     def set_target(self, model: str, version: int, announced_s: float) -> None:
         """Record a target version.
 
-        Several nodes may report the same version; the earliest time counts.
+        Several nodes may report the same version; the earliest time counts, and any of
+        them replaces an assumed one.
 
         Args:
             model: The model.
@@ -42,17 +44,41 @@
             announced_s: Time at which it was announced.
         """
         announced_s_by_version = self._announced_s_by_model.setdefault(model, {})
+        if (model, version) in self._assumed:
+            self._assumed.discard((model, version))
+            announced_s_by_version[version] = announced_s
         earliest_s = announced_s_by_version.get(version, announced_s)
         announced_s_by_version[version] = min(earliest_s, announced_s)
+        self._drop_oldest(model)
+
+    def assume_target(self, model: str, version: int, announced_s: float) -> None:
+        """Record a target version whose time of announcement is unknown.
+
+        Args:
+            model: The model.
+            version: The version.
+            announced_s: Time that is assumed until a peer reports the true one.
+        """
+        announced_s_by_version = self._announced_s_by_model.setdefault(model, {})
+        if version not in announced_s_by_version:
+            self._assumed.add((model, version))
+            announced_s_by_version[version] = announced_s
+            self._drop_oldest(model)
+
+    def _drop_oldest(self, model: str) -> None:
+        announced_s_by_version = self._announced_s_by_model[model]
         if len(announced_s_by_version) > MAX_TARGET_VERSIONS:
-            del announced_s_by_version[min(announced_s_by_version)]
+            oldest = min(announced_s_by_version)
+            del announced_s_by_version[oldest]
+            self._assumed.discard((model, oldest))
 
-    def all_targets(self) -> list[TargetVersion]:
-        """Return the remembered target versions of all models."""
+    def observed_targets(self) -> list[TargetVersion]:
+        """Return the remembered target versions whose announcement a node has seen."""
         return [
             TargetVersion(model=model, version=version, announced_s=announced_s)
             for model, announced_s_by_version in self._announced_s_by_model.items()
             for version, announced_s in announced_s_by_version.items()
+            if (model, version) not in self._assumed
         ]
 
     def outdated_since(self, model: str, served: int | None) -> float | None:
--- a/tests/records/test_record_cache.py
+++ b/tests/records/test_record_cache.py
@@ -20,6 +20,7 @@
 class RecordCacheTests(unittest.TestCase):
     def setUp(self):
         self.applied = []
+        self.ages_unknown = []
         self.updates = []
         cache = RecordCache.start(
             on_record=self.apply,
@@ -29,7 +30,8 @@
         self.addCleanup(cache.stop)
         self.cache = cache
 
-    def apply(self, _topic, each):
+    def apply(self, _topic, each, is_of_unknown_age):
+        self.ages_unknown.append(is_of_unknown_age)
         if each.value == b"bad":
             raise RuntimeError("can't be applied")
         self.applied.append(each.value)
@@ -42,6 +44,28 @@
         self.assertEqual((self.applied, end), ([b"a", b"b"], 3))
         self.assertEqual(len(self.updates), 1)
 
+    def test_only_records_after_the_first_read_are_known_to_be_new(self):
+        """Guards against a record whose age counts from its reading: a node that starts
+        reads records that may have been written at any time before."""
+        for start, end in ((0, 2), (2, 3)):
+            records = tuple(record(offset, b"v") for offset in range(start, end))
+            update = TopicUpdate(topic=TOPIC, records=records, end=end, start=start)
+            self.cache.ask(RecordCache.Merge(update=update))
+        self.assertEqual(self.ages_unknown, [True, True, False])
+
+    def test_the_age_of_a_record_that_a_peer_has_kept_is_unknown(self):
+        """Guards against a record whose age counts from the store's return."""
+        cache = RecordCache.start(
+            on_record=self.apply,
+            on_update=self.updates.append,
+            version_of=lambda _topic, _record: 1,
+        )
+        self.addCleanup(cache.stop)
+        update = TopicUpdate(topic=TOPIC, records=(), end=0)
+        cache.ask(RecordCache.Merge(update=update))
+        cache.ask(RecordCache.MergeKept(topic=TOPIC, records=(record(0, b"v"),)))
+        self.assertEqual(self.ages_unknown, [True])
+
 
 KEYS = "abcd"
 
@@ -54,7 +78,7 @@
         self.sent = []
         self.caches = [
             RecordCache(
-                on_record=lambda _topic, _record: None,
+                on_record=lambda _topic, _record, _is_of_unknown_age: None,
                 on_update=self.sent.append,
                 version_of=lambda _topic, _record: None,
             )
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -265,6 +265,17 @@
             )
         self.assertIsInstance(self.place(), Wait)
 
+    def test_a_target_of_unknown_age_counts_as_too_old(self):
+        """Guards against requests that begin on weights that were replaced long ago: after
+        a loss of all nodes, none knew when the newer version was announced."""
+        self.update_replicas("x")
+        target = messages.SetTargetVersion(model=MODEL, version=2, age_s=None)
+        self.ask(target)
+        self.assertIsInstance(self.place(), Wait)
+        self.assertEqual(self.ask(messages.GetTargetVersions()).versions, [])
+        self.ask(attrs.evolve(target, age_s=3.0))
+        self.assertIsInstance(self.place(), Placed)
+
     def test_the_age_of_weights_includes_a_suspension(self):
         """Guards against requests that begin on weights that were replaced long ago: the
         steady clock stood still while the machine was suspended."""
