--- a/src/crocuswick/drain_progress.py
+++ b/src/crocuswick/drain_progress.py
@@ -23,6 +23,11 @@
 """Time before the end of the grace period at which a node exits in any case."""
 
 
+ANSWERS_MARGIN_S = 0.4
+"""Time before that exit by which all answers must have been sent. Attempts are aborted
+then, and their callers told."""
+
+
 class DrainStep(enum.Enum):
     """The next action of a draining node."""
 
@@ -50,6 +55,11 @@
         self._stopped_accepting_s: float | None = None
         self._last_busy_s = started_s
 
+    @property
+    def answers_end_s(self) -> float:
+        """Monotonic time by which all answers must have been sent."""
+        return self._deadline_s - ANSWERS_MARGIN_S
+
     def step(self, now_s: float, *, in_flight: int) -> DrainStep:
         """Return the action to take now.
 
--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -27,6 +27,7 @@
 from crocuswick.records.reader import TopicReader
 from crocuswick.records.record_cache import RecordCache
 from crocuswick.relay import dispatcher_messages
+from crocuswick.relay.answer_deadline import AnswerDeadline
 from crocuswick.relay.caller_watch import CallerWatch
 from crocuswick.relay.dispatcher import RelayDispatcher
 from crocuswick.relay.held_bytes import HeldBytes
@@ -104,7 +105,8 @@
         self._log = DecisionLog(node_id=settings.node_id)
         self._metrics = FleetMetrics(node_id=settings.node_id)
         self.application.add(self._log)
-        self._stalls = StallWatch()
+        self._answer_deadline = AnswerDeadline()
+        self._stalls = StallWatch(self._answer_deadline)
         self._calls = ElasticThreads(name="calls", max_threads=CALL_THREADS)
         self._dispatcher = RelayDispatcher.start(
             zone=settings.zone,
@@ -282,6 +284,7 @@
                 dispatcher=self._dispatcher,
                 dialect=self._platform.dialect,
                 stalls=self._stalls,
+                answer_deadline=self._answer_deadline,
                 held_bytes=HeldBytes(),
                 log=self._log,
                 metrics=self._metrics,
@@ -425,20 +428,21 @@
     def _drain(self) -> None:
         """Stop accepting callers and finish the requests in flight."""
         self._is_draining = True
+        progress = DrainProgress(
+            started_s=time.monotonic(),
+            grace_s=self._settings.bounds.grace_ms / 1000,
+        )
+        self._answer_deadline.set(progress.answers_end_s)
         self._relay_server.is_draining = True
         self._log.record_state("draining", in_flight=self._relay_server.in_flight)
-        self._finish_requests()
+        self._finish_requests(progress)
         self._log.record_state("drained", in_flight=self._relay_server.in_flight)
         self._log.stop()
         # Stopping the components one by one would leave connections open that are no
         # longer served.
         os._exit(0)
 
-    def _finish_requests(self) -> None:
-        progress = DrainProgress(
-            started_s=time.monotonic(),
-            grace_s=self._settings.bounds.grace_ms / 1000,
-        )
+    def _finish_requests(self, progress: DrainProgress) -> None:
         while True:
             step = progress.step(
                 time.monotonic(), in_flight=self._relay_server.in_flight
--- a/src/crocuswick/relay/place_refusals.py
+++ b/src/crocuswick/relay/place_refusals.py
@@ -4,11 +4,20 @@
 
 from crocuswick.errors import Refusal
 
-__all__ = ["RETRY_AFTER_S", "budget_spent", "no_replica", "overloaded"]
+__all__ = [
+    "RETRY_AFTER_S",
+    "budget_spent",
+    "no_replica",
+    "overloaded",
+    "shutting_down",
+]
 
 MIN_RETRY_AFTER_S = 0.3
 """Shortest Retry-After; an engine's queue hardly changes in less time."""
 
+OTHER_NODE_RETRY_S = 0.05
+"""Retry-After if another node can take the request at once."""
+
 RETRY_AFTER_S = 1.0
 """Retry-After if it is unknown when a replica becomes available."""
 
@@ -49,6 +58,17 @@
     )
 
 
+def shutting_down() -> Refusal:
+    """Return the refusal of a request that a node can't complete before it exits."""
+    return Refusal(
+        status=503,
+        title="shutting-down",
+        detail="The request was not run: this node shuts down; others are up.",
+        step="admission",
+        retry_after_s=OTHER_NODE_RETRY_S,
+    )
+
+
 def budget_spent(state: str) -> Refusal:
     """Return the refusal of a retry beyond this node's share of the fleet's retries.
 
--- a/src/crocuswick/relay/relay_context.py
+++ b/src/crocuswick/relay/relay_context.py
@@ -7,6 +7,7 @@
 
 from crocuswick.decision_log import DecisionLog
 from crocuswick.fleet_metrics import FleetMetrics
+from crocuswick.relay.answer_deadline import AnswerDeadline
 from crocuswick.relay.dialect import Dialect
 from crocuswick.relay.held_bytes import HeldBytes
 from crocuswick.relay.stall_watch import StallWatch
@@ -21,6 +22,7 @@
     dispatcher: pykka.ActorRef
     dialect: Dialect
     stalls: StallWatch
+    answer_deadline: AnswerDeadline
     held_bytes: HeldBytes
     log: DecisionLog
     metrics: FleetMetrics
--- a/src/crocuswick/relay/relay_run.py
+++ b/src/crocuswick/relay/relay_run.py
@@ -12,7 +12,11 @@
 from crocuswick.relay import dispatcher_messages
 from crocuswick.relay.dispatcher_messages import Placed, Wait
 from crocuswick.relay.event_splitter import EventSplitter
-from crocuswick.relay.place_refusals import RETRY_AFTER_S, no_replica
+from crocuswick.relay.place_refusals import (
+    RETRY_AFTER_S,
+    no_replica,
+    shutting_down,
+)
 from crocuswick.relay.refusal_answer import CompleteAnswer, refusal_answer
 from crocuswick.relay.relay_request import ResponseHead
 from crocuswick.relay.replica import Availability
@@ -167,6 +171,8 @@
                 return self._finish("caller left")
             placed = self._context.dispatcher.ask(self._place_message())
             if isinstance(placed, Wait):
+                if self._is_cut_short():
+                    return self._give_up(shutting_down())
                 self._progress.has_waited = True
                 time.sleep(placed.seconds)
                 continue
@@ -594,9 +600,16 @@
     # Time limits.
 
     def _remaining_s(self) -> float:
-        remaining_s = self._request.deadline_s - time.monotonic() - ANSWER_MARGIN_S
+        deadline_s = self._context.answer_deadline.limit(self._request.deadline_s)
+        remaining_s = deadline_s - time.monotonic() - ANSWER_MARGIN_S
         return max(0.001, remaining_s)
 
+    def _is_cut_short(self) -> bool:
+        """Whether the node exits before the request could be sent and answered."""
+        deadline_s = self._request.deadline_s
+        is_limited = self._context.answer_deadline.limit(deadline_s) < deadline_s
+        return is_limited and self._remaining_s() < MIN_RETRY_S
+
     def _watch(self, placed: Placed, upstream: Upstream) -> WatchedAttempt:
         """Watch an attempt for its deadline, and for stalls if it may be retried."""
         self._first_event_s = self._last_event_s = None
--- a/src/crocuswick/relay/relay_server.py
+++ b/src/crocuswick/relay/relay_server.py
@@ -15,6 +15,7 @@
 from crocuswick.host_port import HostPort
 from crocuswick.http_server import Connection, Request
 from crocuswick.http_workers import HttpWorkers
+from crocuswick.relay.place_refusals import shutting_down
 from crocuswick.relay.refusal_answer import refusal_answer
 from crocuswick.relay.relay_run import RelayRun
 from crocuswick.relay.request_body import read_body
@@ -311,8 +312,16 @@
         if routed.is_err():
             self._refuse(routed.err_value, decoded.ok_value.request_id)
             return
+        if not self._leaves_time(routed.ok_value):
+            self._refuse(shutting_down(), decoded.ok_value.request_id)
+            return
         self._relay(routed.ok_value)
 
+    def _leaves_time(self, routed: RoutedRequest) -> bool:
+        return self._server.context.answer_deadline.leaves_time(
+            routed.deadline_s, routed.route.target_latency_ms
+        )
+
     def _relay(self, routed: RoutedRequest) -> None:
         descriptor = self.req.conn.socket.fileno()
         self._server.watch.watch(descriptor, self._on_disconnected)
--- a/src/crocuswick/relay/stall_watch.py
+++ b/src/crocuswick/relay/stall_watch.py
@@ -5,9 +5,13 @@
 import threading
 import time
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import attrs
 
+if TYPE_CHECKING:
+    from crocuswick.relay.answer_deadline import AnswerDeadline
+
 __all__ = ["CHECK_INTERVAL_S", "StallWatch", "WatchedAttempt"]
 
 CHECK_INTERVAL_S = 0.1
@@ -69,9 +73,14 @@
 
 
 class StallWatch:
-    """Watches the attempts of one node and aborts stalled ones."""
+    """Watches the attempts of one node and aborts stalled ones.
+
+    Args:
+        answer_deadline: Time by which all answers must have been sent.
+    """
 
-    def __init__(self):
+    def __init__(self, answer_deadline: AnswerDeadline):
+        self._answer_deadline = answer_deadline
         self._attempts: set[WatchedAttempt] = set()
         self._last_activity_s_by_incarnation: dict[str, float] = {}
         self._lock = threading.Lock()
@@ -103,7 +112,7 @@
         with self._lock:
             attempts = list(self._attempts)
         for attempt in attempts:
-            if now_s >= attempt.deadline_s:
+            if now_s >= self._answer_deadline.limit(attempt.deadline_s):
                 self._abort_overdue(attempt)
                 continue
             reason = self._stall_reason(attempt, now_s)
--- /dev/null
+++ b/tests/platform/process_soak.py
@@ -0,0 +1,472 @@
+"""Soak of nodes as real processes: kept connections, faulty replicas, stops and kills.
+
+Nodes run as child processes; replicas, the store and callers are threads of this one.
+Callers keep their connections as long as nodes do. Replicas stutter, spoil, break off and
+leave; nodes are stopped, killed and paused in overlapping series. Callers and replicas
+record what they see, and `Judge` compares it with the rules: each answer is whole and
+belongs to its request, what can't be repeated runs once, and no request that was passed on
+ends without an answer, unless its node was killed or paused.
+
+    python -m tests.platform.process_soak --seed 3 --seconds 40
+"""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import random
+import signal
+import socket
+import sys
+import threading
+import time
+from collections import Counter, defaultdict
+from pathlib import Path
+
+import attrs
+
+from tests.platform.answer_reader import AnswerReader, BrokenAnswerError
+from tests.platform.deployment import (
+    OPERATIONS,
+    REPLICAS,
+    ROUTES,
+    request,
+)
+from tests.platform.metadata_store import MetadataStore
+from tests.platform.node_process import NodeProcess
+from tests.platform.scripted_replica import ScriptedReplica
+from tests.platform.wire import CONFIGURATION, REPLICA
+
+__all__ = ["Soak"]
+
+NODES = 4
+CALLERS = 24
+GRACE_S = 6.0
+"""Time between SIGTERM and SIGKILL, as the settings of `NodeProcess` name it."""
+
+DISTURBED_S = 3.5
+"""Time after a kill or a pause for which a node is not held to its promises."""
+
+EVENT_COUNT = 6
+FAULT_SHARE = 0.06
+PATHS = ("/lookup/", "/book/", "/ask/", "/digest/")
+
+
+def body_of(request_id: str) -> bytes:
+    """Return the body with which every replica answers a plain request."""
+    return f"answer to {request_id} ".encode() * 40
+
+
+def event_of(request_id: str, number: int) -> bytes:
+    """Return an event of a stream."""
+    return b"id: %d\ndata: %b %d\n\n" % (number, request_id.encode(), number)
+
+
+def stream_of(request_id: str) -> bytes:
+    """Return the whole stream with which every replica answers."""
+    return b"".join(event_of(request_id, n) for n in range(1, EVENT_COUNT + 1))
+
+
+@attrs.define(kw_only=True)
+class Outcome:
+    """What a caller saw of one request."""
+
+    request_id: str
+    path: str
+    node: str
+    sent_s: float
+    ended_s: float = 0.0
+    is_first: bool = True
+    """Whether it was the first request of its connection."""
+
+    status: int | None = None
+    """None if the connection ended without a complete answer."""
+
+    body: bytes = b""
+    detail: str = ""
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is an event stream."""
+        return self.path.startswith(("/ask/", "/digest/"))
+
+
+class FaultyReplicas:
+    """Replicas that answer some requests wrongly, late or not at all."""
+
+    def __init__(self, store: MetadataStore, generator: random.Random):
+        self._store = store
+        self._generator = generator
+        self._lock = threading.Lock()
+        self.runs_by_request: dict[str, list[str]] = defaultdict(list)
+        """For each request, the manner of each run."""
+
+        self.replicas: list[ScriptedReplica] = []
+
+    def add(self, service: str) -> ScriptedReplica:
+        """Start a replica and register it."""
+        replica = ScriptedReplica(f"{service}-{len(self.replicas)}")
+        replica.script = self.answer
+        self.replicas.append(replica)
+        models = REPLICA["Models"] if service == "engines" else []
+        entry = {**REPLICA, "Service": service, "Models": models}
+        self._store.put(REPLICAS, replica.id, {**entry, "Address": replica.address})
+        return replica
+
+    def stop(self) -> None:
+        """Close all ports."""
+        for replica in self.replicas:
+            replica.stop()
+
+    def answer(self, received) -> None:
+        """Answer a request, in a manner drawn at random."""
+        is_stream = received.target.startswith(("/ask/", "/digest/"))
+        with self._lock:
+            draw = self._generator.random()
+            manner = "sound"
+            if draw < FAULT_SHARE:
+                manner = self._generator.choice(
+                    ("stutter", "spoil", "break", "reset", "twice", "unframed stutter")
+                )
+            elif draw < 3 * FAULT_SHARE:
+                manner = "unframed"
+            work_s = self._generator.expovariate(1 / 0.06)
+            if self._generator.random() < 0.03:
+                work_s = self._generator.uniform(0.5, 2.5)
+            self.runs_by_request[received.id].append(manner)
+        time.sleep(work_s)
+        if is_stream:
+            self._stream(received, manner)
+        else:
+            self._plain(received, manner)
+
+    def _head(self, received, manner: str, *lines: str) -> bytes:
+        fields = [
+            "HTTP/1.1 200 OK",
+            f"X-Attempt-Id: {received.id}",
+            "X-Replica-Seal: seal",
+            *lines,
+        ]
+        head = "\r\n".join([*fields, "", ""]).encode()
+        return (
+            head.replace(b"X-Replica-Seal:", b"\xe0\xe1\xe2 ")
+            if manner == "spoil"
+            else head
+        )
+
+    def _plain(self, received, manner: str) -> None:
+        body = body_of(received.id)
+        lines = (
+            () if manner.startswith("unframed") else (f"Content-Length: {len(body)}",)
+        )
+        answer = self._head(received, manner, *lines) + body
+        half = len(answer) - len(body) // 2
+        if manner in ("break", "reset"):
+            received.send(answer[:half])
+            if manner == "reset":
+                received.reset()
+            return
+        if "stutter" in manner:
+            received.send(answer[:half])
+            time.sleep(self._pause_s())
+            received.send(answer[half:])
+            return
+        received.send(answer)
+        if manner == "twice":
+            time.sleep(0.05)
+            received.send(answer)
+
+    def _stream(self, received, manner: str) -> None:
+        is_chunked = not manner.startswith("unframed")
+        lines = ["Content-Type: text/event-stream"]
+        if is_chunked:
+            lines.append("Transfer-Encoding: chunked")
+        received.send(self._head(received, manner, *lines))
+        last = received.headers.get("last-event-id", "0")
+        for number in range(int(last) + 1, EVENT_COUNT + 1):
+            data = event_of(received.id, number)
+            if is_chunked:
+                data = b"%x\r\n%b\r\n" % (len(data), data)
+            if number == EVENT_COUNT // 2 and manner in ("break", "reset"):
+                received.send(data[: len(data) // 2])
+                if manner == "reset":
+                    received.reset()
+                return
+            if number == EVENT_COUNT // 2 and "stutter" in manner:
+                received.send(data[: len(data) // 2])
+                time.sleep(self._pause_s())
+                data = data[len(data) // 2 :]
+            received.send(data)
+            time.sleep(0.03)
+        if is_chunked:
+            received.send(b"0\r\n\r\n")
+
+    def _pause_s(self) -> float:
+        with self._lock:
+            return self._generator.choice((0.3, 1.0, 2.0, 5.0))
+
+
+class SoakNode:
+    """A node process and the times at which it was disturbed."""
+
+    def __init__(self, process: NodeProcess):
+        self.process = process
+        self.killed_s: list[float] = []
+        """Times of kills and pauses, after which the node promises nothing for a while."""
+
+        self.stopped_s: list[float] = []
+        """Times of planned stops."""
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process runs."""
+        child = self.process.process
+        return child is not None and child.poll() is None
+
+    def was_disturbed(self, start_s: float, end_s: float) -> bool:
+        """Whether a kill or a pause excuses what happened in a time."""
+        return any(
+            start_s - DISTURBED_S <= each <= end_s + 0.2 for each in self.killed_s
+        )
+
+    def grace_ended(self, end_s: float) -> bool:
+        """Whether a planned stop was in its last sixth or over at a time."""
+        last_s = GRACE_S * 5 / 6
+        return any(
+            each + last_s <= end_s <= each + GRACE_S + 1 for each in self.stopped_s
+        )
+
+
+class Soak:
+    """One run of the soak.
+
+    Args:
+        seed: Seed of all random choices.
+        seconds: Length of the run.
+        folder: Folder that keeps the nodes' logs, None for none.
+    """
+
+    def __init__(self, *, seed: int, seconds: float, folder: Path | None = None):
+        self._generator = random.Random(seed)
+        self._seconds = seconds
+        self._folder = folder
+        self._store = MetadataStore()
+        configuration = {**CONFIGURATION, "Routes": ROUTES}
+        configuration["Services"] = CONFIGURATION["Services"][:2]
+        self._store.put(OPERATIONS, "config", configuration)
+        self.replicas = FaultyReplicas(self._store, random.Random(seed + 1))
+        self.nodes: list[SoakNode] = []
+        self.outcomes: list[Outcome] = []
+        self._stopped = threading.Event()
+
+    def run(self) -> list[str]:
+        """Play the run and return the broken rules."""
+        try:
+            self._start()
+            workers = [
+                threading.Thread(target=self._call, args=(n,)) for n in range(CALLERS)
+            ]
+            workers += [
+                threading.Thread(target=self._disturb, args=(node, n))
+                for n, node in enumerate(self.nodes[1:])
+            ]
+            for worker in workers:
+                worker.start()
+            self._stopped.wait(self._seconds)
+            self._stopped.set()
+            for worker in workers:
+                worker.join()
+            return Judge(self).broken()
+        finally:
+            self._keep_logs()
+            for node in self.nodes:
+                node.process.stop()
+            self.replicas.stop()
+            self._store.stop()
+
+    def _start(self) -> None:
+        for service in ("desk", "desk", "desk", "engines", "engines", "engines"):
+            self.replicas.add(service)
+        for number in range(NODES):
+            seeds = tuple(each.process.control for each in self.nodes[:1])
+            process = NodeProcess(
+                store_address=self._store.address,
+                name=f"edge-a-{number}",
+                zone="ab"[number % 2],
+                seeds=seeds,
+            )
+            self.nodes.append(SoakNode(process))
+            process.start(waits=False)
+        deadline_s = time.monotonic() + 20
+        while not all(node.process.is_ready() for node in self.nodes):
+            if time.monotonic() > deadline_s:
+                raise AssertionError("the nodes are not ready")
+            time.sleep(0.05)
+
+    def _keep_logs(self) -> None:
+        if self._folder is not None:
+            self._folder.mkdir(parents=True, exist_ok=True)
+            for node in self.nodes:
+                (self._folder / f"{node.process.name}.log").write_text(
+                    node.process.log()
+                )
+
+    # Disturbances.
+
+    def _disturb(self, node: SoakNode, number: int) -> None:
+        generator = random.Random(self._generator.random() + number)
+        while not self._stopped.wait(generator.uniform(1.0, 5.0)):
+            action = generator.choice(("stop", "stop", "stop", "kill", "pause"))
+            if action == "pause":
+                node.killed_s.append(time.monotonic())
+                node.process.process.send_signal(signal.SIGSTOP)
+                time.sleep(generator.uniform(0.2, 2.0))
+                node.process.process.send_signal(signal.SIGCONT)
+                node.killed_s.append(time.monotonic())
+                continue
+            if action == "kill":
+                node.killed_s.append(time.monotonic())
+                node.process.process.kill()
+            else:
+                node.stopped_s.append(time.monotonic())
+                node.process.terminate()
+            with contextlib.suppress(Exception):
+                node.process.process.wait(GRACE_S)
+            if node.is_running:
+                node.process.process.kill()
+            node.process.process.wait()
+            time.sleep(generator.uniform(0.1, 0.5))
+            node.process.start(waits=False)
+
+    # Callers.
+
+    def _call(self, number: int) -> None:
+        generator = random.Random(number * 7_919 + int(self._seconds))
+        connection: socket.socket | None = None
+        node = self.nodes[0]
+        while not self._stopped.is_set():
+            time.sleep(generator.expovariate(1 / 0.08))
+            is_first = connection is None
+            if connection is None:
+                # The balancer sends no new connections to nodes that say they stop.
+                node = generator.choice(self.nodes)
+                if generator.random() < 0.8 and not node.process.is_ready():
+                    continue
+                host, _, port = node.process.front.rpartition(":")
+                try:
+                    connection = socket.create_connection((host, int(port)), 1.0)
+                except OSError:
+                    continue
+            outcome, connection = self._ask(
+                connection, node, generator.choice(PATHS), generator, is_first
+            )
+            self.outcomes.append(outcome)
+        if connection is not None:
+            connection.close()
+
+    def _ask(self, connection, node, path, generator, is_first):
+        outcome = Outcome(
+            request_id=f"{generator.getrandbits(64):016x}",
+            path=path,
+            node=node.process.name,
+            sent_s=time.monotonic(),
+            is_first=is_first,
+        )
+        is_post = path != "/lookup/"
+        data = request(
+            f"{path}{generator.randrange(50)}",
+            method="POST" if is_post else "GET",
+            host="ai.example" if outcome.is_stream else "desk.example",
+            body=b"seats: 2" if is_post else b"",
+            request_id=outcome.request_id,
+            budget_ms=4_000,
+            closes=False,
+        )
+        try:
+            connection.settimeout(9.0)
+            connection.sendall(data)
+            answer = AnswerReader(connection).read()
+            outcome.status, outcome.body = answer.status, answer.body
+            stays_open = answer.stays_open
+        except (OSError, BrokenAnswerError) as error:
+            outcome.detail = f"{type(error).__name__}: {error}"
+            stays_open = False
+        outcome.ended_s = time.monotonic()
+        if not stays_open:
+            connection.close()
+            connection = None
+        return outcome, connection
+
+
+class Judge:
+    """Compares what callers and replicas saw with the rules."""
+
+    def __init__(self, soak: Soak):
+        self._runs = soak.replicas.runs_by_request
+        self._nodes_by_name = {node.process.name: node for node in soak.nodes}
+        self._outcomes = soak.outcomes
+
+    def broken(self) -> list[str]:
+        """Return the broken rules, one line each."""
+        found = [self._check(outcome) for outcome in self._outcomes]
+        return [line for line in found if line]
+
+    def summary(self) -> Counter:
+        """Return the number of outcomes by status."""
+        return Counter(outcome.status for outcome in self._outcomes)
+
+    def _check(self, outcome: Outcome) -> str:
+        runs = self._runs.get(outcome.request_id, [])
+        if outcome.status is None:
+            problem = self._check_lost(outcome, runs)
+        elif 200 <= outcome.status < 300:
+            expected = stream_of if outcome.is_stream else body_of
+            is_whole = outcome.body == expected(outcome.request_id)
+            problem = "" if is_whole else "MIXED: another body than the replica's"
+        else:
+            is_refused = outcome.status in (408, 421, 429, 503)
+            problem = "REFUSED: has run" if is_refused and runs else ""
+        if outcome.path in ("/book/", "/ask/") and len(runs) > 1:
+            problem = "TWICE"
+        if not problem:
+            return ""
+        return f"{problem}: {outcome}, runs {runs}"[:600]
+
+    def _check_lost(self, outcome: Outcome, runs: list[str]) -> str:
+        node = self._nodes_by_name[outcome.node]
+        if not runs or node.was_disturbed(outcome.sent_s, outcome.ended_s):
+            return ""
+        if outcome.is_stream and runs[-1] not in ("sound", "unframed"):
+            return ""
+        if node.grace_ended(outcome.ended_s):
+            is_early = any(
+                outcome.sent_s <= each + 3.0 and each - 5 < outcome.sent_s
+                for each in node.stopped_s
+            )
+            if is_early:
+                return ""
+        return "LOST: passed on, and no complete answer"
+
+
+def main() -> int:
+    """Run the soak with the seeds of the command line."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=40.0)
+    parser.add_argument("--logs", type=Path)
+    options = parser.parse_args()
+    has_broken = False
+    for seed in range(options.seed, options.seed + options.seeds):
+        folder = options.logs / str(seed) if options.logs else None
+        soak = Soak(seed=seed, seconds=options.seconds, folder=folder)
+        broken = soak.run()
+        has_broken = has_broken or bool(broken)
+        print(f"seed {seed}: {dict(Judge(soak).summary())}, {len(broken)} broken")
+        for line in broken[:10]:
+            print("  ", line)
+    return int(has_broken)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/relay/test_stall_watch.py
+++ b/tests/relay/test_stall_watch.py
@@ -5,12 +5,13 @@
 import time
 import unittest
 
+from crocuswick.relay.answer_deadline import AnswerDeadline
 from crocuswick.relay.stall_watch import StallWatch, WatchedAttempt
 
 
 class StallWatchTests(unittest.TestCase):
     def setUp(self):
-        self.watch = StallWatch()
+        self.watch = StallWatch(AnswerDeadline())
         self.aborted = []
 
     def attempt(self, name="x", *, soft_s=1.0, hard_s=5.0, **changes):
