--- a/src/crocuswick/crash_records.py
+++ b/src/crocuswick/crash_records.py
@@ -15,6 +15,7 @@
 import logbook
 
 from crocuswick.gossip.messages import ReplicaCrashed
+from crocuswick.malformed import MALFORMED
 from crocuswick.quarantine import REPORT_LIFETIME_S
 from crocuswick.relay import dispatcher_messages
 
@@ -157,7 +158,7 @@
         value = json.loads(record.value or b"null")
         written_ms = max(0, round((unix_s - value["t"]) * _MS_PER_S))
         crashes = [_decode_crash(fields, written_ms) for fields in value["crashes"]]
-    except (AttributeError, KeyError, OverflowError, TypeError, ValueError):
+    except MALFORMED:
         return []
     max_age_ms = REPORT_LIFETIME_S * _MS_PER_S
     return [crashed for crashed in crashes if crashed.age_ms < max_age_ms]
--- a/src/crocuswick/gossip/messages.py
+++ b/src/crocuswick/gossip/messages.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from crocuswick.errors import PeerError
+from crocuswick.malformed import MALFORMED
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -344,7 +345,7 @@
     try:
         code, fields = value
         return Ok(_types_by_code[code](**fields))
-    except (KeyError, TypeError, ValueError) as error:
+    except MALFORMED as error:
         return Err(
             PeerError(
                 step="decode news",
--- a/src/crocuswick/gossip/registry.py
+++ b/src/crocuswick/gossip/registry.py
@@ -11,6 +11,7 @@
 
 from crocuswick.gossip.messages import NodeAddress
 from crocuswick.host_port import HostPort
+from crocuswick.malformed import MALFORMED
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -125,7 +126,7 @@
         value = json.loads(record.value or b"")
         zone, address = value["zone"], value["address"]
         is_address = HostPort.try_parse(address) is not None
-    except (AttributeError, KeyError, TypeError, ValueError):
+    except MALFORMED:
         return None
     if not (isinstance(zone, str) and is_address):
         return None
--- a/src/crocuswick/host_port.py
+++ b/src/crocuswick/host_port.py
@@ -6,6 +6,8 @@
 
 __all__ = ["HostPort"]
 
+MAX_PORT = 65_535
+
 
 @attrs.frozen(kw_only=True)
 class HostPort:
@@ -18,7 +20,10 @@
     def try_parse(cls, text: str) -> HostPort | None:
         """Parse a text, or return None if it is not a valid ``host:port``."""
         host, _, port = text.rpartition(":")
-        if not host or not port.isdecimal():
+        if not host or not (port.isascii() and port.isdecimal()):
+            return None
+        # The length is checked first, as the conversion of long texts is slow.
+        if len(port) > len(str(MAX_PORT)) or not 0 < int(port) <= MAX_PORT:
             return None
         return cls(host=host, port=int(port))
 
--- a/src/crocuswick/platform/_engine_call.py
+++ b/src/crocuswick/platform/_engine_call.py
@@ -10,6 +10,7 @@
 from crocuswick.bounded_answer import Answer, bounded_pool, fetch
 from crocuswick.errors import PeerError
 from crocuswick.host_port import HostPort
+from crocuswick.malformed import MALFORMED
 from crocuswick.outcome import Outcome
 
 if TYPE_CHECKING:
@@ -56,7 +57,7 @@
                 timeout=timeout,
             )
         )
-    except (HTTPError, OSError) as error:
+    except (HTTPError, OSError, *MALFORMED) as error:
         return Err(call_error(step, name, f"{type(error).__name__}: {error}"))
     finally:
         pool.close()
--- a/src/crocuswick/platform/decoders.py
+++ b/src/crocuswick/platform/decoders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 from collections import defaultdict
 from typing import TYPE_CHECKING, Any
@@ -10,6 +11,7 @@
 
 from crocuswick.errors import PeerError
 from crocuswick.host_port import HostPort
+from crocuswick.malformed import MALFORMED
 from crocuswick.relay.replica import Replica, ReplicaState
 from crocuswick.relay.serving import (
     CallerLimits,
@@ -29,15 +31,8 @@
 __all__ = ["decode_configuration", "decode_replica", "decode_target_version"]
 
 DEFAULT_MAX_CONNECTIONS = 100
-_MALFORMED = (
-    ArithmeticError,
-    AttributeError,
-    LookupError,
-    RecursionError,
-    TypeError,
-    ValueError,
-)
-"""What decoding raises for content that another writer may have written."""
+MAX_INTEGER = 2**63 - 1
+"""Largest number in a record; larger ones can't be converted to times or packed."""
 
 
 def decode_configuration(value: bytes) -> Result[ServingConfiguration, PeerError]:
@@ -51,7 +46,7 @@
     """
     try:
         return Ok(_configuration(json.loads(value)))
-    except _MALFORMED as error:
+    except MALFORMED as error:
         return Err(_error("decode configuration", error))
 
 
@@ -67,7 +62,7 @@
     """
     try:
         return Ok(_replica(replica_id, json.loads(value)))
-    except _MALFORMED as error:
+    except MALFORMED as error:
         return Err(_error("decode replica", error))
 
 
@@ -83,7 +78,7 @@
     try:
         record = json.loads(value)
         return Ok((_text(record["Model"]), _integer(record["Version"])))
-    except _MALFORMED as error:
+    except MALFORMED as error:
         return Err(_error("decode named weights", error))
 
 
@@ -100,12 +95,16 @@
 def _integer(value: Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
         raise TypeError(f"not an integer: {value!r:.60}")
+    if not 0 <= value <= MAX_INTEGER:
+        raise ValueError("an integer is out of range")
     return value
 
 
 def _address(value: Any) -> str:
-    if HostPort.try_parse(_text(value)) is None:
+    peer = HostPort.try_parse(_text(value))
+    if peer is None:
         raise ValueError(f"not a host:port address: {value!r:.60}")
+    ipaddress.IPv4Address(peer.host)
     return value
 
 
--- a/src/crocuswick/platform/engine_orders.py
+++ b/src/crocuswick/platform/engine_orders.py
@@ -8,6 +8,7 @@
 import urllib3
 from result import Err, Ok, Result
 
+from crocuswick.malformed import MALFORMED
 from crocuswick.platform import _names as names
 from crocuswick.platform._availability import decode_availability
 from crocuswick.platform._engine_call import call, call_error
@@ -64,7 +65,7 @@
             )
         try:
             return Ok(_decode_report(json.loads(response.ok_value.data)))
-        except (KeyError, TypeError, ValueError) as error:
+        except MALFORMED as error:
             return Err(call_error("decode report", replica.id, str(error)))
 
     def order(
--- a/src/crocuswick/platform/kv_events.py
+++ b/src/crocuswick/platform/kv_events.py
@@ -8,6 +8,7 @@
 import urllib3
 from result import Err, Ok, Result
 
+from crocuswick.malformed import MALFORMED
 from crocuswick.platform._engine_call import call, call_error
 from crocuswick.relay.kv_events import KvEvent
 
@@ -56,7 +57,7 @@
             return Err(call_error("cache events", name, f"status {response.status}"))
         try:
             return Ok([_event(each) for each in json.loads(response.data)["Events"]])
-        except (KeyError, TypeError, ValueError) as error:
+        except MALFORMED as error:
             return Err(call_error("decode cache events", name, str(error)))
 
 
--- a/src/crocuswick/platform/store_client.py
+++ b/src/crocuswick/platform/store_client.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import json
 import struct
 from typing import Any
@@ -23,6 +22,7 @@
 from crocuswick.bounded_answer import Answer, bounded_pool, fetch
 from crocuswick.errors import PeerError
 from crocuswick.host_port import HostPort
+from crocuswick.malformed import MALFORMED
 from crocuswick.outcome import Outcome
 from crocuswick.platform import _names as names
 from crocuswick.records.mirror import KeyedRecord, TopicUpdate
@@ -304,7 +304,7 @@
         ]
         end = to_position(answer.era, int(page["End"]))
         return Ok((items, end, bool(page.get("Truncated"))))
-    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+    except MALFORMED as error:
         return Err(_error("decode listing", f"{type(error).__name__}: {error}"))
 
 
@@ -349,6 +349,6 @@
 ) -> Result[AppendAck, PeerError]:
     try:
         offset = to_position(answer.era, int(json.loads(answer.data)[field]))
-    except (KeyError, TypeError, ValueError) as error:
+    except MALFORMED as error:
         return Err(_error("decode append", f"{type(error).__name__}: {error}"))
     return Ok(AppendAck(is_appended=is_appended, position=offset))
--- a/src/crocuswick/relay/upstream.py
+++ b/src/crocuswick/relay/upstream.py
@@ -20,6 +20,7 @@
 from crocuswick.bounded_answer import BoundedHeadAnswer
 from crocuswick.errors import PeerError
 from crocuswick.host_port import HostPort
+from crocuswick.malformed import MALFORMED
 from crocuswick.outcome import Outcome
 
 if TYPE_CHECKING:
@@ -102,7 +103,7 @@
             self._connection.sock.setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, ACKNOWLEDGEMENT_TIMEOUT_MS
             )
-        except (HTTPError, OSError) as error:
+        except (HTTPError, OSError, *MALFORMED) as error:
             return Err(self._error("connect", error, Outcome.NOT_RUN))
         with self._lock:
             self._socket = self._connection.sock
--- a/src/crocuswick/rollouts/order_lease.py
+++ b/src/crocuswick/rollouts/order_lease.py
@@ -14,6 +14,8 @@
 
 import attrs
 
+from crocuswick.malformed import MALFORMED
+
 __all__ = ["LEASE_VALID_S", "LeaseRecord", "OrderLease", "decode_lease", "encode_lease"]
 
 LEASE_VALID_S = 1.2
@@ -56,7 +58,7 @@
             clock_s=float(fields["clock_s"]),
             era=int(fields.get("era", 0)),
         )
-    except (AttributeError, KeyError, OverflowError, TypeError, ValueError):
+    except MALFORMED:
         return None
 
 
