--- a/src/crocuswick/relay/relay_server.py
+++ b/src/crocuswick/relay/relay_server.py
@@ -15,6 +15,7 @@
 from crocuswick.host_port import HostPort
 from crocuswick.http_server import Connection, Request
 from crocuswick.http_workers import HttpWorkers
+from crocuswick.listening_port import drop_handshakes
 from crocuswick.relay.place_refusals import shutting_down
 from crocuswick.relay.refusal_answer import refusal_answer
 from crocuswick.relay.relay_run import RelayRun
@@ -182,6 +183,7 @@
         # A request that is taken long after the shutdown began may outlast the grace
         # period, so that idle connections are closed first.
         self._server.timeout = 0
+        drop_handshakes(self._server.socket)
         deadline_s = time.monotonic() + ACCEPT_REST_S
         while self._has_pending_connections() and time.monotonic() < deadline_s:
             time.sleep(ACCEPT_POLL_S)
--- a/tests/relay/test_relay_server.py
+++ b/tests/relay/test_relay_server.py
@@ -55,17 +55,15 @@
         """
         address = f"127.0.0.1:{stable_ports(1)[0]}"
         server = self.server(address)
-        server.start()
-        server._has_pending_connections = lambda: True
-        stopping = threading.Thread(target=server.stop_accepting)
-        stopping.start()
-        time.sleep(0.1)
+        server._server.prepare()
         caller = RawCaller(address)
+        late = threading.Timer(0.2, server._thread.start)
+        late.start()
+        self.addCleanup(server.stop)
+        server.stop_accepting()
         time.sleep(0.1)
         caller.send(request("/lookup/1"))
         answer = caller.receive_all()
-        stopping.join()
-        server.stop()
         self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer)
 
     def test_a_connection_that_is_not_accepted_yet_survives_the_closing_of_the_port(
