--- a/src/crocuswick/endpoints/engine_client.py
+++ b/src/crocuswick/endpoints/engine_client.py
@@ -31,6 +31,9 @@
 CONNECT_TIMEOUT_S = 0.5
 CONTROL_TIMEOUT_S = 1.0
 READ_CHUNK_BYTES = 65536
+MAX_EVENT_BYTES = 256 * 1024
+MAX_DETAIL_BYTES = 200
+"""Bytes of an error's body that are kept as its detail."""
 
 
 @attrs.frozen(kw_only=True)
@@ -119,9 +122,19 @@
         self._response.close()
 
     def _chunks(self) -> Iterator[bytes]:
-        if self._response.chunked:
-            return self._response.read_chunked(decode_content=False)
-        return iter(lambda: self._response.read1(READ_CHUNK_BYTES), b"")
+        """Yield the received bytes.
+
+        Raises:
+            ValueError: An event has no end within `MAX_EVENT_BYTES`.
+        """
+        unfinished_bytes = 0
+        # urllib3's reader of chunks has no limit on the line with their size.
+        while chunk := self._response.read1(READ_CHUNK_BYTES, decode_content=False):
+            end = chunk.rfind(b"\n\n")
+            unfinished_bytes = len(chunk) + (unfinished_bytes if end < 0 else -end)
+            if unfinished_bytes > MAX_EVENT_BYTES:
+                raise ValueError("an event exceeds the size limit")
+            yield chunk
 
     def _fault(self, step: str, error: Exception) -> StreamFault:
         return StreamFault(step=step, peer=self._endpoint_id, detail=str(error))
@@ -285,7 +298,7 @@
 
     def _status_error(self, response: urllib3.BaseHTTPResponse, step: str) -> PeerError:
         try:
-            detail = response.data.decode(errors="replace")[:200]
+            detail = response.read1(MAX_DETAIL_BYTES).decode(errors="replace")
         except (HTTPError, OSError) as error:
             detail = str(error)
         # The engine did not run a request that it answers with one of these statuses.
--- a/tests/endpoints/test_engine_client.py
+++ b/tests/endpoints/test_engine_client.py
@@ -45,6 +45,17 @@
 
 
 class EngineStreamTests(unittest.TestCase):
+    def test_a_stream_without_end_of_an_event_is_malformed(self):
+        """Guards against a node that keeps the bytes of a faulty engine until memory runs
+        out: an event without end, and the size of a chunk without end."""
+        block = b"x" * 65_536
+        for chunks, step in (
+            ([chunk(block)] * 8, "malformed"),
+            ([block] * 8, "closed"),
+        ):
+            stream = self.open_stream(event(0), *chunks, keep_open=True)
+            self.assertEqual(list(stream.events())[-1].err_value.step, step)
+
     def open_stream(
         self,
         *chunks: bytes,
