--- a/src/crocuswick/platform/decoders.py
+++ b/src/crocuswick/platform/decoders.py
@@ -100,6 +100,12 @@
     return value
 
 
+def _list(value: Any) -> list[Any]:
+    if not isinstance(value, list):
+        raise TypeError(f"not a list: {value!r:.60}")
+    return value
+
+
 def _address(value: Any) -> str:
     peer = HostPort.try_parse(_text(value))
     if peer is None:
@@ -115,7 +121,7 @@
     _integer(entry["ColdLeftMs"])
     return Replica(
         id=replica_id,
-        started_ms=_integer(entry.get("born", 0)),
+        started_ms=_integer(entry["born"]),
         service=_text(entry["Service"]),
         address=_address(entry["Address"]),
         zone=_text(entry["Zone"]),
@@ -123,7 +129,7 @@
         slots=_integer(entry["Slots"]),
         weights_by_model={
             _text(model["Name"]): _integer(model["Version"])
-            for model in entry.get("Models") or ()
+            for model in _list(entry.get("Models", []))
         },
         # In an entry the field counts heartbeats; in a report it counts orders.
         report_number=_integer(entry["Sequence"]),
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -46,7 +46,12 @@
                     self.assertTrue(decode_replica("i", encoded(broken)).is_err())
 
     def test_an_unknown_state_or_a_bad_address_is_an_error(self):
-        for broken in ({"State": "gone"}, {"Address": "nowhere"}, {"born": 1.5}):
+        for broken in (
+            {"State": "gone"},
+            {"Address": "nowhere"},
+            {"born": 1.5},
+            {"Models": 0},
+        ):
             self.assertTrue(
                 decode_replica("i", encoded({**REPLICA, **broken})).is_err()
             )
