--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 ENDPOINTS ?= 6
 MINUTES ?= 1
 
-.PHONY: setup demo test scenario scenarios bench relay-cost capacity soak format
+.PHONY: setup demo test scenario scenarios bench relay-cost capacity soak process-soak format
 
 setup: $(VENV)/.installed
 
@@ -36,6 +36,9 @@
 soak: setup
 	@$(BIN)/python -m tests.scenarios soak --minutes $(MINUTES) --seed $(SEED)
 
+process-soak: setup
+	@$(BIN)/python -W ignore -m tests.platform.process_soak --seed $(SEED)
+
 bench: setup
 	@$(BIN)/python -m tests.bench --policy=$(POLICY) --seed=$(SEED) --nodes=$(NODES) --endpoints=$(ENDPOINTS)
 	@$(BIN)/python -m tests.platform.relay_cost
