--- a/tests/platform/test_node_drain.py
+++ b/tests/platform/test_node_drain.py
@@ -18,12 +18,23 @@
     received.is_closed_within(GRACE_S + 2)
 
 
+def long_request(path: str) -> bytes:
+    """Return a request that gives more time than the node has."""
+    return request(path, method="POST", host="ai.example", budget_ms=6_000)
+
+
 class NodeDrainTests(unittest.TestCase):
     def setUp(self):
         self.deployment = Deployment()
         self.addCleanup(self.deployment.stop)
         self.deployment.node.start()
 
+    def kept_connection(self) -> RawCaller:
+        caller = RawCaller(self.deployment.node.front)
+        caller.send(request("/lookup/1", closes=False))
+        caller.receive_until(b"ok")
+        return caller
+
     def terminate(self) -> float:
         self.deployment.node.terminate()
         return time.monotonic()
@@ -32,16 +43,17 @@
         """Guards against requests that are cut with no answer at the end of a planned
         stop: they were taken during the grace period and had more time than it left."""
         self.deployment.script("engine", silent)
+        kept = [self.kept_connection() for _ in range(3)]
         stopped_s = self.terminate()
         callers = []
-        for delay_s in (0.6, 1.2, 2.1):
+        for delay_s, caller in zip((0.6, 1.2, 2.1), kept, strict=True):
             time.sleep(max(0.0, stopped_s + delay_s - time.monotonic()))
             for path in ("/ask/1", "/digest/1"):
-                caller = RawCaller(self.deployment.node.front)
-                caller.send(
-                    request(path, method="POST", host="ai.example", budget_ms=6_000)
-                )
-                callers.append(caller)
+                new = RawCaller(self.deployment.node.front)
+                new.send(long_request(path))
+                callers.append(new)
+            caller.send(long_request("/ask/2"))
+            callers.append(caller)
         answers = [caller.receive_all() for caller in callers]
         self.assertLess(time.monotonic() - stopped_s, GRACE_S)
         self.assertEqual({answer[9:12] for answer in answers} - {b"502", b"504"}, set())
