--- a/src/crocuswick/endpoints/engine_client.py
+++ b/src/crocuswick/endpoints/engine_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
 import attrs
@@ -22,6 +22,7 @@
 from crocuswick.errors import PeerError
 from crocuswick.host_port import HostPort
 from crocuswick.load import LoadReport
+from crocuswick.malformed import MALFORMED
 from crocuswick.outcome import Outcome
 from crocuswick.stream_guard import TokenEvent
 from crocuswick.timeout_socket import TimeoutSocket
@@ -112,7 +113,7 @@
         except (HTTPError, OSError) as error:
             yield Err(self._fault("closed", error))
             return
-        except (ValueError, KeyError, TypeError) as error:
+        except MALFORMED as error:
             yield Err(self._fault("malformed", error))
             return
         yield Err(self._fault("closed", EOFError("ended before the last event")))
@@ -196,11 +197,11 @@
     def cancel(self, request_id: str) -> Result[None, PeerError]:
         """Cancel a request at the engine."""
         path = f"/v1/requests/{request_id}/cancel"
-        return self._control("POST", path, "cancel", {}).map(lambda _: None)
+        return self._control("POST", path, "cancel", {}, _nothing)
 
     def load(self) -> Result[LoadReport, PeerError]:
         """Read the engine's load report."""
-        return self._control("GET", "/v1/load", "load", None).map(_load_report)
+        return self._control("GET", "/v1/load", "load", None, _load_report)
 
     def cache_events(
         self, *, after: int, wait_ms: int
@@ -213,12 +214,13 @@
         """
         path = f"/v1/cache/events?after={after}&wait_ms={wait_ms}"
         timeout_s = CONTROL_TIMEOUT_S + wait_ms / 1000
-        result = self._control("GET", path, "cache events", None, timeout_s)
-        return result.map(_cache_events)
+        return self._control(
+            "GET", path, "cache events", None, _cache_events, timeout_s
+        )
 
     def cache_snapshot(self) -> Result[CacheSnapshot, PeerError]:
         """Read the keys of all cached blocks."""
-        return self._control("GET", "/v1/cache", "cache", None).map(_cache_snapshot)
+        return self._control("GET", "/v1/cache", "cache", None, _cache_snapshot)
 
     def import_cache(
         self, *, source_address: str, keys: list[int]
@@ -233,8 +235,7 @@
             "from": f"http://{source_address}",
             "keys": [f"{key:016x}" for key in keys],
         }
-        result = self._control("POST", "/v1/cache/import", "import", body)
-        return result.map(lambda _: None)
+        return self._control("POST", "/v1/cache/import", "import", body, _nothing)
 
     def close(self) -> None:
         """Close idle connections."""
@@ -259,6 +260,7 @@
         path: str,
         step: str,
         body: Any,
+        convert: Callable[[Any], Any],
         timeout_s: float = CONTROL_TIMEOUT_S,
     ) -> Result[Any, PeerError]:
         sent = self._send(self._control_pool, method, path, step, body, timeout_s)
@@ -268,8 +270,8 @@
         if response.status != 200:
             return Err(self._status_error(response, step))
         try:
-            return Ok(json.loads(response.data))
-        except (HTTPError, ValueError) as error:
+            return Ok(convert(json.loads(response.data)))
+        except (HTTPError, *MALFORMED) as error:
             return Err(self._error(step, error, Outcome.UNKNOWN))
 
     def _send(
@@ -340,6 +342,10 @@
     )
 
 
+def _nothing(_data: Any) -> None:
+    return None
+
+
 def _load_report(data: dict[str, Any]) -> LoadReport:
     names = {field.name for field in attrs.fields(LoadReport)}
     known = {name: value for name, value in data.items() if name in names}
--- a/src/crocuswick/operators/_admin_client.py
+++ b/src/crocuswick/operators/_admin_client.py
@@ -10,6 +10,8 @@
 from result import Err, Ok, Result
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from crocuswick.bounded_answer import bounded_pool
+from crocuswick.host_port import HostPort
 from crocuswick.outcome import Outcome
 
 __all__ = ["AdminClient", "AdminError", "AdminResponse"]
@@ -53,7 +55,8 @@
             "Authorization": f"Bearer {secret}",
             "Content-Type": "application/json",
         }
-        self._pool = urllib3.connection_from_url(f"http://{node}", retries=False)
+        peer = HostPort.parse(node)
+        self._pool = bounded_pool(peer.host, peer.port)
         self._node = node
 
     def get(self, path: str) -> Result[AdminResponse, AdminError]:
--- a/tests/byte_server.py
+++ b/tests/byte_server.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import enum
+import re
 import socket
 import struct
 import threading
@@ -21,12 +22,33 @@
     SILENCE = "silence"
 
 
+def read_head(connection: socket.socket) -> bytes:
+    """Receive the head of a request, and possibly more."""
+    received = b""
+    while b"\r\n\r\n" not in received:
+        data = connection.recv(65_536)
+        if not data:
+            raise ConnectionError("the request has no end")
+        received += data
+    return received
+
+
+def read_request(connection: socket.socket) -> None:
+    """Receive a request with its body. Unread bytes would reset the connection."""
+    head, _, body = read_head(connection).partition(b"\r\n\r\n")
+    found = re.search(rb"content-length:[ ]*(\d+)", head, re.IGNORECASE)
+    missing_bytes = int(found[1]) - len(body) if found else 0
+    while missing_bytes > 0:
+        missing_bytes -= len(connection.recv(65_536)) or missing_bytes
+
+
 class ByteServer:
     """Serves one connection after the other."""
 
     def __init__(self):
         self.answer = b""
         self.end = End.FIN
+        self.reads_body = True
         self._socket = socket.create_server(("127.0.0.1", 0))
         self.host, self.port = self._socket.getsockname()
         self.address = f"{self.host}:{self.port}"
@@ -48,9 +70,10 @@
                 self._answer(connection)
 
     def _answer(self, connection: socket.socket) -> None:
-        received = b""
-        while b"\r\n\r\n" not in received:
-            received += connection.recv(65_536)
+        if self.reads_body:
+            read_request(connection)
+        else:
+            read_head(connection)
         connection.sendall(self.answer)
         if self.end is End.RST:
             linger = struct.pack("ii", 1, 0)
--- a/tests/relay/test_upstream.py
+++ b/tests/relay/test_upstream.py
@@ -93,6 +93,7 @@
         server = ByteServer()
         self.addCleanup(server.stop)
         server.answer, server.end = b"HTTP/1.1 200 OK\r\n\r\nhalf", End.RST
+        server.reads_body = False
         upstream = Upstream(replica_id="r", address=server.address)
         self.addCleanup(upstream.close)
         request = attrs.evolve(REQUEST, method="POST", body=bytes(LONG_BODY_BYTES))
--- a/tests/test_answer_faults.py
+++ b/tests/test_answer_faults.py
@@ -13,11 +13,8 @@
 
 from __future__ import annotations
 
-import re
 import unittest
-from typing import TYPE_CHECKING
 
-import attrs
 import urllib3
 from urllib3.exceptions import HTTPError
 
@@ -25,21 +22,22 @@
 from crocuswick.endpoints.service_client import ServiceCall, ServiceClient
 from crocuswick.relay.upstream import Upstream, UpstreamRequest
 from crocuswick.strict_answer import has_lost_framing
+from tests.answer_forms import (
+    BODY,
+    CHUNKED,
+    EARLY_HINTS,
+    HEAD,
+    LENGTH,
+    Form,
+    changed_heads,
+    event_stream,
+    plain_forms,
+    replaced_bytes,
+)
 from tests.byte_server import ByteServer, End
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-
-BODY = b'{"seats": 2, "tent": "perth"}'
-EVENTS = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
-STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
-HEAD = STATUS_LINE + b"X-Attempt-Id: 17\r\nX-Replica-Seal: s\r\nConnection: close\r\n"
-LENGTH = b"Content-Length: %d\r\n"
-CHUNKED = b"Transfer-Encoding: chunked\r\n"
-FRAMING = (b"Content-Length", b"Transfer-Encoding")
-BLANK_LINE = b"\r\n"
-EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
-REPLACEMENTS = b"0fX :\n\xe0"
+EVENTS = (b"id: 1\ndata: piece 1\n\n", b"id: 2\ndata: piece 2\n\n")
+FORMS = (*plain_forms(BODY), event_stream(*EVENTS))
 SILENCE_TIMEOUT_S = 0.01
 TIMEOUT_S = 2.0
 REQUEST = UpstreamRequest(
@@ -47,56 +45,6 @@
 )
 
 
-@attrs.frozen(kw_only=True)
-class Form:
-    """A whole answer."""
-
-    name: str
-    head: bytes
-    framed_body: bytes
-    body: bytes
-    is_framed: bool = True
-
-    @property
-    def answer(self) -> bytes:
-        """All bytes of the answer."""
-        return self.head + self.framed_body
-
-
-def chunk(data: bytes, extension: bytes = b"") -> bytes:
-    """Return a chunk."""
-    return b"%x%b\r\n%b\r\n" % (len(data), extension, data)
-
-
-FORMS = (
-    Form(
-        name="length",
-        head=HEAD + LENGTH % len(BODY) + b"\r\n",
-        framed_body=BODY,
-        body=BODY,
-    ),
-    Form(
-        name="chunks",
-        head=HEAD + CHUNKED + b"\r\n",
-        framed_body=chunk(BODY[:9]) + chunk(BODY[9:], b";a=b") + b"0\r\nX-T: 1\r\n\r\n",
-        body=BODY,
-    ),
-    Form(
-        name="unframed",
-        head=HEAD + b"\r\n",
-        framed_body=BODY,
-        body=BODY,
-        is_framed=False,
-    ),
-    Form(
-        name="event stream",
-        head=HEAD + b"Content-Type: text/event-stream\r\n" + CHUNKED + b"\r\n",
-        framed_body=chunk(EVENTS[:21]) + chunk(EVENTS[21:]) + b"0\r\n\r\n",
-        body=EVENTS,
-    ),
-)
-
-
 def read_with_upstream(server: ByteServer, timeout_s: float) -> bytes | None:
     """Read an answer as the relay does; None if it is no success."""
     upstream = Upstream(replica_id="r", address=server.address)
@@ -147,61 +95,6 @@
 READERS = (read_with_upstream, read_with_pool, read_with_service_client)
 
 
-def replaced_bytes(form: Form) -> Iterator[bytes]:
-    """Yield the answer with each byte that frames it replaced by others.
-
-    A value of a header is changed only if it has the form of the body's length, and then
-    not to a smaller number.
-    """
-    for position in framing_positions(form):
-        for other in REPLACEMENTS:
-            changed = bytearray(form.answer)
-            changed[position] = other
-            if changed != form.answer and not shrinks_length(form, bytes(changed)):
-                yield bytes(changed)
-
-
-def framing_positions(form: Form) -> list[int]:
-    """Return the positions of bytes that frame the body."""
-    lines = re.finditer(rb"[^\n]*\n", form.head)
-    positions = []
-    for line in lines:
-        is_framing = line[0].lower().startswith((b"content-length", b"transfer-enc"))
-        for offset, byte in enumerate(line[0]):
-            if is_framing or byte in b"\r\n:":
-                positions.append(line.start() + offset)
-    if CHUNKED in form.head:
-        marks = re.finditer(rb"[0-9a-f]+(;a=b)?\r\n|\r\n", form.framed_body)
-        for mark in marks:
-            size_end = mark.start() + len(mark[0].partition(b";")[0])
-            ends = range(mark.end() - 2, mark.end())
-            positions += [
-                len(form.head) + each
-                for each in (*range(mark.start(), size_end), *ends)
-            ]
-    return sorted(set(positions))
-
-
-def shrinks_length(form: Form, changed: bytes) -> bool:
-    """Whether a length has become smaller, which only the seal reveals."""
-    found = re.search(rb"Content-Length:[ ]*(\d+)[ ]*\r\n", changed)
-    return found is not None and int(found[1]) < len(form.body)
-
-
-def changed_heads(form: Form) -> Iterator[bytes]:
-    """Yield the head with each of its lines doubled, dropped and swapped with the next."""
-    lines = re.findall(rb"[^\n]*\n", form.head)
-    for index, line in enumerate(lines):
-        before, after = lines[:index], lines[index + 1 :]
-        if line != BLANK_LINE or CHUNKED in form.head:
-            yield b"".join([*before, line, line, *after])
-        yield b"".join([*before, *after])
-        # A header after the blank line is part of the body, which the seal reveals, unless
-        # it frames the body.
-        if after and (after[0] != BLANK_LINE or line.startswith(FRAMING)):
-            yield b"".join([*before, after[0], line, *after[1:]])
-
-
 class AnswerFaultTests(unittest.TestCase):
     def setUp(self):
         self.server = ByteServer()
