--- a/src/crocuswick/endpoints/order_client.py
+++ b/src/crocuswick/endpoints/order_client.py
@@ -12,6 +12,7 @@
 from crocuswick.bounded_answer import bounded_pool
 from crocuswick.errors import PeerError
 from crocuswick.host_port import HostPort
+from crocuswick.malformed import MALFORMED
 from crocuswick.orders import EngineState, Order, OrderReceipt
 from crocuswick.outcome import Outcome
 
@@ -90,7 +91,7 @@
     ) -> Result[Any, PeerError]:
         try:
             return Ok(convert(response.json()))
-        except (ValueError, KeyError, TypeError) as error:
+        except MALFORMED as error:
             return self._error(step, f"invalid response: {error!r}")
 
     def _error(
--- a/src/crocuswick/explaining/log_line.py
+++ b/src/crocuswick/explaining/log_line.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from crocuswick.malformed import MALFORMED
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -89,5 +91,5 @@
                 name: value[name] for name in value if name not in _STANDARD_FIELDS
             },
         )
-    except (KeyError, TypeError, ValueError):
+    except MALFORMED:
         return None
--- a/src/crocuswick/operators/_admin_client.py
+++ b/src/crocuswick/operators/_admin_client.py
@@ -12,6 +12,7 @@
 
 from crocuswick.bounded_answer import bounded_pool
 from crocuswick.host_port import HostPort
+from crocuswick.malformed import MALFORMED
 from crocuswick.outcome import Outcome
 
 __all__ = ["AdminClient", "AdminError", "AdminResponse"]
@@ -88,6 +89,6 @@
         except (NewConnectionError, ConnectTimeoutError):
             detail = f"cannot connect to {self._node}"
             return Err(AdminError(detail=detail, outcome=Outcome.NOT_RUN))
-        except (HTTPError, ValueError) as error:
+        except (HTTPError, *MALFORMED) as error:
             detail = f"no valid response from {self._node}: {error}"
             return Err(AdminError(detail=detail, outcome=Outcome.UNKNOWN))
--- a/src/crocuswick/platform_log/client.py
+++ b/src/crocuswick/platform_log/client.py
@@ -11,6 +11,7 @@
 from crocuswick.bounded_answer import bounded_pool
 from crocuswick.errors import PeerError
 from crocuswick.host_port import HostPort
+from crocuswick.malformed import MALFORMED
 from crocuswick.outcome import Outcome
 from crocuswick.platform_log.records import (
     AppendReceipt,
@@ -111,7 +112,7 @@
     ) -> Result[Any, PeerError]:
         try:
             return Ok(convert(response.json()))
-        except (ValueError, KeyError, TypeError) as error:
+        except MALFORMED as error:
             return self._error(step, f"malformed response: {error!r}")
 
     def _error(
--- a/src/crocuswick/vm_list/client.py
+++ b/src/crocuswick/vm_list/client.py
@@ -11,6 +11,7 @@
 from crocuswick.bounded_answer import bounded_pool
 from crocuswick.errors import PeerError
 from crocuswick.host_port import HostPort
+from crocuswick.malformed import MALFORMED
 from crocuswick.outcome import Outcome
 from crocuswick.vm_list.listing import VmListing
 
@@ -51,7 +52,7 @@
             return self._error("read", f"status {response.status}")
         try:
             return Ok(cattrs.structure(response.json(), VmListing))
-        except (ValueError, TypeError, KeyError, cattrs.BaseValidationError) as error:
+        except (*MALFORMED, cattrs.BaseValidationError) as error:
             return self._error("decode", f"{type(error).__name__}: {error}")
 
     def close(self) -> None:
--- a/tests/test_client_answer_faults.py
+++ b/tests/test_client_answer_faults.py
@@ -42,6 +42,18 @@
 ITEM = {"Key": "a", "Offset": 3, "Value": base64.b64encode(b"v").decode()}
 RECORD = b"\x01av"
 TAIL = struct.pack(">QQL", 4, 3, len(RECORD)) + RECORD
+OTHER_BODIES = (
+    b"[]",
+    b"7",
+    b"{}",
+    b"null",
+    b'"text"',
+    b"[" * 100_000 + b"]" * 100_000,
+    b"9" * 5_000,
+    b"\xff\xfe",
+    b'{"items": 7, "End": [], "Offset": {}, "Models": 7, "Events": 7, "keys": 7}',
+    b'{"items": [[]], "End": 1e999, "Offset": 1e999, "Events": [[]], "keys": [[]]}',
+)
 SILENT_EVERY_BYTES = 60
 """Silence takes the whole timeout of a client, and is therefore tried at fewer places."""
 
@@ -243,6 +255,15 @@
         """Guards against chunk marks or other bytes that a client takes for the body."""
         self.check_all(changed)
 
+    def test_a_call_whose_answer_holds_something_else_raises_nothing(self):
+        """Guards against a thread that ends by an error in a well-formed answer: other
+        JSON, very deep JSON, numbers out of range."""
+        for name in _calls_by_name:
+            for body in OTHER_BODIES:
+                form = plain_forms(body)[0]
+                with self.subTest(name, body=body[:40]):
+                    self.result(name, form.answer, End.FIN)
+
     def test_a_call_whose_answer_falls_silent_fails(self):
         """Guards against a part of an answer that a client takes for the whole."""
         for name in SILENT_CLIENTS:
