--- a/src/crocuswick/fleet_node.py
+++ b/src/crocuswick/fleet_node.py
@@ -11,6 +11,7 @@
 
 from crocuswick.actor import Tickers
 from crocuswick.application import Application
+from crocuswick.boot_clock import boot_clock_s
 from crocuswick.crash_records import CrashRecords
 from crocuswick.decision_log import DecisionLog
 from crocuswick.drain_progress import DrainProgress, DrainStep
@@ -24,6 +25,7 @@
 from crocuswick.gossip.service import TICK_S
 from crocuswick.host_port import HostPort
 from crocuswick.http_server import HttpServer
+from crocuswick.pause_watch import PauseWatch
 from crocuswick.records.reader import TopicReader
 from crocuswick.records.record_cache import RecordCache
 from crocuswick.relay import dispatcher_messages
@@ -61,6 +63,7 @@
 
 ORDERS_TASK = "orders"
 ROLLOUT_TICK_S = 0.1
+PAUSE_TICK_S = 0.2
 SEGMENTS_INTERVAL_S = 0.2
 """Interval at which the segments of small prompts are sent to peers. A segment is
 reused only seconds later, so peers receive it in time."""
@@ -105,6 +108,7 @@
         self._log = DecisionLog(node_id=settings.node_id)
         self._metrics = FleetMetrics(node_id=settings.node_id)
         self.application.add(self._log)
+        self._pauses = PauseWatch(boot_clock_s())
         self._answer_deadline = AnswerDeadline()
         self._stalls = StallWatch(self._answer_deadline)
         self._calls = ElasticThreads(name="calls", max_threads=CALL_THREADS)
@@ -216,6 +220,7 @@
         tickers.add(
             "stalls", CHECK_INTERVAL_S, lambda: self._stalls.check(time.monotonic())
         )
+        tickers.add("pauses", PAUSE_TICK_S, lambda: self._pauses.tick(boot_clock_s()))
         self.application.add(tickers)
 
     def _on_availability(self, replica: Replica, availability: Availability) -> None:
@@ -363,7 +368,8 @@
         elif isinstance(decoded.ok_value, ServingConfiguration):
             self._apply_configuration(decoded.ok_value)
         elif isinstance(decoded.ok_value, TargetWeights):
-            age_s = None if is_of_unknown_age else 0.0
+            unseen_s = self._pauses.unseen_s(boot_clock_s())
+            age_s = None if is_of_unknown_age else unseen_s
             self._set_target_weights(decoded.ok_value, age_s)
 
     def _apply_configuration(self, configuration: ServingConfiguration) -> None:
--- a/tests/platform/test_node_weights.py
+++ b/tests/platform/test_node_weights.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import time
 import unittest
 
@@ -13,6 +14,7 @@
 )
 
 LOADING_S = 1.5
+VERSION_MS = 2_000
 
 
 def without_loading(received) -> None:
@@ -52,6 +54,25 @@
             self.ask()
         self.assertEqual(self.streams(), [])
 
+    def test_a_pause_hides_the_naming_of_weights_but_not_its_age(self):
+        """Guards against requests that begin on weights that were replaced long ago: a
+        node that was frozen took the time at which it read the newer version, after the
+        freeze, for that of its announcement."""
+        self.name_weights(3)
+        node = self.deployment.node
+        settings = node.settings_file.read_text()
+        node.settings_file.write_text(settings + f"Bounds.VersionMs={VERSION_MS}\n")
+        node.start()
+        self.assertEqual(self.ask()[9:12], b"200")
+        node.process.send_signal(signal.SIGSTOP)
+        self.name_weights(4)
+        time.sleep(VERSION_MS / 1000)
+        node.process.send_signal(signal.SIGCONT)
+        self.deployment.wait_until(lambda: '"version": 4' in node.log())
+        served = len(self.streams())
+        self.ask()
+        self.assertEqual(len(self.streams()), served)
+
     def test_weights_that_are_named_later_leave_older_ones_in_use(self):
         """Guards against a rollout that takes all engines out of service at once."""
         self.name_weights(3)
