--- a/src/crocuswick/gossip/messages.py
+++ b/src/crocuswick/gossip/messages.py
@@ -234,7 +234,8 @@
     """Position of its last lease record."""
 
     last_order_age_ms: int | None
-    """Time since its last order, None if it sent none."""
+    """Time since the last order under its lease or an earlier one, negative if it may
+    still be sent; None if there was none."""
 
 
 @message("leaving")
--- a/src/crocuswick/rollouts/driver.py
+++ b/src/crocuswick/rollouts/driver.py
@@ -184,7 +184,7 @@
         self._next_announcement_s = float("-inf")
         self._newest_token = -1
         self._newest_token_at_claim = -1
-        self._last_order_s: float | None = None
+        self._last_order_s = float("-inf")
         self._is_claiming = False
         self._is_shutting_down = False
         self._workers = ElasticThreads(name="orders", max_threads=WORKERS)
@@ -396,16 +396,18 @@
             self._takeover.claim_failed(boot_clock_s())
 
     def _release(self) -> None:
-        """Send no more orders, and announce when the last one was sent."""
+        """Send no more orders, and announce when the last one can have been sent."""
         token = self._lease.token
         # Workers note an order's time before they check the lease, so that a release
         # names the time of each order that is still sent.
         self._lease.lost()
         if token is None:
             return
+        # A lease that was never used passes on the wait that it owed to earlier holders.
+        last_order_s = max(self._last_order_s, self._lease.earlier_order_s)
         age_ms = None
-        if self._last_order_s is not None:
-            age_ms = round((boot_clock_s() - self._last_order_s) * 1000)
+        if last_order_s > float("-inf"):
+            age_ms = round((boot_clock_s() - last_order_s) * 1000)
         self._publish(LeaseReleased(token=token, last_order_age_ms=age_ms))
 
     # Orders.
--- a/src/crocuswick/rollouts/order_lease.py
+++ b/src/crocuswick/rollouts/order_lease.py
@@ -81,6 +81,7 @@
         self._valid_until_s = float("-inf")
         self._not_before_s = float("-inf")
         self._previous_holder = ""
+        self._earlier_order_s = float("-inf")
         self._last_order_s_by_released_node: dict[str, float] = {}
 
     @property
@@ -88,6 +89,11 @@
         """Position of this node's last record, None if it does not hold the lease."""
         return self._token
 
+    @property
+    def earlier_order_s(self) -> float:
+        """Time up to which earlier holders may have sent orders, as far as known."""
+        return self._earlier_order_s
+
     def set_handover_time(self, handover_s: float) -> None:
         """Set the minimum time between the orders of two holders."""
         self._handover_s = handover_s
@@ -143,8 +149,7 @@
         if era_since_s is not None:
             # An earlier holder can't have renewed its lease in the new era.
             self._previous_holder = ""
-            last_order_s = min(now_s, era_since_s) + LEASE_VALID_S
-            self._not_before_s = self._usable_from_s(last_order_s)
+            self._wait_after(min(now_s, era_since_s) + LEASE_VALID_S)
             return
         self._previous_holder = previous.node_id if previous else ""
         if previous is None or previous.node_id == self._node_id:
@@ -156,7 +161,7 @@
         released_s = self._last_order_s_by_released_node.get(previous.node_id)
         if released_s is not None:
             last_order_s = min(last_order_s, released_s)
-        self._not_before_s = self._usable_from_s(last_order_s)
+        self._wait_after(last_order_s)
 
     def lost(self) -> None:
         """Record that another node holds the lease, or may hold it."""
@@ -170,17 +175,16 @@
 
         Args:
             node_id: The node.
-            last_order_s: Time of its last order.
+            last_order_s: Time of the last order under its lease or an earlier one.
         """
         self._last_order_s_by_released_node[node_id] = last_order_s
         if node_id == self._previous_holder:
-            self._not_before_s = min(
-                self._not_before_s, self._usable_from_s(last_order_s)
-            )
+            self._wait_after(min(self._earlier_order_s, last_order_s))
 
     def other_acquired(self, node_id: str) -> None:
         """Record that another node has acquired the lease."""
         self._last_order_s_by_released_node.pop(node_id, None)
 
-    def _usable_from_s(self, last_order_s: float) -> float:
-        return last_order_s + self._handover_s + ORDER_DELIVERY_S
+    def _wait_after(self, last_order_s: float) -> None:
+        self._earlier_order_s = last_order_s
+        self._not_before_s = last_order_s + self._handover_s + ORDER_DELIVERY_S
--- a/tests/rollouts/test_driver.py
+++ b/tests/rollouts/test_driver.py
@@ -24,6 +24,7 @@
 from crocuswick.rollouts.engine_orders import EngineReport, OrderResponse
 from crocuswick.rollouts.lease_claims import LeaseClaim
 from crocuswick.rollouts.lease_takeover import TAKE_OVER_STEP_S
+from crocuswick.rollouts.order_lease import LeaseRecord, encode_lease
 
 MODEL = "m"
 HANDOVER_S = 3.0
@@ -180,6 +181,26 @@
         age_s = time.monotonic() - max(sent_s for sent_s, _ in self.engines.orders)
         self.assertLess(released.last_order_age_ms / 1000, age_s + 0.1)
 
+    def test_a_release_without_an_order_passes_on_the_wait(self):
+        """Guards against orders of two nodes within the handover time: a node that was
+        being stopped had taken the lease from a lost one, and released it unused."""
+        lost = LeaseRecord(node_id="lost", nonce="n", clock_s=time.time())
+        self.store.records.append(encode_lease(lost))
+        driver, published = self.driver("one")
+        self.set_target(driver)
+        driver.tell(RolloutDriver.Tick())
+        claimed_s = time.monotonic()
+        while not self.published_of(published, LeaseAcquired):
+            self.assertLess(time.monotonic() - claimed_s, DEADLINE_S)
+            driver.tell(RolloutDriver.Tick())
+            time.sleep(0.05)
+        driver.tell(RolloutDriver.ReleaseLease())
+        wait_for(lambda: self.published_of(published, LeaseReleased))
+        (released,) = self.published_of(published, LeaseReleased)
+        self.assertEqual(self.engines.orders, [])
+        self.assertIsNotNone(released.last_order_age_ms)
+        self.assertLess(released.last_order_age_ms, 0)
+
     def test_a_late_renewal_does_not_undo_a_newer_claim(self):
         """A renewal whose response arrives after another node acquired the lease must
         not let this node send orders."""
--- a/tests/rollouts/test_order_lease.py
+++ b/tests/rollouts/test_order_lease.py
@@ -85,6 +85,28 @@
             self.first_order_s(), 98.0 + HANDOVER_S + ORDER_DELIVERY_S, delta=0.06
         )
 
+    def test_an_unused_lease_passes_on_the_wait_that_it_owed(self):
+        """Guards against two nodes that give orders within the handover time: the node
+        between them had acquired the lease, and released it without an order."""
+        self.acquire(holder_record(1_000.0))
+        owed_s = self.first_order_s()
+        third = OrderLease(node_id="third", handover_s=HANDOVER_S)
+        third.acquired(
+            9,
+            sent_s=101.0,
+            now_s=101.0,
+            previous=holder_record(1_000.5, "new"),
+            clock_s=1_001.0,
+        )
+        third.holder_released("new", self.lease.earlier_order_s)
+        self.assertFalse(third.may_order(owed_s - 0.1))
+        third.renewed(10, sent_s=owed_s)
+        self.assertTrue(third.may_order(owed_s + 0.1))
+
+    def test_a_first_lease_owes_nothing(self):
+        self.acquire(None)
+        self.assertEqual(self.lease.earlier_order_s, float("-inf"))
+
     def test_a_holder_that_acquired_the_lease_again_has_not_released_it(self):
         self.lease.holder_released("old", 90.0)
         self.lease.other_acquired("old")
