--- a/tests/gossip/test_transport.py
+++ b/tests/gossip/test_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 import threading
 import time
 import unittest
@@ -102,6 +103,22 @@
         sound.sendall(pack_gossip(GOSSIP))
         self.wait_for(lambda: GOSSIP in [gossip for gossip, _ in self.received])
 
+    def test_a_message_that_breaks_off_is_not_handled(self):
+        """Guards against a part of a message that counts as a whole one, by FIN or RST
+        after each of its bytes."""
+        packed = pack_gossip(GOSSIP)
+        for size_bytes in range(len(packed)):
+            for linger in (b"", struct.pack("ii", 1, 0)):
+                broken = self.connect()
+                broken.sendall(packed[:size_bytes])
+                if linger:
+                    broken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                broken.close()
+        self.wait_for(lambda: len(self.closed) == 2 * len(packed))
+        self.assertEqual(self.received, [])
+        self.connect().sendall(packed)
+        self.wait_for(lambda: [gossip for gossip, _ in self.received] == [GOSSIP])
+
     def test_a_handler_that_fails_does_not_end_the_receiving(self):
         failing = self.connect()
         failing.sendall(pack_gossip(BAD))
