--- a/src/crocuswick/relay/joint_crashes.py
+++ b/src/crocuswick/relay/joint_crashes.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
 __all__ = ["JointCrashes"]
 
@@ -39,19 +39,24 @@
 
     def __init__(self):
         self._lost_s_by_incarnation: OrderedDict[str, float] = OrderedDict()
+        self._first_sent_s_by_incarnation: dict[str, float] = {}
+        """When the first of the lost requests was sent."""
+
         self._losses: list[tuple[float, str]] = []
         """Monotonic time and replica, sorted."""
 
-    def record_loss(self, incarnation: str, lost_s: float) -> None:
+    def record_loss(self, incarnation: str, lost_s: float, *, sent_s: float) -> None:
         """Record a connection that was lost before the end of the answer.
 
         Args:
             incarnation: The replica.
             lost_s: Monotonic time of the loss.
+            sent_s: Monotonic time at which the request was sent.
         """
-        if lost_s <= self._lost_s_by_incarnation.get(incarnation, float("-inf")):
-            return
+        first_sent_s = self._first_sent_s_by_incarnation.get(incarnation, sent_s)
+        lost_s = max(lost_s, self._lost_s_by_incarnation.get(incarnation, lost_s))
         self._discard(incarnation)
+        self._first_sent_s_by_incarnation[incarnation] = min(first_sent_s, sent_s)
         self._lost_s_by_incarnation[incarnation] = lost_s
         insort(self._losses, (lost_s, incarnation))
         if len(self._losses) > MAX_REPLICAS:
@@ -78,22 +83,37 @@
                 replica that they were lost at. What was sent after the first crash may
                 have caused the next one.
         """
-        first_by_incarnation = {
-            incarnation: self._first_of_group(incarnation, sent_s_by_incarnation)
-            for incarnation in sent_s_by_incarnation
-        }
-        if None not in first_by_incarnation.values():
+        if (
+            sent_s_by_incarnation.keys()
+            == self._first_by_incarnation(
+                sent_s_by_incarnation, sent_s_by_incarnation
+            ).keys()
+        ):
             return []
+        # A retry may have reached a replica that was about to crash with the others.
+        first_by_incarnation = self._first_by_incarnation(
+            sent_s_by_incarnation, self._first_sent_s_by_incarnation
+        )
         counted_by_first = {
-            first or incarnation: incarnation
-            for incarnation, first in first_by_incarnation.items()
+            first_by_incarnation.get(incarnation, incarnation): incarnation
+            for incarnation in sent_s_by_incarnation
         }
         return list(counted_by_first.values())
 
+    def _first_by_incarnation(
+        self, incarnations: Iterable[str], sent_s_by_incarnation: Mapping[str, float]
+    ) -> dict[str, str]:
+        """Return the first of each group of replicas that crashed together."""
+        first_by_incarnation = {}
+        for incarnation in incarnations:
+            first = self._first_of_group(incarnation, sent_s_by_incarnation)
+            if first is not None:
+                first_by_incarnation[incarnation] = first
+        return first_by_incarnation
+
     def _first_of_group(
         self, incarnation: str, sent_s_by_incarnation: Mapping[str, float]
     ) -> str | None:
-        """Return the first of the replicas that crashed together with this one."""
         lost_s = self._lost_s_by_incarnation.get(incarnation)
         if lost_s is None:
             return None
@@ -119,6 +139,7 @@
         return self._losses[first:last]
 
     def _discard(self, incarnation: str) -> None:
+        self._first_sent_s_by_incarnation.pop(incarnation, None)
         lost_s = self._lost_s_by_incarnation.pop(incarnation, None)
         if lost_s is not None:
             del self._losses[bisect_left(self._losses, (lost_s, incarnation))]
--- a/src/crocuswick/relay/poison_guard.py
+++ b/src/crocuswick/relay/poison_guard.py
@@ -281,7 +281,7 @@
 
     def _record_loss(self, lost: LostRequest, incarnation: str) -> None:
         self._attribution.record_loss(lost, incarnation)
-        self._joint_crashes.record_loss(incarnation, lost.lost_s)
+        self._joint_crashes.record_loss(incarnation, lost.lost_s, sent_s=lost.sent_s)
 
     def _is_explained(self, fingerprint: str, incarnation: str) -> bool:
         """Return whether a replica crashed for another reason than a request."""
@@ -297,7 +297,9 @@
             Whether it is new.
         """
         lost = report.lost
-        self._joint_crashes.record_loss(report.incarnation, lost.lost_s)
+        self._joint_crashes.record_loss(
+            report.incarnation, lost.lost_s, sent_s=lost.sent_s
+        )
         crash_report = CrashReport(
             fingerprint=lost.fingerprint,
             endpoint_id=report.incarnation,
