--- a/src/crocuswick/relay/joint_crashes.py
+++ b/src/crocuswick/relay/joint_crashes.py
@@ -83,12 +83,8 @@
                 replica that they were lost at. What was sent after the first crash may
                 have caused the next one.
         """
-        if (
-            sent_s_by_incarnation.keys()
-            == self._first_by_incarnation(
-                sent_s_by_incarnation, sent_s_by_incarnation
-            ).keys()
-        ):
+        joint = self._first_by_incarnation(sent_s_by_incarnation, sent_s_by_incarnation)
+        if len(joint) == len(sent_s_by_incarnation):
             return []
         # A retry may have reached a replica that was about to crash with the others.
         first_by_incarnation = self._first_by_incarnation(
--- a/src/crocuswick/relay/poison_guard.py
+++ b/src/crocuswick/relay/poison_guard.py
@@ -64,7 +64,7 @@
     """Attributes crashes to requests and refuses those that crash replicas.
 
     Requests are refused if identical ones crashed replicas, or others with which they share
-    a segment of their prompts. Replicas that crash together blame no request.
+    a segment of their prompts. Replicas that crash together count once at most.
     """
 
     def __init__(self):
@@ -288,6 +288,8 @@
         if self._segments.explains(incarnation):
             return True
         sent_s_by_incarnation = self._reports.sent_s_by_incarnation(fingerprint)
+        if incarnation not in sent_s_by_incarnation:
+            return False
         return incarnation not in self._joint_crashes.counted(sent_s_by_incarnation)
 
     def _add(self, report: ConfirmedLoss, now_s: float) -> bool:
--- a/src/crocuswick/segment_quarantine.py
+++ b/src/crocuswick/segment_quarantine.py
@@ -121,8 +121,9 @@
         """Create an empty quarantine.
 
         Args:
-            count_crashes: Returns which crashes count as evidence against requests, of
-                replicas to which they were sent at some monotonic time.
+            count_crashes: Takes the replicas that crashed under requests, with the
+                monotonic time at which these were sent, and returns the replicas whose
+                crashes count as evidence.
         """
         self._count_crashes = count_crashes
         self._segments_by_incarnation: OrderedDict[str, set[str]] = OrderedDict()
--- a/tests/relay/test_joint_crashes.py
+++ b/tests/relay/test_joint_crashes.py
@@ -154,6 +154,18 @@
                     fleet.crash_alone(POPULAR, f"y{number}@1", 10.0 + 0.2 * number)
                 self.assertEqual(len(fleet.refusals(POPULAR, 12.0)), NODES)
 
+    def test_a_request_is_refused_though_many_others_were_lost_since(self):
+        """Guards against a harmful request that is sent again after so many other losses
+        that the details of its own are forgotten."""
+        fleet = Fleet(0)
+        for number in range(2):
+            fleet.crash_alone(POPULAR, f"y{number}@1", 10.0 + number)
+        for number in range(1_100):
+            body = b"other %d" % (number % 550)
+            other = routed(caller=caller(body=body, prompt=None))
+            fleet.crash_alone(other, f"z{number}@1", 20.0 + 0.2 * number)
+        self.assertEqual(len(fleet.refusals(POPULAR, 250.0)), NODES)
+
     def test_a_segment_that_crashes_one_replica_after_another_is_refused(self):
         """Guards against a harmful segment that goes on crashing replicas since some of
         them had crashed together before."""
