--- a/review/standins2/engine.py
+++ b/review/standins2/engine.py
@@ -13,7 +13,7 @@
 """New weights take a replica 0.9 s."""
 
 EVENT_INTERVAL_S = 0.2
-"""Pause between the events of a stream; the route allows 400 ms."""
+"""Usual pause between the events of a stream; the route allows 400 ms."""
 
 
 class Engine:
@@ -24,16 +24,40 @@
         record: Called with a line for each order and each run.
         version: Version of its weights.
         events: Number of events of each stream.
+        interval_s: Pause between them.
+        is_quiet: Whether runs are left out of the record.
     """
 
-    def __init__(self, replica_id: str, record, *, version: int, events: int):
+    def __init__(
+        self,
+        replica_id: str,
+        record,
+        *,
+        version: int,
+        events: int,
+        interval_s: float = EVENT_INTERVAL_S,
+        is_quiet: bool = False,
+    ):
         self.id = replica_id
         self.version = version
         self.orders: list[tuple[float, str, int]] = []
         """Monotonic time of arrival, holder and fencing token of each order."""
 
+        self.spoils = None
+        """Decides by the id of a request whether one byte of its answer is wrong: the
+        number of the weights."""
+
+        self.runs = 0
+        self.parts: dict[tuple[str, str], tuple[str, str, int]] = {}
+        """Cached parts by salt and id: request, tenant and version that made them."""
+
+        self.uses: list[tuple[float, str, str, tuple[str, str, int], int]] = []
+        """Uses of cached parts: time, request, tenant, what made the part, version."""
+
         self._record = record
         self._events = events
+        self._interval_s = interval_s
+        self._is_quiet = is_quiet
         self._lock = threading.Lock()
         self.running = 0
         self._accepted = 0
@@ -162,6 +186,7 @@
         time.sleep(LOAD_S)
         with self._lock:
             self.version = version
+            self.parts.clear()
             self._is_busy = False
         self._record(f"{self.id}: has loaded version {version}")
 
@@ -179,7 +204,8 @@
         if status != 200:
             self._send(handler, status, {}, X_Not_Executed="1")
             return
-        self._record(f"{self.id}: runs {request_id}")
+        self.runs += 1
+        self._read_prompt(handler, request_id)
         try:
             self._send_events(handler, request_id)
         except OSError:
@@ -188,16 +214,47 @@
             with self._lock:
                 self.running -= 1
 
+    def _read_prompt(self, handler, request_id: str) -> None:
+        """Use the cached parts at the begin of the prompt, and cache all of them."""
+        salt = handler.headers.get("X-Cache-Salt", "")
+        tenant = handler.headers.get("X-Tenant", "")
+        used = []
+        with self._lock:
+            is_cached = True
+            for entry in handler.headers.get("X-Prompt-Prefix", "").split(","):
+                key = (salt, entry.partition(":")[0])
+                is_cached = is_cached and key in self.parts
+                if is_cached:
+                    maker = self.parts[key]
+                    used.append((key[1], maker))
+                    now_s = time.monotonic()
+                    self.uses.append((now_s, request_id, tenant, maker, self.version))
+                else:
+                    self.parts[key] = (request_id, tenant, self.version)
+        if not self._is_quiet:
+            self._record(
+                f"{self.id}: runs {request_id} of tenant {tenant} on version "
+                f"{self.version}, salt {salt!r}, expected version "
+                f"{handler.headers.get('X-Expect-Version')}, cached parts used: {used}"
+            )
+
     def _send_events(self, handler, request_id: str) -> None:
         handler.send_response(200)
         handler.send_header("X-Attempt-Id", request_id)
         handler.send_header("X-Replica-Seal", f"seal.{request_id}")
-        handler.send_header("X-Weight-Versions", str(self.version))
+        version = str(self.version)
+        if self.spoils is not None and self.spoils(request_id):
+            version = "9"
+            self._record(
+                f"trouble: {self.id}: one wrong byte in the answer to {request_id}: "
+                f"X-Weight-Versions: {version} instead of {self.version}"
+            )
+        handler.send_header("X-Weight-Versions", version)
         handler.send_header("Content-Type", "text/event-stream")
         handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
         for number in range(1, self._events + 1):
             data = b"id: %d\ndata: piece %d\n\n" % (number, number)
             handler.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
-            time.sleep(EVENT_INTERVAL_S)
+            time.sleep(self._interval_s)
         handler.wfile.write(b"0\r\n\r\n")
