--- a/review/standins2/harness.py
+++ b/review/standins2/harness.py
@@ -10,6 +10,7 @@
 import time
 from pathlib import Path
 
+from review.standins2.desk import Desk
 from review.standins2.node import Node, open_request
 from review.standins2.store import Store
 
@@ -122,9 +123,17 @@
         """Write the entries of the engines."""
         number = next(self._number)
         for engine in self.engines:
+            if isinstance(engine, Desk):
+                self.put_entry(engine)
+                continue
             entry = engine.entry(number, self.born)
             self.store.put("keyed.servers", engine.id, entry)
 
+    def put_entry(self, desk: Desk) -> None:
+        """Write the entry of a plain replica if it is up."""
+        if desk.is_up:
+            self.store.put("keyed.servers", desk.id, desk.entry())
+
     def _beat_on(self) -> None:
         while not self._ends.wait(BEAT_S):
             self.beat()
--- a/review/standins2/node.py
+++ b/review/standins2/node.py
@@ -10,7 +10,7 @@
 import time
 from pathlib import Path
 
-__all__ = ["Node", "free_ports", "open_request"]
+__all__ = ["Node", "free_ports", "open_get", "open_request"]
 
 START_TIMEOUT_S = 20
 SETTINGS = """\
@@ -158,3 +158,37 @@
     lines = [*head, f"Content-Length: {len(body)}", "Connection: close", "", ""]
     connection.sendall("\r\n".join(lines).encode() + body)
     return connection
+
+
+def open_get(node: Node, host: str, path: str, request_id: str) -> tuple[int, bool]:
+    """Send a request without a body on a new channel and read its answer.
+
+    Args:
+        node: The node.
+        host: Host of the route.
+        path: The path.
+        request_id: Id of the requester's attempt.
+
+    Returns:
+        The status, 0 for none, and whether a replica has sealed the answer.
+    """
+    address, _, port = node.front.rpartition(":")
+    lines = [
+        f"GET {path} HTTP/1.1",
+        f"Host: {host}",
+        f"X-Attempt-Id: {request_id}",
+        "X-Time-Budget: 4000",
+        "Authorization: Token k1",
+        "Connection: close",
+        "",
+        "",
+    ]
+    answer = b""
+    try:
+        with socket.create_connection((address, int(port)), 6.0) as connection:
+            connection.sendall("\r\n".join(lines).encode())
+            while piece := connection.recv(65536):
+                answer += piece
+    except OSError:
+        return 0, False
+    return int(answer[9:12] or 0), b"X-Replica-Seal" in answer
