--- /dev/null
+++ b/review/standins3/record.py
@@ -0,0 +1,31 @@
+"""Record of what a case sent, answered and ran."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+__all__ = ["Record"]
+
+
+class Record:
+    """Lines with times, written to a file as they come."""
+
+    def __init__(self, path: Path):
+        self._file = path.open("w", encoding="utf-8")
+        self._lock = threading.Lock()
+        self._began_s = time.monotonic()
+
+    def now_s(self) -> float:
+        """Return the time since the record began."""
+        return time.monotonic() - self._began_s
+
+    def add(self, text: str) -> None:
+        """Add a line."""
+        with self._lock:
+            self._file.write(f"{self.now_s():8.3f} {text}\n")
+            self._file.flush()
--- /dev/null
+++ b/review/standins3/run-case.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# run-case.sh MODULE FOLDER: plays a case. Exits with 1 if the rule was broken, 0 if it
+# held, 2 if the case couldn't run.
+set -u
+cd "$(dirname "$0")/../.." || exit 2
+export PYTHONPATH=.
+timeout -k 5 110 python3 -m "review.standins3.$1" "$2"
+case $? in
+    0) exit 0 ;;
+    10) exit 1 ;;
+    *) exit 2 ;;
+esac
