--- a/review/standins3/replicas.py
+++ b/review/standins3/replicas.py
@@ -15,9 +15,11 @@
     from review.standins3.record import Record
     from review.standins3.store import Store
 
-__all__ = ["Engine", "Replica", "Run"]
+__all__ = ["Engine", "KvStore", "Replica", "Run"]
 
 HEARTBEAT_S = 1.2
+JSON = "application/json"
+NO_EVENTS = {"BootEpoch": 1, "NextToken": 0, "HasGap": False, "Events": []}
 
 
 class Run:
@@ -159,23 +161,65 @@
             self.report()
 
 
+class KvStore:
+    """The store of kept KV cache; what it keeps stays as it was first made."""
+
+    def __init__(self):
+        self.cache: dict[tuple[str, str, str], dict[str, Any]] = {}
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_GET(self):  # noqa: N802 - named by the base class
+                body = json.dumps(NO_EVENTS).encode()
+                self.send_response(200)
+                self.send_header("Content-Type", "application/json")
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            def log_message(self, *_):
+                """Log nothing."""
+
+        self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self._server.daemon_threads = True
+        self.address = f"127.0.0.1:{self._server.server_port}"
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def stop(self) -> None:
+        """Close the port."""
+        self._server.shutdown()
+        self._server.server_close()
+
+
 class Engine(Replica):
     """A model replica that caches the parts of prompts.
 
     Args:
         model: Name of its model.
-        peers: Engines by address, from which parts can be fetched.
+        peers: Engines and stores by address, from and to which parts can be copied.
+        load_s: Time in which it loads new weights.
+        prefill_tokens_per_ms: Rate at which it reads prompts; 0 for no time.
         options: As for `Replica`.
     """
 
     slots = 64
 
     def __init__(
-        self, *args: Any, model: str, peers: dict[str, Engine], **options: Any
+        self,
+        *args: Any,
+        model: str,
+        peers: dict[str, Engine | KvStore],
+        load_s: float = 0.9,
+        prefill_tokens_per_ms: float = 0.0,
+        **options: Any,
     ):
         self.model = model
         self.version = 1
         self.orders = 0
+        self.is_busy = False
+        self._load_s = load_s
+        self._prefill_tokens_per_ms = prefill_tokens_per_ms
         self.cache: dict[tuple[str, str, str], dict[str, Any]] = {}
         self._peers = peers
         self.lock = threading.Lock()
@@ -191,10 +235,11 @@
         if run.path == "/report":
             self._report(run)
         elif run.path.startswith("/kv-events"):
-            found = {"BootEpoch": 1, "NextToken": 0, "HasGap": False, "Events": []}
-            run.answer(200, json.dumps(found).encode(), Content_Type="application/json")
+            run.answer(200, json.dumps(NO_EVENTS).encode(), Content_Type=JSON)
         elif run.path == "/order":
-            run.answer(200)
+            self._order(run)
+        elif self.is_busy:
+            run.answer(503, **{"X-Not-Executed": "1", "X-Replica-Id": self.id})
         elif run.headers.get("x-expect-version", str(self.version)) != str(
             self.version
         ):
@@ -215,8 +260,10 @@
             The cached parts that were used, as they were made.
         """
         salt = run.headers.get("x-cache-salt", "")
-        keys = [(salt, self.model, part) for part, _ in self.parts(run)]
+        parts = self.parts(run)
+        keys = [(salt, self.model, part) for part, _ in parts]
         source = self._peers.get(run.headers.get("x-kv-fetch-from", ""))
+        target = self._peers.get(run.headers.get("x-kv-store-to", ""))
         used = []
         with self.lock:
             for key in keys:
@@ -228,8 +275,20 @@
                 if made is None:
                     break
                 used.append(made)
+        if self._prefill_tokens_per_ms:
+            tokens = sum(count for _, count in parts[len(used) :])
+            time.sleep(tokens / self._prefill_tokens_per_ms / 1000)
+        with self.lock:
             for key in keys[len(used) :]:
-                self.cache[key] = {"by": tenant, "request": run.id, "part": key[2]}
+                self.cache[key] = {
+                    "by": tenant,
+                    "request": run.id,
+                    "part": key[2],
+                    "version": self.version,
+                }
+            if target is not None:
+                for key in keys[:-1]:
+                    target.cache.setdefault(key, self.cache[key])
         return used
 
     def stream(self, run: Run, events: int) -> None:
@@ -246,6 +305,33 @@
             time.sleep(0.005)
         run.chunk(b"")
 
+    def _order(self, run: Run) -> None:
+        """Accept an order to load a version of the weights; runs finish first."""
+        order = json.loads(run.body)
+        if run.headers.get("x-expect-replica", self.id) != self.id:
+            run.answer(421, **{"X-Replica-Id": self.id})
+            return
+        with self.lock:
+            if order["Version"] <= self.version:
+                status = 200
+            elif self.is_busy or order.get("Expected", self.orders) != self.orders:
+                status = 409
+            else:
+                status = 202
+                self.is_busy = True
+                self.orders += 1
+                threading.Thread(target=self._load, args=(order["Version"],)).start()
+        self.record.add(f"engine {self.id}: order {order}, answers {status}")
+        run.answer(status)
+
+    def _load(self, version: int) -> None:
+        time.sleep(self._load_s)
+        with self.lock:
+            self.version = version
+            self.cache.clear()
+            self.is_busy = False
+        self.record.add(f"engine {self.id}: serves version {version}")
+
     def _models(self) -> list[dict[str, Any]]:
         return [{"Name": self.model, "Version": self.version, "Adapters": []}]
 
@@ -253,7 +339,7 @@
         report = {
             "Stage": "colocated",
             "Models": self._models(),
-            "Busy": False,
+            "Busy": self.is_busy,
             "Sequence": self.orders,
             "Queued": 0,
             "Running": 0,
@@ -261,4 +347,4 @@
             "KvTotal": 146_851,
             "Handles": 0,
         }
-        run.answer(200, json.dumps(report).encode(), Content_Type="application/json")
+        run.answer(200, json.dumps(report).encode(), Content_Type=JSON)
