--- a/review/standins3/order.py
+++ b/review/standins3/order.py
@@ -1,10 +1,11 @@
-"""Case: one byte of an event is wrong; its piece of the stream comes twice."""
+"""Case: one byte of an event is wrong; pieces of the stream are missing or come twice."""
 
 from __future__ import annotations
 
 import re
 import threading
 import time
+from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Any
 
@@ -15,11 +16,18 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-STREAMS = 150
+STREAMS = 200
 EVENTS = 17
 SPOILED_EVERY = 50
 """An engine spoils one of so many answers: 0.02, the share of `garble`."""
 
+ENGINES = 5
+SPOILED_EVENTS = {"i-0": 0, "i-1": EVENTS // 2}
+"""Event that a faulty engine spoils: the number of its id, or the name of that field."""
+
+SPOILED_NUMBER = (b"id: 0", b"id: 8")
+SPOILED_NAME = (b"id: ", b"iF: ")
+
 MODEL = "daka510000"
 KEY = "ctnfzs989anu6wsjnban"
 CONFIGURATION: dict[str, Any] = {
@@ -76,21 +84,21 @@
         self.deployment = Deployment(folder, nodes=3)
         self.broken: list[str] = []
         self._has_trouble = False
-        self._answers = 0
+        self._answers = Counter()
         self._lock = threading.Lock()
         peers: dict[str, Engine] = {}
         self.engines = [
             Engine(
                 f"i-{number}",
                 service="lm-pool",
-                zone=zone,
+                zone=self.deployment.zones[number % 3],
                 store=self.deployment.store,
                 record=self.deployment.record,
                 script=self.run,
                 model=MODEL,
                 peers=peers,
             )
-            for number, zone in enumerate(self.deployment.zones)
+            for number in range(ENGINES)
         ]
 
     def run(self, run: Run) -> None:
@@ -98,11 +106,11 @@
         engine = run.replica
         first = int(run.headers.get("last-event-id", -1)) + 1
         spoiled = None
-        if engine is self.engines[0] and self._has_trouble and first == 0:
+        if engine.id in SPOILED_EVENTS and self._has_trouble and first == 0:
             with self._lock:
-                self._answers += 1
-                if self._answers % SPOILED_EVERY == 1:
-                    spoiled = EVENTS // 2
+                self._answers[engine.id] += 1
+                if self._answers[engine.id] % SPOILED_EVERY == 1:
+                    spoiled = SPOILED_EVENTS[engine.id]
         self.deployment.record.add(
             f"engine {engine.id}: runs {run.id} from event {first}, "
             f"spoils a byte of event {spoiled}"
@@ -114,8 +122,12 @@
             X_Weight_Versions=str(engine.version),
         )
         for number in range(first, EVENTS):
-            name = b"iF" if number == spoiled else b"id"
-            run.chunk(b"%b: %d\ndata: piece %d of text\n\n" % (name, number, number))
+            event = b"id: %d\ndata: piece %d of text\n\n" % (number, number)
+            if number == spoiled:
+                event = event.replace(
+                    *(SPOILED_NUMBER if number == 0 else SPOILED_NAME)
+                )
+            run.chunk(event)
             time.sleep(0.005)
         run.chunk(b"")
 
@@ -156,8 +168,11 @@
             f"{is_complete}, pieces {' '.join(each[6:] for each in pieces)}"
         )
         doubled = [piece for piece in wanted if pieces.count(piece) > 1]
+        missing = [piece for piece in wanted if piece not in pieces]
         if status == 200 and doubled:
             self.broken.append(f"in {request_id}, {doubled} comes twice")
+        if status == 200 and missing and is_complete:
+            self.broken.append(f"{request_id} ends as complete without {missing}")
         return status == 200 and is_complete
 
     def stop(self) -> None:
