--- a/review/standins3/stale.py
+++ b/review/standins3/stale.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from review.standins3.deployment import Caller, Deployment
-from review.standins3.replicas import HEARTBEAT_S, Engine, KvStore, Run
+from review.standins3.replicas import Engine, KvStore, Run
 from review.standins3.runner import CaseError, run_case
 
 if TYPE_CHECKING:
