--- a/review/standins3/run-case.sh
+++ b/review/standins3/run-case.sh
@@ -1,10 +1,13 @@
 #!/usr/bin/env bash
 # run-case.sh MODULE FOLDER: plays a case. Exits with 1 if the rule was broken, 0 if it
-# held, 2 if the case couldn't run.
+# held, 2 if the case couldn't run or was ended.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 export PYTHONPATH=.
-timeout -k 5 110 python3 -m "review.standins3.$1" "$2"
+timeout -k 5 110 python3 -m "review.standins3.$1" "$2" &
+player=$!
+trap 'kill -TERM "$player"; wait "$player"; exit 2' TERM INT HUP
+wait "$player"
 case $? in
     0) exit 0 ;;
     10) exit 1 ;;
