--- a/review/standins3/runner.py
+++ b/review/standins3/runner.py
@@ -43,7 +43,7 @@
 
     The exit code is 10 if the rule was broken, 0 if it held, 2 if the case couldn't run.
     """
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_PLAYED))
+    signal.signal(signal.SIGTERM, _end)
     case = make_case(Path(sys.argv[1]))
     record = case.deployment.record
     try:
@@ -58,3 +58,9 @@
         record.add(f"{case.rule} broken: {line}")
     record.add(f"{case.rule}: broken {len(case.broken)} times")
     sys.exit(BROKEN if case.broken else HELD)
+
+
+def _end(*_: object) -> None:
+    # `timeout` sends the signal to its child and then to the whole group.
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    sys.exit(NOT_PLAYED)
