Keep cases 12 and 13 inside their limits; exit with 2 when a stand-in fails

Now 12 has six engines and checks the share of late writes, 13 has eight replicas. A killed player leaves no node.

--- a/review/standins3/deployment.py
+++ b/review/standins3/deployment.py
@@ -51,6 +51,7 @@
         self._settings = folder / f"{name}.conf"
         self._output = folder / f"{name}.log"
         self.process: subprocess.Popen | None = None
+        self.is_told_to_stop = False
 
     def write_settings(self, store: str, seeds: list[str], zones: list[str]) -> None:
         """Write the settings file, with the fields and figures of DEPLOY.md."""
@@ -151,6 +152,7 @@
 
     def signal(self, number: int) -> None:
         """Send a signal to the process."""
+        self.is_told_to_stop |= number == signal.SIGTERM
         self.process.send_signal(number)
 
     def stop(self) -> None:
@@ -267,7 +269,7 @@
     def __init__(self, folder: Path, *, nodes: int):
         self.record = Record(folder / "record.txt")
         self._folder = tempfile.TemporaryDirectory()
-        self.store = Store()
+        self.store = Store(self.record)
         self.zones = ["perth-a", "perth-b", "bunbury-c"]
         self.nodes = [
             Node(f"edge-{number}", self.zones[number % 3], Path(self._folder.name))
@@ -305,6 +307,17 @@
                 time.sleep(0.05)
         self.record.add(f"{len(self.nodes)} nodes are ready")
 
+    def check_nodes(self) -> None:
+        """Check that no node has ended but one that was told to stop.
+
+        Raises:
+            RuntimeError: One has ended otherwise, so that the case can't be judged.
+        """
+        for node in self.nodes:
+            code = node.process.poll()
+            if code is not None and not (node.is_told_to_stop and code == 0):
+                raise RuntimeError(f"{node.name} has ended with {code}")
+
     def stop(self) -> None:
         """End all processes that were started."""
         for node in self.nodes:
--- a/review/standins3/refused.py
+++ b/review/standins3/refused.py
@@ -14,7 +14,10 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-BOOKINGS = 60
+BOOKINGS = 120
+REPLICAS = 8
+"""Replicas, one of them grey: 0.125, the share of `srv_grey` is 0.14."""
+
 FAILED_EVERY = 5
 """A grey replica fails two of so many requests: 0.4, the share of `srv_grey`."""
 
@@ -63,12 +66,12 @@
             Replica(
                 f"i-{number}",
                 service="tent-app",
-                zone=zone,
+                zone=self.deployment.zones[number % 3],
                 store=self.deployment.store,
                 record=self.deployment.record,
                 script=self.run,
             )
-            for number, zone in enumerate(self.deployment.zones)
+            for number in range(REPLICAS)
         ]
 
     def run(self, run: Run) -> None:
--- a/review/standins3/replicas.py
+++ b/review/standins3/replicas.py
@@ -4,6 +4,7 @@
 
 import itertools
 import json
+import sys
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -118,6 +119,7 @@
 
             def handle_error(self, *_):
                 """Ignore nodes that leave."""
+                record.add_failure(sys.exc_info()[1])
 
         self._server = Server(("127.0.0.1", 0), Handler)
         self.address = f"127.0.0.1:{self._server.server_port}"
@@ -170,7 +172,7 @@
 class KvStore:
     """The store of kept KV cache; what it keeps stays as it was first made."""
 
-    def __init__(self):
+    def __init__(self, record: Record):
         self.cache: dict[tuple[str, str, str], dict[str, Any]] = {}
 
         class Handler(BaseHTTPRequestHandler):
@@ -187,8 +189,14 @@
             def log_message(self, *_):
                 """Log nothing."""
 
-        self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-        self._server.daemon_threads = True
+        class Server(ThreadingHTTPServer):
+            daemon_threads = True
+
+            def handle_error(self, *_):
+                """Ignore nodes that leave."""
+                record.add_failure(sys.exc_info()[1])
+
+        self._server = Server(("127.0.0.1", 0), Handler)
         self.address = f"127.0.0.1:{self._server.server_port}"
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
--- a/review/standins3/run-case.sh
+++ b/review/standins3/run-case.sh
@@ -6,9 +6,18 @@
 export PYTHONPATH=.
 timeout -k 5 110 python3 -m "review.standins3.$1" "$2" &
 player=$!
-trap 'kill -TERM "$player"; wait "$player"; exit 2' TERM INT HUP
+
+# `timeout` leads a process group of its own, to which all processes of the case belong.
+# It is empty unless the player was killed.
+end_group() {
+    kill -KILL -- "-$player" 2>/dev/null
+}
+
+trap 'kill -TERM "$player"; wait "$player"; end_group; exit 2' TERM INT HUP
 wait "$player"
-case $? in
+code=$?
+end_group
+case $code in
     0) exit 0 ;;
     10) exit 1 ;;
     *) exit 2 ;;
--- a/review/standins3/runner.py
+++ b/review/standins3/runner.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+import threading
 from pathlib import Path
 from typing import TYPE_CHECKING, Protocol
 
@@ -46,8 +47,12 @@
     signal.signal(signal.SIGTERM, _end)
     case = make_case(Path(sys.argv[1]))
     record = case.deployment.record
+    threading.excepthook = lambda failure: record.add_failure(failure.exc_value)
     try:
         case.play(has_trouble=os.environ.get("TROUBLE") != "0")
+        case.deployment.check_nodes()
+        if record.failures:
+            raise CaseError("a stand-in has failed")
     except (CaseError, OSError, RuntimeError) as error:
         record.add(f"the case couldn't run: {error!r}")
         sys.exit(NOT_PLAYED)
--- a/review/standins3/stale.py
+++ b/review/standins3/stale.py
@@ -17,7 +17,10 @@
 KEY = "ctnfzs989anu6wsjnban"
 SHARED_TOKENS = 30_000
 OWN_TOKENS = 500
-PROMPTS = 5
+PROMPTS = 12
+ASK_GAP_S = 0.05
+ENGINES = 6
+"""Engines, one of which crashes: 0.17, the share of `srv_crash` is 0.3 at most."""
 
 # Times after the crash of the engine, in seconds.
 RESTART_S = 1.0
@@ -32,6 +35,9 @@
 SECOND_LATE_S = 5.9
 """The store carries out the heartbeat that the old boot sent 0.05 s before the crash."""
 
+MAX_LATE_SHARE = 0.3
+"""Largest share of the writes that are carried out late (`platform_lost`)."""
+
 KNOWN_AFTER_S = 0.45
 """Time after which the nodes have read what the store has carried out."""
 
@@ -104,15 +110,15 @@
         self.broken: list[str] = []
         self._unpinned: list[str] = []
         self._served = 0
-        self._kv_store = KvStore()
+        self._kv_store = KvStore(self.deployment.record)
         self._peers: dict[str, Any] = {self._kv_store.address: self._kv_store}
-        self.engines = [self._engine(number) for number in range(3)]
+        self.engines = [self._engine(number) for number in range(ENGINES)]
 
     def _engine(self, number: int) -> Engine:
         return Engine(
             f"i-{number}",
             service="lm-pool",
-            zone=self.deployment.zones[number],
+            zone=self.deployment.zones[number % 3],
             store=self.deployment.store,
             record=self.deployment.record,
             script=self.run,
@@ -154,11 +160,17 @@
         crashing = self.engines[0]
         # Its last two heartbeats get no answer.
         lost = crashing.lost_entries = []
+        while not lost:
+            time.sleep(0.005)
+        lost_s = time.monotonic()
         while len(lost) < 2:
             time.sleep(0.005)
         time.sleep(0.05)
         crashing.lost_entries = None if not has_trouble else lost
         crashed_s = time.monotonic()
+        self._check_dose(
+            sum(when_s >= lost_s for when_s in deployment.store.write_times_s)
+        )
         if has_trouble:
             crashing.stop()
             deployment.record.add("engine i-0 crashes")
@@ -189,6 +201,12 @@
         if self._served < PROMPTS:
             raise CaseError(f"only {self._served} requests were served")
 
+    def _check_dose(self, other_writes: int) -> None:
+        writes = 2 + other_writes
+        self.deployment.record.add(f"store: 2 of {writes} writes get no answer")
+        if writes * MAX_LATE_SHARE < 2:
+            raise CaseError("the share of late writes is too large")
+
     def _carry_out(self, entry: dict[str, Any], *, has_trouble: bool) -> None:
         if has_trouble:
             self.deployment.store.put("keyed.servers", "i-0", entry)
@@ -197,7 +215,7 @@
             )
 
     def _ask_all(self, name: str, late_s: float) -> None:
-        """Ask each tenth of a second, without waiting for the answers.
+        """Ask one after the other, without waiting for the answers.
 
         The second time, prompts whose shared part was read without a version come again.
         """
@@ -212,7 +230,7 @@
             caller = threading.Thread(target=self._ask, args=(name, number, count))
             caller.start()
             callers.append(caller)
-            time.sleep(0.1)
+            time.sleep(ASK_GAP_S)
         for caller in callers:
             caller.join()
 
--- a/review/standins3/store.py
+++ b/review/standins3/store.py
@@ -5,11 +5,16 @@
 import base64
 import json
 import struct
+import sys
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import TYPE_CHECKING
 from urllib.parse import parse_qs, urlsplit
 
+if TYPE_CHECKING:
+    from review.standins3.record import Record
+
 __all__ = ["Store"]
 
 WRITE_PROTECTED = ("keyed.op", "keyed.servers")
@@ -18,7 +23,8 @@
 class Store:
     """Keeps all records of all topics in memory."""
 
-    def __init__(self):
+    def __init__(self, record: Record):
+        self.write_times_s: list[float] = []
         self._records_by_topic: dict[str, list[bytes]] = {}
         self._changed = threading.Condition(threading.RLock())
         store = self
@@ -50,6 +56,7 @@
 
             def handle_error(self, *_):
                 """Ignore callers that leave."""
+                record.add_failure(sys.exc_info()[1])
 
         self._server = Server(("127.0.0.1", 0), Handler)
         self.address = f"127.0.0.1:{self._server.server_port}"
@@ -82,6 +89,7 @@
         with self._changed:
             stored = self._records_by_topic.setdefault(topic, [])
             stored += records
+            self.write_times_s += [time.monotonic()] * len(records)
             self._changed.notify_all()
             return len(stored) - len(records)
 
