Give the nodes of the cases ports that nothing else takes

Suspected, the record was gone: two nodes had got the same port, or an outgoing connection took it. Ports now lie below those of outgoing connections and none is given twice; a case that can't run notes the nodes' exit codes and last lines.

--- a/review/standins3/deployment.py
+++ b/review/standins3/deployment.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -21,18 +22,24 @@
 ROOT = Path(__file__).resolve().parents[2]
 READY_S = 25.0
 HEARTBEAT_S = 1.2
+FIRST_PORT, END_PORT = 12_000, 32_000
+
+_given_ports: set[int] = set()
 
 
 def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
-    """Return free ports."""
-    sockets = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind((host, 0))
-        sockets.append(sock)
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Return free ports, none of them twice in a process.
+
+    They lie below those that the kernel gives to outgoing connections.
+    """
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(FIRST_PORT, END_PORT)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((host, port))
+            if port not in _given_ports:
+                _given_ports.add(port)
+                ports.append(port)
     return ports
 
 
@@ -318,6 +325,13 @@
             if code is not None and not (node.is_told_to_stop and code == 0):
                 raise RuntimeError(f"{node.name} has ended with {code}")
 
+    def record_nodes(self) -> None:
+        """Note how the nodes ended and what they wrote last."""
+        for node in self.nodes:
+            if node.process is not None:
+                code = node.process.poll()
+                self.record.add(f"{node.name}: exit code {code}, {node.log()[-800:]}")
+
     def stop(self) -> None:
         """End all processes that were started."""
         for node in self.nodes:
--- a/review/standins3/runner.py
+++ b/review/standins3/runner.py
@@ -54,6 +54,7 @@
         if record.failures:
             raise CaseError("a stand-in has failed")
     except (CaseError, OSError, RuntimeError) as error:
+        case.deployment.record_nodes()
         record.add(f"the case couldn't run: {error!r}")
         sys.exit(NOT_PLAYED)
     finally:
